Found the workspace, the shared model and the scenario language

Cause: nothing stands yet, and five modules are about to be written side by side, so their shared types, the shape of a decision, the platform's interfaces and the formatter and linter have to be there first.

--- /dev/null
+++ b/testing/src/main/kotlin/org/vanillalink/testing/InMemoryTableStore.kt
@@ -0,0 +1,67 @@
+/*
+ * A table service in memory that fails on demand: unavailable, or with its answer lost after the write took effect.
+ */
+package org.vanillalink.testing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import org.vanillalink.platform.StoreFailure
+import org.vanillalink.platform.TableStore
+import org.vanillalink.platform.TransactionResult
+import java.util.TreeMap
+import java.util.concurrent.CompletableFuture
+
+/** How [InMemoryTableStore] treats the calls that reach it. */
+enum class StoreBehaviour { ANSWERS, UNAVAILABLE, LOSES_ANSWERS }
+
+/** A [TableStore] in memory, also usable without futures through [readNow], [scanNow] and [transactNow]. */
+class InMemoryTableStore : TableStore {
+    private val rows = TreeMap<RowKey, Row>()
+
+    /** How the next calls are treated. */
+    var behaviour: StoreBehaviour = StoreBehaviour.ANSWERS
+
+    override fun read(keys: Set<RowKey>): CompletableFuture<Either<StoreFailure, Map<RowKey, Row>>> =
+        CompletableFuture.completedFuture(readNow(keys))
+
+    override fun scan(prefix: String): CompletableFuture<Either<StoreFailure, Map<RowKey, Row>>> =
+        CompletableFuture.completedFuture(scanNow(prefix))
+
+    override fun transact(writes: List<ConditionalWrite>): CompletableFuture<Either<StoreFailure, TransactionResult>> =
+        CompletableFuture.completedFuture(transactNow(writes))
+
+    /** See [TableStore.read]. */
+    fun readNow(keys: Set<RowKey>): Either<StoreFailure, Map<RowKey, Row>> =
+        answerToRead { keys.mapNotNull { key -> rows[key]?.let { key to it } }.toMap() }
+
+    /** See [TableStore.scan]. */
+    fun scanNow(prefix: String): Either<StoreFailure, Map<RowKey, Row>> =
+        answerToRead { rows.filterKeys { it.value.startsWith(prefix) }.toMap() }
+
+    /** See [TableStore.transact]. */
+    fun transactNow(writes: List<ConditionalWrite>): Either<StoreFailure, TransactionResult> {
+        if (behaviour == StoreBehaviour.UNAVAILABLE) return StoreFailure.Unavailable.left()
+        val result = apply(writes)
+        return if (behaviour == StoreBehaviour.LOSES_ANSWERS) StoreFailure.AnswerLost.left() else result.right()
+    }
+
+    private fun apply(writes: List<ConditionalWrite>): TransactionResult {
+        val differing = writes.filter { (rows[it.key]?.version ?: ConditionalWrite.ABSENT) != it.expectedVersion }
+        if (differing.isNotEmpty()) return TransactionResult.Conflict(differing.associate { it.key to rows[it.key] })
+        return TransactionResult.Committed(writes.associate { it.key to write(it) })
+    }
+
+    private fun write(write: ConditionalWrite): Long {
+        val version = write.expectedVersion + 1
+        val value = write.value
+        if (value == null) rows.remove(write.key) else rows[write.key] = Row(version, value)
+        return version
+    }
+
+    private fun <T> answerToRead(answer: () -> T): Either<StoreFailure, T> =
+        if (behaviour == StoreBehaviour.ANSWERS) answer().right() else StoreFailure.Unavailable.left()
+}
--- /dev/null
+++ b/testing/src/main/kotlin/org/vanillalink/testing/UnreliableLink.kt
@@ -0,0 +1,41 @@
+/*
+ * A one-way link between two parts of a scenario that delays, loses, doubles and reorders messages.
+ */
+package org.vanillalink.testing
+
+import java.time.Duration
+
+/** How a link treats messages; probabilities are 0.0 to 1.0. */
+data class LinkBehaviour(
+    val shortestDelay: Duration = Duration.ofMillis(1),
+    val longestDelay: Duration = Duration.ofMillis(1),
+    val lossProbability: Double = 0.0,
+    val duplicateProbability: Double = 0.0,
+    val cut: Boolean = false,
+)
+
+/** Delivers messages of type [Message] to [receive] within [scenario]. */
+class UnreliableLink<Message>(
+    private val scenario: Scenario,
+    private val receive: (Message) -> Unit,
+) {
+    /** How the next messages are treated. */
+    var behaviour: LinkBehaviour = LinkBehaviour()
+
+    /** Sends [message], which arrives later, twice or never. */
+    fun send(message: Message) {
+        val copies = if (scenario.random.nextDouble() < behaviour.duplicateProbability) 2 else 1
+        repeat(copies) { sendOnce(message) }
+    }
+
+    private fun sendOnce(message: Message) {
+        if (behaviour.cut || scenario.random.nextDouble() < behaviour.lossProbability) return
+        scenario.after(delay()) { receive(message) }
+    }
+
+    private fun delay(): Duration {
+        val shortest = behaviour.shortestDelay.toMillis()
+        val longest = behaviour.longestDelay.toMillis()
+        return Duration.ofMillis(scenario.random.nextLong(shortest, longest + 1))
+    }
+}
