Add the HTTP transport, the platform's clients and the stand-ins

Cause: nothing carries a request yet, and what surrounds the system has to exist before a daemon can be started. Ruled out: collecting answers before passing them on, since streams have to reach callers token by token; an HTTP library beside Netty's codec, since the house style names it. Change: server and client on Netty's codec with typed failures that say whether a request may have arrived; the platform's table, objects and host list over HTTP; the targets' protocol; stand-ins for platform, engine and plain service.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/StandInServer.kt
@@ -0,0 +1,32 @@
+/*
+ * What all stand-ins share: a server that runs until the process ends, and short ways to answer.
+ */
+package org.vanillalink.standins
+
+import org.vanillalink.model.Endpoint
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpServer
+import org.vanillalink.transport.ServerLimits
+import java.util.concurrent.CountDownLatch
+
+internal const val OK = 200
+internal const val NOT_FOUND = 404
+internal const val BAD_REQUEST = 400
+
+internal fun AnswerWriter.answerJson(
+    value: Any,
+    status: Int = OK,
+) = answer(status, HeaderFields.of("content-type" to "application/json"), Json.write(value))
+
+internal fun serveUntilKilled(
+    loops: NettyEventLoops,
+    endpoint: Endpoint,
+    handler: HttpRequestHandler,
+) {
+    NettyHttpServer(loops, endpoint, ServerLimits(), handler)
+    CountDownLatch(1).await()
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/engine/EngineHandler.kt
@@ -0,0 +1,106 @@
+/*
+ * The HTTP interface of an engine's stand-in. `POST /stand-in/silent` makes all open streams go silent for good, while
+ * new connections work. A prompt that contains the crash text ends the process.
+ */
+package org.vanillalink.standins.engine
+
+import com.fasterxml.jackson.databind.JsonNode
+import org.vanillalink.model.AttemptId
+import org.vanillalink.standins.BAD_REQUEST
+import org.vanillalink.standins.NOT_FOUND
+import org.vanillalink.standins.OK
+import org.vanillalink.standins.answerJson
+import org.vanillalink.targets.OrderMessage
+import org.vanillalink.targets.TargetProtocol
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+import java.util.concurrent.Executors
+
+internal class EngineHandler(
+    private val state: EngineState,
+) : HttpRequestHandler {
+    private val timer = Executors.newSingleThreadScheduledExecutor { task -> Thread(task).apply { isDaemon = true } }
+
+    @Volatile
+    private var silentGeneration = 0
+
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        when {
+            request.path == TargetProtocol.REPORT_PATH -> answer.answerJson(state.report())
+            request.path == TargetProtocol.ORDERS_PATH -> order(request, answer)
+            request.path == TargetProtocol.COMPLETIONS_PATH -> complete(request, answer)
+            request.path.startsWith(TargetProtocol.ATTEMPTS_PATH) -> cancel(request, answer)
+            request.path == "/stand-in/silent" -> goSilent(answer)
+            else -> answer.answer(NOT_FOUND)
+        }
+    }
+
+    private fun order(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val order = Json.read<OrderMessage>(request.body).getOrNull()
+        if (order == null) {
+            answer.answer(BAD_REQUEST)
+            return
+        }
+        val result = state.take(order)
+        answer.answerJson(result, if (result.taken) OK else CONFLICT)
+    }
+
+    private fun complete(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val attempt = AttemptId(request.headers[TargetProtocol.ATTEMPT_HEADER].orEmpty())
+        val body = Json.read<JsonNode>(request.body).getOrNull()
+        if (body == null) {
+            answer.answer(BAD_REQUEST)
+            return
+        }
+        if (!state.begin(attempt, expectedTarget(request))) {
+            answer.answer(UNAVAILABLE, HeaderFields.of(TargetProtocol.NOT_RUN_HEADER to attempt.value))
+            return
+        }
+        if (CRASH_TEXT in request.body.decodeToString()) Runtime.getRuntime().halt(CRASHED)
+        val skipped = request.headers[TargetProtocol.RESUME_HEADER]?.toIntOrNull() ?: 0
+        val silentAtStart = silentGeneration
+        val stream =
+            TokenStream(attempt, body, skipped, state, timer, answer) { silentGeneration != silentAtStart }
+        stream.begin()
+    }
+
+    private fun cancel(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        state.end(AttemptId(request.path.removePrefix(TargetProtocol.ATTEMPTS_PATH)))
+        answer.answer(OK)
+    }
+
+    private fun goSilent(answer: AnswerWriter) {
+        silentGeneration += 1
+        answer.answer(OK)
+    }
+
+    private fun expectedTarget(request: HttpRequestMessage) = ExpectedTarget(
+        group = request.headers[TargetProtocol.GROUP_HEADER],
+        generation = request.headers[TargetProtocol.GENERATION_HEADER],
+        boot = request.headers[TargetProtocol.BOOT_HEADER],
+        fencingNumber = request.headers[TargetProtocol.FENCING_HEADER]?.toLongOrNull(),
+    )
+
+    private companion object {
+        const val CONFLICT = 409
+        const val UNAVAILABLE = 503
+        const val CRASHED = 4
+        const val CRASH_TEXT = "crash the engine"
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/plain/OrderDesk.kt
@@ -0,0 +1,80 @@
+/*
+ * Runs orders and counts them. `GET /orders?order={text}` tells how often an order ran here.
+ */
+package org.vanillalink.standins.plain
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetPhase
+import org.vanillalink.model.TargetReport
+import org.vanillalink.standins.OK
+import org.vanillalink.standins.answerJson
+import org.vanillalink.targets.TargetProtocol
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** How often an order ran. */
+data class RunCount(
+    val runs: Int,
+)
+
+/** The answer to an order. */
+data class OrderReceipt(
+    val order: String,
+    val run: Int,
+    val host: HostId,
+)
+
+internal class OrderDesk(
+    private val host: HostId,
+    private val boot: String,
+    private val workMilliseconds: Long,
+) : HttpRequestHandler {
+    private val timer = Executors.newSingleThreadScheduledExecutor { task -> Thread(task).apply { isDaemon = true } }
+    private val runs = ConcurrentHashMap<String, Int>()
+    private val running = ConcurrentHashMap.newKeySet<AttemptId>()
+    private val reports = AtomicLong()
+
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        when {
+            request.path == TargetProtocol.REPORT_PATH -> answer.answerJson(report())
+            request.method == "GET" -> answer.answerJson(RunCount(runs[request.queryParameter("order").orEmpty()] ?: 0))
+            else -> runOrder(request, answer)
+        }
+    }
+
+    private fun runOrder(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val attempt = AttemptId(request.headers[TargetProtocol.ATTEMPT_HEADER].orEmpty())
+        val order = request.body.decodeToString()
+        val run = runs.merge(order, 1, Int::plus) ?: 1
+        running.add(attempt)
+        val headers =
+            HeaderFields.of(TargetProtocol.ATTEMPT_HEADER to attempt.value, "content-type" to "application/json")
+        timer.schedule({
+            running.remove(attempt)
+            answer.answer(OK, headers, Json.write(OrderReceipt(order, run, host)))
+        }, workMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun report() = TargetReport(
+        host = host,
+        boot = BootId(boot),
+        sequence = reports.incrementAndGet(),
+        phase = TargetPhase.READY,
+        runningAttempts = running.toSet(),
+    )
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/platform/PlatformHandler.kt
@@ -0,0 +1,155 @@
+/*
+ * The HTTP interface of the platform's stand-in.
+ */
+package org.vanillalink.standins.platform
+
+import arrow.core.Either
+import org.vanillalink.model.HostId
+import org.vanillalink.model.HostStatus
+import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import org.vanillalink.platform.StoreFailure
+import org.vanillalink.platform.TransactionResult
+import org.vanillalink.platform.http.HostsAnswer
+import org.vanillalink.platform.http.ReadRequest
+import org.vanillalink.platform.http.RowMessage
+import org.vanillalink.platform.http.RowsAnswer
+import org.vanillalink.platform.http.ScanRequest
+import org.vanillalink.platform.http.TransactionAnswer
+import org.vanillalink.platform.http.TransactionRequest
+import org.vanillalink.standins.BAD_REQUEST
+import org.vanillalink.standins.NOT_FOUND
+import org.vanillalink.standins.OK
+import org.vanillalink.standins.answerJson
+import org.vanillalink.testing.StoreBehaviour
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+
+internal class PlatformHandler(
+    private val platform: InMemoryPlatform,
+) : HttpRequestHandler {
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        when {
+            request.path == "/table/read" -> withBody<ReadRequest>(request, answer) { read(it, answer) }
+            request.path == "/table/scan" -> withBody<ScanRequest>(request, answer) { scan(it, answer) }
+            request.path == "/table/transact" -> withBody<TransactionRequest>(request, answer) { transact(it, answer) }
+            request.path == "/hosts" -> listHosts(answer)
+            request.path.startsWith(OBJECTS) -> handleObject(request, answer)
+            request.path == "/stand-in/behaviour" -> setBehaviour(request, answer)
+            request.path == "/stand-in/hosts" -> setHost(request, answer)
+            else -> answer.answer(NOT_FOUND)
+        }
+    }
+
+    private inline fun <reified T> withBody(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+        action: (T) -> Unit,
+    ) {
+        Json.read<T>(request.body).fold({ answer.answer(BAD_REQUEST) }, action)
+    }
+
+    private fun read(
+        request: ReadRequest,
+        answer: AnswerWriter,
+    ) = answerRows(answer, platform.withTable { it.readNow(request.keys.map(::RowKey).toSet()) })
+
+    private fun scan(
+        request: ScanRequest,
+        answer: AnswerWriter,
+    ) = answerRows(answer, platform.withTable { it.scanNow(request.prefix) })
+
+    private fun answerRows(
+        answer: AnswerWriter,
+        rows: Either<StoreFailure, Map<RowKey, Row>>,
+    ) = rows.fold({ fail(it, answer) }, { answer.answerJson(RowsAnswer(it.entries.associate(::toMessage))) })
+
+    private fun transact(
+        request: TransactionRequest,
+        answer: AnswerWriter,
+    ) {
+        val writes = request.writes.map { ConditionalWrite(RowKey(it.key), it.expectedVersion, it.value) }
+        val result = platform.withTable { it.transactNow(writes) }
+        result.fold({ fail(it, answer) }, { answer.answerJson(toAnswer(it)) })
+    }
+
+    private fun toAnswer(result: TransactionResult): TransactionAnswer = when (result) {
+        is TransactionResult.Committed -> {
+            TransactionAnswer(committed = true, versions = result.versions.mapKeys { it.key.value })
+        }
+
+        is TransactionResult.Conflict -> {
+            TransactionAnswer(
+                committed = false,
+                actual = result.actual.entries.associate { (key, row) -> key.value to row?.let(::toMessage) },
+            )
+        }
+    }
+
+    private fun toMessage(entry: Map.Entry<RowKey, Row>) = entry.key.value to toMessage(entry.value)
+
+    private fun toMessage(row: Row) = RowMessage(row.version, row.value)
+
+    private fun fail(
+        failure: StoreFailure,
+        answer: AnswerWriter,
+    ) = when (failure) {
+        StoreFailure.Unavailable -> answer.answer(UNAVAILABLE)
+        StoreFailure.AnswerLost -> answer.abort()
+    }
+
+    private fun listHosts(answer: AnswerWriter) {
+        if (platform.behaviour == StoreBehaviour.UNAVAILABLE) {
+            answer.answer(UNAVAILABLE)
+            return
+        }
+        answer.answerJson(HostsAnswer(platform.hosts()))
+    }
+
+    private fun handleObject(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        if (platform.behaviour == StoreBehaviour.UNAVAILABLE) {
+            answer.answer(UNAVAILABLE)
+            return
+        }
+        val name = request.path.removePrefix(OBJECTS)
+        if (request.method == "PUT") {
+            platform.objects[name] = request.body
+            answer.answer(OK)
+            return
+        }
+        val content = platform.objects[name]
+        if (content == null) answer.answer(NOT_FOUND) else answer.answer(OK, body = content)
+    }
+
+    private fun setBehaviour(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        platform.behaviour = StoreBehaviour.valueOf(request.queryParameter("behaviour").orEmpty())
+        answer.answer(OK)
+    }
+
+    private fun setHost(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val host = HostId(request.queryParameter("host").orEmpty())
+        platform.setStatus(host, request.queryParameter("status")?.let(HostStatus::valueOf))
+        answer.answer(OK)
+    }
+
+    private companion object {
+        const val OBJECTS = "/objects/"
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/BoundedAggregator.kt
@@ -0,0 +1,45 @@
+/*
+ * Collects a request's body up to a bound, and answers a larger one with a typed refusal.
+ */
+package org.vanillalink.transport
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import org.vanillalink.model.Refusal
+import org.vanillalink.model.RefusalOutcome
+import org.vanillalink.model.RefusalReason
+
+internal class BoundedAggregator(
+    private val bodyBytes: Int,
+) : HttpObjectAggregator(bodyBytes) {
+    override fun handleOversizedMessage(
+        context: ChannelHandlerContext,
+        oversized: HttpMessage,
+    ) {
+        val detail = "The body is larger than $bodyBytes bytes."
+        val refusal = Refusal(RefusalReason.REQUEST_TOO_LARGE, RefusalOutcome.NOT_RUN, detail)
+        context.writeAndFlush(problemResponse(refusal)).addListener(ChannelFutureListener.CLOSE)
+    }
+}
+
+/** A whole response with problem details that ends the connection. */
+internal fun problemResponse(refusal: Refusal): FullHttpResponse {
+    val body = Unpooled.wrappedBuffer(Json.write(ProblemDetails.of(refusal)))
+    val status = HttpResponseStatus.valueOf(refusal.reason.status)
+    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, ProblemDetails.MEDIA_TYPE)
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    return response
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
@@ -0,0 +1,69 @@
+/*
+ * One connection to a server: passes the answer's parts to the exchange that uses the connection now.
+ */
+package org.vanillalink.transport
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+
+internal class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
+    private var exchange: NettyExchange? = null
+    private var reusable = false
+
+    fun use(next: NettyExchange) {
+        exchange = next
+        reusable = false
+    }
+
+    fun leave() {
+        exchange = null
+    }
+
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        part: HttpObject,
+    ) {
+        val current = exchange
+        if (current == null || part.decoderResult().isFailure) {
+            context.close()
+            current?.fail(TransportFailure.MalformedAnswer("not HTTP"))
+            return
+        }
+        if (part is HttpResponse) {
+            reusable = HttpUtil.isKeepAlive(part)
+            current.head(part.status().code(), part.headers().toFields())
+        }
+        if (part is HttpContent) passContent(current, part)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        exchange?.fail(TransportFailure.ConnectionLost("connection closed"))
+    }
+
+    @Suppress("OVERRIDE_DEPRECATION")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        exchange?.fail(TransportFailure.ConnectionLost(cause.message.orEmpty()))
+        context.close()
+    }
+
+    private fun passContent(
+        current: NettyExchange,
+        content: HttpContent,
+    ) {
+        val size = content.content().readableBytes()
+        if (size > 0) {
+            val bytes = ByteArray(size)
+            content.content().readBytes(bytes)
+            current.piece(bytes)
+        }
+        if (content is LastHttpContent) current.whole(reusable)
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
@@ -0,0 +1,73 @@
+/*
+ * The interfaces of the HTTP client.
+ */
+package org.vanillalink.transport
+
+import arrow.core.Either
+import org.vanillalink.model.Endpoint
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+
+private val ANSWER_TIMEOUT = Duration.ofSeconds(10)
+
+/** Whether a request may travel on a connection that was used before. */
+enum class ConnectionChoice { REUSED_OR_FRESH, FRESH }
+
+/** How a request is sent. [answerTimeout] bounds the time until the answer's head arrives. */
+data class SendOptions(
+    val connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
+    val answerTimeout: Duration = ANSWER_TIMEOUT,
+)
+
+/** Receives an answer in pieces, on a traffic thread. After [whole] or [failed] no more calls come. */
+interface AnswerListener {
+    /** The connection stands; bytes of the request may leave from now on. */
+    fun sending() = Unit
+
+    /** The answer's status and header fields have arrived. */
+    fun head(
+        status: Int,
+        headers: HeaderFields,
+    )
+
+    /** A piece of the answer's body has arrived. */
+    fun piece(bytes: ByteArray)
+
+    /** The answer has arrived whole. */
+    fun whole()
+
+    /** No whole answer will arrive. */
+    fun failed(failure: TransportFailure)
+}
+
+/** A request on its way. */
+interface OutgoingExchange {
+    /** Stops or resumes reading of the answer, to hold a fast sender back. */
+    fun setReading(reading: Boolean)
+
+    /** Closes the connection; the listener hears nothing more. */
+    fun close()
+}
+
+/** Sends HTTP requests. */
+interface HttpClient {
+    /** Sends [request] to [endpoint] and gives the answer to [listener] in pieces. */
+    fun send(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        options: SendOptions,
+        listener: AnswerListener,
+    ): OutgoingExchange
+
+    /** Sends [request] and collects the whole answer, of [ANSWER_BYTES_COLLECTED] at the most, within [timeout]. */
+    fun call(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        timeout: Duration,
+    ): CompletableFuture<Either<TransportFailure, HttpAnswer>>
+
+    companion object {
+        /** Greatest body that [call] collects, in bytes. */
+        const val ANSWER_BYTES_COLLECTED = 16_777_216
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -0,0 +1,69 @@
+/*
+ * The interfaces of the HTTP server.
+ */
+package org.vanillalink.transport
+
+import org.vanillalink.model.Endpoint
+
+/** Handles requests; called on a traffic thread, which it must not block. */
+fun interface HttpRequestHandler {
+    /** Answers [request] through [answer], now or later, from any thread. */
+    fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    )
+}
+
+/** Writes one answer. Calls after the answer has ended, or after the caller went away, do nothing. */
+interface AnswerWriter {
+    /** Whether more can be written without piling up; false while the caller reads slowly. */
+    val isWritable: Boolean
+
+    /** Begins an answer that is written in pieces. */
+    fun start(
+        status: Int,
+        headers: HeaderFields,
+    )
+
+    /** Writes a piece of a started answer. */
+    fun write(bytes: ByteArray)
+
+    /** Ends a started answer as whole. */
+    fun finish()
+
+    /** Writes a whole answer at once. */
+    fun answer(
+        status: Int,
+        headers: HeaderFields = HeaderFields(),
+        body: ByteArray = ByteArray(0),
+    )
+
+    /** Closes the connection, so that the caller sees that the answer isn't whole. */
+    fun abort()
+
+    /** Calls [action] whenever the caller has caught up reading. */
+    fun onWritable(action: () -> Unit)
+
+    /** Calls [action] once if the caller goes away before the answer has ended. */
+    fun onCallerGone(action: () -> Unit)
+}
+
+/** Bounds on what a caller may send. Sizes are bytes. */
+data class ServerLimits(
+    val headerBytes: Int = 16_384,
+    val bodyBytes: Int = 4_194_304,
+    val connections: Int = 10_000,
+    val idleSeconds: Int = 120,
+)
+
+/** A listening HTTP server. */
+interface HttpServer : AutoCloseable {
+    /** Where it listens; the port is the real one also where 0 was asked for. */
+    val endpoint: Endpoint
+
+    /** How many requests have no whole answer yet. */
+    val requestsInProgress: Int
+
+    /** Takes no new connections and closes each open one once its answer has ended. */
+    fun drain()
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
@@ -0,0 +1,104 @@
+/*
+ * One request and its answer on a Netty connection. Once begun, all state is touched on the connection's event loop.
+ */
+package org.vanillalink.transport
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+
+internal class NettyExchange(
+    private val request: HttpRequestMessage,
+    private val options: SendOptions,
+    private val listener: AnswerListener,
+    private val release: (Channel) -> Unit,
+) : OutgoingExchange {
+    private val ended = AtomicBoolean()
+
+    @Volatile
+    private var channel: Channel? = null
+
+    @Volatile
+    private var reading = true
+    private var timeout: Future<*>? = null
+
+    override fun setReading(reading: Boolean) {
+        this.reading = reading
+        channel?.let { it.eventLoop().execute { if (!ended.get()) it.config().isAutoRead = this.reading } }
+    }
+
+    override fun close() {
+        if (ended.compareAndSet(false, true)) channel?.close()
+    }
+
+    fun begin(connected: Channel) {
+        channel = connected
+        connected.eventLoop().execute {
+            if (ended.get()) {
+                connected.close()
+                return@execute
+            }
+            connected.connection().use(this)
+            connected.config().isAutoRead = reading
+            listener.sending()
+            scheduleTimeout(connected)
+            connected.writeAndFlush(toNetty()).addListener { written ->
+                if (!written.isSuccess) fail(TransportFailure.ConnectionLost(written.cause().message.orEmpty()))
+            }
+        }
+    }
+
+    fun notConnected(detail: String) {
+        if (ended.compareAndSet(false, true)) listener.failed(TransportFailure.NotConnected(detail))
+    }
+
+    fun head(
+        status: Int,
+        headers: HeaderFields,
+    ) {
+        timeout?.cancel(false)
+        if (!ended.get()) listener.head(status, headers)
+    }
+
+    fun piece(bytes: ByteArray) {
+        if (!ended.get()) listener.piece(bytes)
+    }
+
+    fun whole(reusable: Boolean) {
+        if (!ended.compareAndSet(false, true)) return
+        val connection = channel ?: return
+        connection.connection().leave()
+        connection.config().isAutoRead = true
+        if (reusable) release(connection) else connection.close()
+        listener.whole()
+    }
+
+    fun fail(failure: TransportFailure) {
+        timeout?.cancel(false)
+        if (!ended.compareAndSet(false, true)) return
+        channel?.close()
+        listener.failed(failure)
+    }
+
+    private fun scheduleTimeout(connected: Channel) {
+        val milliseconds = options.answerTimeout.toMillis()
+        val expire = Runnable { fail(TransportFailure.TimedOut("no answer within $milliseconds ms")) }
+        timeout = connected.eventLoop().schedule(expire, milliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun toNetty(): DefaultFullHttpRequest {
+        val body = Unpooled.wrappedBuffer(request.body)
+        val message =
+            DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method), request.target, body)
+        request.headers.all.forEach { (name, value) -> message.headers().set(name, value) }
+        HttpUtil.setContentLength(message, request.body.size.toLong())
+        if (!message.headers().contains("host")) message.headers().set("host", "target")
+        return message
+    }
+}
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -0,0 +1,94 @@
+/*
+ * The HTTP client on Netty's codec, with a small pool of idle connections for each endpoint.
+ */
+package org.vanillalink.transport
+
+import arrow.core.Either
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import org.vanillalink.model.Endpoint
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** Sends requests on the threads of [loops]. */
+class NettyHttpClient(
+    private val loops: NettyEventLoops,
+    private val connectTimeout: Duration = Duration.ofSeconds(1),
+) : HttpClient {
+    private val idle = IdleConnections()
+
+    init {
+        loops.group.scheduleAtFixedRate(idle::sweep, SWEEP_SECONDS, SWEEP_SECONDS, TimeUnit.SECONDS)
+    }
+
+    override fun send(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        options: SendOptions,
+        listener: AnswerListener,
+    ): OutgoingExchange {
+        val exchange = NettyExchange(request, options, listener) { channel -> idle.add(endpoint, channel) }
+        val reused = if (options.connection == ConnectionChoice.FRESH) null else idle.take(endpoint)
+        if (reused == null) connect(endpoint, exchange) else exchange.begin(reused)
+        return exchange
+    }
+
+    override fun call(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        timeout: Duration,
+    ): CompletableFuture<Either<TransportFailure, HttpAnswer>> {
+        val collector = AnswerCollector()
+        val exchange = send(endpoint, request, SendOptions(answerTimeout = timeout), collector)
+        collector.whenTooLarge { exchange.close() }
+        loops.group.schedule(
+            { collector.giveUp(exchange) },
+            timeout.toMillis(),
+            java.util.concurrent.TimeUnit.MILLISECONDS,
+        )
+        return collector.answer
+    }
+
+    private fun connect(
+        endpoint: Endpoint,
+        exchange: NettyExchange,
+    ) {
+        Bootstrap()
+            .group(loops.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.toMillis().toInt())
+            .handler(ConnectionInitializer)
+            .connect(endpoint.address, endpoint.port)
+            .addListener { attempt ->
+                if (attempt.isSuccess) {
+                    exchange.begin((attempt as ChannelFuture).channel())
+                } else {
+                    exchange.notConnected(attempt.cause().message.orEmpty())
+                }
+            }
+    }
+
+    private companion object {
+        const val SWEEP_SECONDS = 1L
+    }
+
+    private object ConnectionInitializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel
+                .pipeline()
+                .addLast(HttpClientCodec())
+                .addLast(ClientConnection())
+        }
+    }
+}
+
+/** Gives the [ClientConnection] of a channel. */
+internal fun Channel.connection(): ClientConnection = pipeline().get(ClientConnection::class.java)
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -0,0 +1,78 @@
+/*
+ * The HTTP server on Netty's codec. Each connection handles one request at a time; the caller's next requests on it
+ * wait in a bounded queue. Malformed and oversized requests get a typed answer and a closed connection.
+ */
+package org.vanillalink.transport
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.timeout.IdleStateHandler
+import io.netty.util.concurrent.GlobalEventExecutor
+import org.vanillalink.model.Endpoint
+import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Listens on [bind] and gives each request to [handler]. */
+class NettyHttpServer(
+    private val loops: NettyEventLoops,
+    private val bind: Endpoint,
+    private val limits: ServerLimits,
+    private val handler: HttpRequestHandler,
+) : HttpServer {
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
+    private val inProgress = AtomicInteger()
+
+    @Volatile
+    private var draining = false
+    private val listening: Channel = listen()
+
+    override val endpoint: Endpoint
+        get() = Endpoint(bind.address, (listening.localAddress() as InetSocketAddress).port)
+
+    override val requestsInProgress: Int get() = inProgress.get()
+
+    override fun drain() {
+        draining = true
+        listening.close()
+        connections.forEach { channel -> channel.pipeline().get(ServerConnection::class.java)?.closeWhenIdle() }
+    }
+
+    override fun close() {
+        listening.close().syncUninterruptibly()
+        connections.close()
+    }
+
+    private fun listen(): Channel = ServerBootstrap()
+        .group(loops.group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(ConnectionInitializer())
+        .bind(bind.address, bind.port)
+        .syncUninterruptibly()
+        .channel()
+
+    private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            if (connections.size >= limits.connections) {
+                channel.close()
+                return
+            }
+            connections.add(channel)
+            val decoding = HttpDecoderConfig().setMaxHeaderSize(limits.headerBytes)
+            channel
+                .pipeline()
+                .addLast(IdleStateHandler(0, 0, limits.idleSeconds))
+                .addLast(HttpServerCodec(decoding))
+                .addLast(BoundedAggregator(limits.bodyBytes))
+                .addLast(ServerConnection(handler, inProgress) { draining })
+        }
+    }
+}
