Run calls with an idempotency key at most once

Cause: a lost order or a doubled one costs the users a lorry or steel, and answers of the table can be lost, daemons die or pause between any two steps.

Change: IdempotentDispatch records claimed, sending and done by conditional writes and sends only once its own attempt is seen in state sending. A key whose call certainly didn't run is freed by a written state `released`.

Ruled out: deleting the row to free a key, because a row inserted anew starts at version 1 again and an old process's write could then match it.

--- /dev/null
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordFinish.kt
@@ -0,0 +1,104 @@
+/*
+ * The way of a call after it was sent: its outcome goes to the caller at once and to the record as soon as can be.
+ */
+package org.vanillalink.dispatch.record
+
+import org.vanillalink.model.RefusalOutcome
+import org.vanillalink.model.Transition
+import org.vanillalink.platform.Row
+import java.time.Instant
+
+internal class RecordFinish(
+    private val settings: DispatchSettings,
+    private val steps: DispatchSteps,
+    private val refusals: DispatchRefusals,
+    private val codec: DispatchRecordCodec,
+) {
+    fun targetAnswered(
+        state: DispatchState,
+        entry: DispatchEntry,
+        outcome: CallOutcome,
+        now: Instant,
+    ): DispatchTransition {
+        val answer = DispatchDecision.AnswerCaller(entry.call.request, outcome, replay = false)
+        val answers = if (entry.answered) emptyList() else listOf(answer)
+        val keeping = keepOutcome(state, entry.copy(answered = true), outcome, now)
+        return Transition(keeping.state, answers + keeping.decisions)
+    }
+
+    fun targetFailed(
+        state: DispatchState,
+        entry: DispatchEntry,
+        mayHaveRun: Boolean,
+        now: Instant,
+    ): DispatchTransition {
+        if (mayHaveRun) return steps.refuse(state, entry, refusals.outcomeUnknown())
+        val refusal = refusals.targetNotReached(entry.startedAt, now)
+        val releasing = steps.release(state, entry.copy(answered = true), now)
+        return Transition(releasing.state, steps.refusalUnlessAnswered(entry, refusal) + releasing.decisions)
+    }
+
+    /** The caller is told at once; the run goes on and its outcome will be replayed. */
+    fun pastDeadline(
+        state: DispatchState,
+        entry: DispatchEntry,
+        now: Instant,
+    ): DispatchTransition {
+        val refusal = refusals.deadlineExceeded(RefusalOutcome.UNKNOWN, entry.startedAt, now)
+        return Transition(
+            steps.keep(state, entry.copy(answered = true)),
+            steps.refusalUnlessAnswered(entry, refusal),
+        )
+    }
+
+    fun bodyStored(
+        state: DispatchState,
+        entry: DispatchEntry,
+        phase: DispatchPhase.StoringBody,
+        now: Instant,
+    ): DispatchTransition {
+        val recorded = phase.outcome.copy(body = OutcomeBody.Stored(phase.name))
+        return steps.complete(state, entry, DispatchPhase.Completing(phase.outcome, recorded), now)
+    }
+
+    fun storeBody(
+        state: DispatchState,
+        entry: DispatchEntry,
+        phase: DispatchPhase.StoringBody,
+    ): DispatchTransition {
+        val body = phase.outcome.body as? OutcomeBody.Inline ?: return Transition(steps.drop(state, entry))
+        val storing = DispatchDecision.StoreBody(entry.call.record, phase.name, body)
+        return Transition(steps.keep(state, entry.copy(phase = phase, dueAt = null)), listOf(storing))
+    }
+
+    /** Goes on with the outcome, or the freeing, of a call whose last write didn't commit as far as known. */
+    fun settle(
+        state: DispatchState,
+        entry: DispatchEntry,
+        row: Row?,
+        now: Instant,
+    ): DispatchTransition {
+        val record = row?.let { codec.decode(it.value).getOrNull() }
+        if (record == null || record.attempt != entry.call.attempt) return Transition(steps.drop(state, entry))
+        val unfinished = record.state == RecordState.SENDING || record.state == RecordState.CLAIMED
+        if (!unfinished) return Transition(steps.drop(state, entry))
+        val current = entry.copy(version = row.version, failedReads = 0)
+        val phase = entry.phase
+        if (phase is DispatchPhase.Completing) return steps.complete(state, current, phase, now)
+        return steps.release(state, current, now)
+    }
+
+    private fun keepOutcome(
+        state: DispatchState,
+        entry: DispatchEntry,
+        outcome: CallOutcome,
+        now: Instant,
+    ): DispatchTransition {
+        val body = outcome.body
+        if (body is OutcomeBody.Inline && body.base64.length > settings.largestInlineBase64) {
+            val name = "${entry.call.record.row}/${entry.call.attempt}"
+            return storeBody(state, entry, DispatchPhase.StoringBody(outcome, name))
+        }
+        return steps.complete(state, entry, DispatchPhase.Completing(outcome, outcome), now)
+    }
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordId.kt
@@ -0,0 +1,75 @@
+/*
+ * Names of dispatch records and fingerprints of calls.
+ *
+ * A record's name covers workspace and service, so that one workspace can never reach another's record.
+ */
+package org.vanillalink.dispatch.record
+
+import com.fasterxml.jackson.annotation.JsonCreator
+import com.fasterxml.jackson.annotation.JsonValue
+import org.vanillalink.model.IdempotencyKey
+import org.vanillalink.model.ServiceName
+import org.vanillalink.model.WorkspaceId
+import org.vanillalink.platform.RowKey
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** SHA-256 (lower-case hexadecimal) of workspace, service and idempotency key. */
+data class RecordId
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    constructor(
+        @get:JsonValue val value: String,
+    ) {
+        /** The row that holds the record. */
+        val row: RowKey get() = RowKey(ROW_PREFIX + value)
+
+        override fun toString(): String = value
+
+        companion object {
+            /** What the keys of all record rows start with. */
+            const val ROW_PREFIX = "dispatch/"
+
+            /** The record of [key] as used by [workspace] at [service]. */
+            fun of(
+                workspace: WorkspaceId,
+                service: ServiceName,
+                key: IdempotencyKey,
+            ): RecordId = RecordId(digest(listOf(workspace.value, service.value, key.value).map { it.toByteArray() }))
+        }
+    }
+
+/** SHA-256 (lower-case hexadecimal) of what makes two calls the same. */
+data class CallFingerprint
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    constructor(
+        @get:JsonValue val value: String,
+    ) {
+        override fun toString(): String = value
+
+        companion object {
+            /** The fingerprint of a call by its HTTP [method], [path] and [body]. */
+            fun ofCall(
+                method: String,
+                path: String,
+                body: ByteArray,
+            ): CallFingerprint = CallFingerprint(digest(listOf(method.toByteArray(), path.toByteArray(), body)))
+
+            /** The fingerprint of a model request by [workspace], [service] and [body], whatever its key. */
+            fun ofModelRequest(
+                workspace: WorkspaceId,
+                service: ServiceName,
+                body: ByteArray,
+            ): CallFingerprint =
+                CallFingerprint(digest(listOf(workspace.value.toByteArray(), service.value.toByteArray(), body)))
+        }
+    }
+
+/** Hashes [parts] with their lengths, so that moving a byte between two parts changes the digest. */
+private fun digest(parts: List<ByteArray>): String {
+    val sha = MessageDigest.getInstance("SHA-256")
+    parts.forEach { part ->
+        sha.update("${part.size}:".toByteArray())
+        sha.update(part)
+    }
+    return HexFormat.of().formatHex(sha.digest())
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordStart.kt
@@ -0,0 +1,136 @@
+/*
+ * The way of a call up to the moment it is sent.
+ *
+ * The call is sent only once this process has seen its own attempt in state sending, by the answer of the write or by
+ * reading the row back.
+ */
+package org.vanillalink.dispatch.record
+
+import org.vanillalink.model.Refusal
+import org.vanillalink.model.RefusalOutcome
+import org.vanillalink.model.Transition
+import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.platform.Row
+import java.time.Instant
+
+internal class RecordStart(
+    private val settings: DispatchSettings,
+    private val steps: DispatchSteps,
+    private val refusals: DispatchRefusals,
+    private val codec: DispatchRecordCodec,
+) {
+    /** Goes on from the [row] as the table has it. */
+    fun proceed(
+        state: DispatchState,
+        entry: DispatchEntry,
+        row: Row?,
+        now: Instant,
+    ): DispatchTransition {
+        if (now.isAfter(entry.call.deadline)) return pastDeadline(state, entry, now)
+        if (row == null) return steps.claim(state, entry, ConditionalWrite.ABSENT, now)
+        val record =
+            codec.decode(row.value).getOrNull()
+                ?: return steps.refuse(state, entry, refusals.outcomeUnknown())
+        return when (record.state) {
+            RecordState.RELEASED -> steps.claim(state, entry, row.version, now)
+            RecordState.CLAIMED -> fromClaimed(state, entry, row.version, record, now)
+            RecordState.SENDING -> fromSending(state, entry, row.version, record, now)
+            RecordState.DONE -> fromDone(state, entry, record)
+        }
+    }
+
+    /** Ends a call that wasn't sent; its claim, or a write of sending whose fate is open, is taken back. */
+    fun giveUp(
+        state: DispatchState,
+        entry: DispatchEntry,
+        refusal: Refusal,
+    ): DispatchTransition {
+        val releasing = entry.copy(phase = DispatchPhase.Releasing, answered = true, failedReads = 0)
+        val reading = steps.read(state, releasing)
+        return Transition(reading.state, steps.refusalUnlessAnswered(entry, refusal) + reading.decisions)
+    }
+
+    /** Ends a call whose deadline passed before it was sent. */
+    fun pastDeadline(
+        state: DispatchState,
+        entry: DispatchEntry,
+        now: Instant,
+    ): DispatchTransition {
+        if (entry.phase is DispatchPhase.AskingOwner) {
+            val refusal = refusals.deadlineExceeded(RefusalOutcome.UNKNOWN, entry.startedAt, now)
+            return steps.refuse(state, entry, refusal)
+        }
+        return giveUp(state, entry, refusals.deadlineExceeded(RefusalOutcome.NOT_RUN, entry.startedAt, now))
+    }
+
+    /** The write of sending has committed as [version]. */
+    fun send(
+        state: DispatchState,
+        entry: DispatchEntry,
+        version: Long,
+    ): DispatchTransition {
+        val sending = entry.copy(phase = DispatchPhase.Sending, version = version, dueAt = null)
+        return Transition(steps.keep(state, sending), listOf(DispatchDecision.SendToTarget(entry.call)))
+    }
+
+    /** The owner may have recorded the outcome since, and have forgotten the call. */
+    fun lookAgain(
+        state: DispatchState,
+        entry: DispatchEntry,
+        phase: DispatchPhase.AskingOwner,
+    ): DispatchTransition = steps.read(state, entry.copy(phase = phase.copy(rereads = phase.rereads + 1)))
+
+    private fun fromClaimed(
+        state: DispatchState,
+        entry: DispatchEntry,
+        version: Long,
+        record: DispatchRecord,
+        now: Instant,
+    ): DispatchTransition {
+        if (record.attempt == entry.call.attempt) return steps.recordSending(state, entry, version, now)
+        if (record.fingerprint != entry.call.fingerprint) return steps.refuse(state, entry, refusals.keyReused())
+        if (entry.phase == DispatchPhase.Recording) return lostClaim(state, entry, now)
+        return steps.claim(state, entry, version, now)
+    }
+
+    /** Taking it over again could go on for ever between two daemons. */
+    private fun lostClaim(
+        state: DispatchState,
+        entry: DispatchEntry,
+        now: Instant,
+    ): DispatchTransition = steps.refuse(state, entry, refusals.inProgress(entry.startedAt, now))
+
+    private fun fromSending(
+        state: DispatchState,
+        entry: DispatchEntry,
+        version: Long,
+        record: DispatchRecord,
+        now: Instant,
+    ): DispatchTransition {
+        if (record.attempt == entry.call.attempt) return send(state, entry, version)
+        if (record.fingerprint != entry.call.fingerprint) return steps.refuse(state, entry, refusals.keyReused())
+        val rereads = (entry.phase as? DispatchPhase.AskingOwner)?.rereads ?: 0
+        if (rereads > 0 || record.owner.isGone(state)) return steps.refuse(state, entry, refusals.outcomeUnknown())
+        val asking =
+            entry.copy(
+                phase = DispatchPhase.AskingOwner(record),
+                dueAt = now.plus(settings.ownerAnswerTimeout),
+            )
+        return Transition(
+            steps.keep(state, asking),
+            listOf(DispatchDecision.AskOwner(record.owner, entry.call.record)),
+        )
+    }
+
+    private fun RecordOwner.isGone(state: DispatchState): Boolean = daemon == state.owner.daemon
+
+    private fun fromDone(
+        state: DispatchState,
+        entry: DispatchEntry,
+        record: DispatchRecord,
+    ): DispatchTransition {
+        if (record.fingerprint != entry.call.fingerprint) return steps.refuse(state, entry, refusals.keyReused())
+        val outcome = record.outcome ?: return steps.refuse(state, entry, refusals.outcomeUnknown())
+        return steps.replay(state, entry, outcome)
+    }
+}
