Bound the targets that one poison request takes down

Cause: a single request crashes each target that runs it, and its caller sends it again through another daemon.

A suspect is tried once more under a permit; two losses refuse it. A broken connection strikes at once and a later proof of life lifts it.

Ruled out: permits owned by fingerprint. Two owners could give one target two suspects, and an innocent could so be struck twice; one owner per failure domain gives each target one suspect. Permits listed in a heartbeat replace the owner's only after a settle time, since the heartbeat may predate the grant.

--- /dev/null
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonMessages.kt
@@ -0,0 +1,146 @@
+/*
+ * What happens to requests that may crash their targets, and what has to be done about it.
+ */
+package org.vanillalink.dispatch.poison
+
+import org.vanillalink.dispatch.record.CallFingerprint
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.Refusal
+import org.vanillalink.model.RequestId
+import java.time.Instant
+
+/** One target's process that was lost; the same loss counts once, however often it's reported. */
+data class TargetLoss(
+    val host: HostId,
+    val boot: BootId,
+)
+
+/** [fingerprint] was running when [loss] happened. */
+data class Strike(
+    val fingerprint: CallFingerprint,
+    val loss: TargetLoss,
+    val at: Instant,
+)
+
+/** The right to run the suspect [fingerprint] once on [host], given to [holder]. */
+data class Permit(
+    val fingerprint: CallFingerprint,
+    val host: HostId,
+    val holder: DaemonId,
+)
+
+/** What happened. */
+sealed interface PoisonEvent {
+    /** [request] could be sent to [host]; [mayHaveRun] for a retry after an attempt that may have run. */
+    data class PlacementWanted(
+        val request: RequestId,
+        val fingerprint: CallFingerprint,
+        val host: HostId,
+        val mayHaveRun: Boolean,
+    ) : PoisonEvent
+
+    /** An attempt of [fingerprint] is about to be sent to [target]. */
+    data class AttemptStarted(
+        val attempt: AttemptId,
+        val fingerprint: CallFingerprint,
+        val target: TargetLoss,
+    ) : PoisonEvent
+
+    /** The attempt ended and its target still answers. */
+    data class AttemptEnded(
+        val attempt: AttemptId,
+    ) : PoisonEvent
+
+    /** The attempt's connection broke; whether its target is lost isn't known yet. */
+    data class AttemptBroken(
+        val attempt: AttemptId,
+    ) : PoisonEvent
+
+    /** The target's process died, or the host reports another boot. */
+    data class TargetLost(
+        val loss: TargetLoss,
+    ) : PoisonEvent
+
+    /** A report asked for at [askedAt] shows that this process still runs. */
+    data class TargetProvedAlive(
+        val target: TargetLoss,
+        val askedAt: Instant,
+    ) : PoisonEvent
+
+    /** A peer's heartbeat or urgent message; [permits] are those that it holds. */
+    data class PeerReported(
+        val daemon: DaemonId,
+        val strikes: Set<Strike>,
+        val permits: Set<Permit>,
+    ) : PoisonEvent
+
+    /** The failure domain's daemons that are heard of, this one among them. */
+    data class DaemonsHeard(
+        val daemons: Set<DaemonId>,
+    ) : PoisonEvent
+
+    /** A peer asks this daemon, as the owner of the permits, for [permit]. */
+    data class PermitAsked(
+        val request: RequestId,
+        val permit: Permit,
+    ) : PoisonEvent
+
+    /** The answer to AskPermit; not [granted] also where the owner couldn't be reached. */
+    data class PermitAnswered(
+        val request: RequestId,
+        val granted: Boolean,
+    ) : PoisonEvent
+
+    /** The peer that held [permit] gave it back. */
+    data class PermitReturned(
+        val permit: Permit,
+    ) : PoisonEvent
+}
+
+/** What has to be done. */
+sealed interface PoisonDecision {
+    /** Send [request] to [host] now. */
+    data class Place(
+        val request: RequestId,
+        val host: HostId,
+    ) : PoisonDecision
+
+    /** Ask [owner] for [permit]. */
+    data class AskPermit(
+        val owner: DaemonId,
+        val request: RequestId,
+        val permit: Permit,
+    ) : PoisonDecision
+
+    /** Answer a peer's question. */
+    data class AnswerPermit(
+        val to: DaemonId,
+        val request: RequestId,
+        val granted: Boolean,
+    ) : PoisonDecision
+
+    /** Tell [owner] that [permit] is free. */
+    data class ReturnPermit(
+        val owner: DaemonId,
+        val permit: Permit,
+    ) : PoisonDecision
+
+    /** No permit now: ask again later with another or the same host, or refuse at the deadline. */
+    data class Postpone(
+        val request: RequestId,
+    ) : PoisonDecision
+
+    /** Give the caller its final answer. */
+    data class Refuse(
+        val request: RequestId,
+        val refusal: Refusal,
+    ) : PoisonDecision
+
+    /** Send [strikes] to all peers at once. */
+    data class TellPeers(
+        val strikes: Set<Strike>,
+    ) : PoisonDecision
+}
--- /dev/null
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonState.kt
@@ -0,0 +1,60 @@
+/*
+ * What one daemon knows of requests that may crash their targets.
+ */
+package org.vanillalink.dispatch.poison
+
+import org.vanillalink.dispatch.record.CallFingerprint
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.RequestId
+import java.security.MessageDigest
+import java.time.Duration
+import java.time.Instant
+import java.util.HexFormat
+
+private val DEFAULT_STRIKE_LIFETIME = Duration.ofHours(24)
+private val DEFAULT_PERMIT_SETTLE_TIME = Duration.ofSeconds(10)
+
+/**
+ * Settings of poison requests. Within [permitSettleTime] of a grant its holder's messages may not list the permit yet;
+ * a permit whose holder is never heard again is void after [strikeLifetime].
+ */
+data class PoisonSettings(
+    val strikeLifetime: Duration = DEFAULT_STRIKE_LIFETIME,
+    val permitSettleTime: Duration = DEFAULT_PERMIT_SETTLE_TIME,
+)
+
+/** An attempt of this daemon that runs. */
+data class RunningAttempt(
+    val fingerprint: CallFingerprint,
+    val target: TargetLoss,
+)
+
+/**
+ * All that this daemon knows. [granted] are the permits that it gave as their owner or heard of from their holders;
+ * [held] are its own, and [asked] the ones that it asked for.
+ */
+data class PoisonState(
+    val daemon: DaemonId,
+    val daemons: Set<DaemonId> = setOf(daemon),
+    val strikes: Map<CallFingerprint, Map<TargetLoss, Instant>> = emptyMap(),
+    val running: Map<AttemptId, RunningAttempt> = emptyMap(),
+    val granted: Map<Permit, Instant> = emptyMap(),
+    val held: Set<Permit> = emptySet(),
+    val asked: Map<RequestId, Permit> = emptyMap(),
+) {
+    /** The daemon that gives permits: one for the failure domain, so that a target never gets two suspects. */
+    val permitOwner: DaemonId get() = daemons.maxBy { rendezvousWeight(it) }
+
+    /** How many targets were lost with [fingerprint] running, as far as known at [now]. */
+    fun strikesOf(
+        fingerprint: CallFingerprint,
+        settings: PoisonSettings,
+        now: Instant,
+    ): Int = strikes[fingerprint].orEmpty().count { it.value.plus(settings.strikeLifetime).isAfter(now) }
+
+    private fun rendezvousWeight(candidate: DaemonId): String {
+        val digest = MessageDigest.getInstance("SHA-256").digest("permits:$candidate".toByteArray())
+        return HexFormat.of().formatHex(digest)
+    }
+}
