Tell a silent connection from a dead target

Cause: open connections go silent for good while new ones work.

Change: PathHealth judges each stream by its own expected gap and probes on a fresh connection. An answered probe ends only the silent streams; three failed ones suspect the target. Reports that show the attempt lengthen the wait, with an end, because they come also while the path is dead.

--- /dev/null
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/path/PathHealthTest.kt
@@ -0,0 +1,93 @@
+package org.vanillalink.dispatch.path
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.HostId
+import java.time.Duration
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class PathHealthTest {
+    private val testSubject = PathHealth()
+    private val target = HostId("h")
+    private val silent = AttemptId("silent")
+    private val lively = AttemptId("lively")
+    private var state = PathState()
+
+    @Test
+    fun `one silent path ends only its own streams while the target stays`() {
+        openBoth()
+        at(3, PathEvent.BytesReceived(lively))
+        val probe = at(4, PathEvent.Tick).single() as PathDecision.ProbeOnFreshConnection
+
+        val decisions = at(5, PathEvent.ProbeAnswered(target, probe.probe))
+
+        assertEquals(listOf<PathDecision>(PathDecision.EndStreams(ConnectionId("c1"), setOf(silent))), decisions)
+        assertEquals(setOf(lively), state.streams.keys)
+    }
+
+    @Test
+    fun `a target is suspected only after several probes failed`() {
+        openBoth()
+
+        val decisions =
+            (4L..12L).flatMap { second ->
+                at(second, PathEvent.Tick).flatMap { decision ->
+                    val probe = decision as PathDecision.ProbeOnFreshConnection
+                    listOf(probe) + at(second, PathEvent.ProbeFailed(target, probe.probe))
+                }
+            }
+
+        val suspected = decisions.indexOfFirst { it is PathDecision.SuspectTarget }
+        assertEquals(3, decisions.take(suspected).count { it is PathDecision.ProbeOnFreshConnection })
+    }
+
+    @Test
+    fun `a doubled failure of one probe counts once`() {
+        openBoth()
+        val probe = (at(4, PathEvent.Tick).single() as PathDecision.ProbeOnFreshConnection).probe
+
+        val decisions = (1..5).flatMap { at(4, PathEvent.ProbeFailed(target, probe)) }
+
+        assertTrue(decisions.isEmpty())
+        assertEquals(1, state.probes.getValue(target).failures)
+    }
+
+    @Test
+    fun `a slow engine whose comments come is not probed`() {
+        openBoth()
+
+        val decisions =
+            (1L..60L).flatMap { second ->
+                at(second, PathEvent.BytesReceived(silent)) +
+                    at(second, PathEvent.BytesReceived(lively)) +
+                    at(second, PathEvent.Tick)
+            }
+
+        assertTrue(decisions.isEmpty())
+    }
+
+    @Test
+    fun `a slow engine whose report shows the attempt running gets longer but not for ever`() {
+        at(0, PathEvent.StreamOpened(silent, target, ConnectionId("c1"), Duration.ofSeconds(1)))
+        at(2, PathEvent.TargetReported(target, setOf(silent), askedAt = Instant.EPOCH.plusSeconds(2)))
+
+        assertTrue(at(4, PathEvent.Tick).isEmpty())
+        assertEquals(1, at(13, PathEvent.Tick).size)
+    }
+
+    private fun openBoth() {
+        at(0, PathEvent.StreamOpened(silent, target, ConnectionId("c1"), Duration.ofSeconds(1)))
+        at(0, PathEvent.StreamOpened(lively, target, ConnectionId("c2"), Duration.ofSeconds(1)))
+    }
+
+    private fun at(
+        second: Long,
+        event: PathEvent,
+    ): List<PathDecision> {
+        val transition = testSubject.handle(state, event, Instant.EPOCH.plusSeconds(second))
+        state = transition.state
+        return transition.decisions
+    }
+}
