--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptState.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptState.kt
@@ -26,12 +26,14 @@
 )
 
 /**
- * One model request. [resumable] says whether the service's engine takes `vanillalink-resume-from`. The caller has the
- * tokens 0 until [tokensGiven]. [mayHaveRun] stays false while certainly no target got any part of it.
+ * One request without a record. [repeatable] is false for a plain service's call, which is never sent again after a
+ * byte may have reached a target. [resumable] says whether the service's engine takes `vanillalink-resume-from`. The
+ * caller has the tokens 0 until [tokensGiven]. [mayHaveRun] stays false while certainly no target got any part of it.
  */
 data class AttemptState(
     val startedAt: Instant,
     val resumable: Boolean,
+    val repeatable: Boolean = true,
     val current: CurrentAttempt? = null,
     val attemptsMade: Int = 0,
     val tokensGiven: Long = 0,
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptTracker.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptTracker.kt
@@ -130,7 +130,12 @@
         now: Instant,
     ): AttemptTransition {
         val seamless = state.tokensGiven == 0L || state.resumable
-        if (!seamless || state.attemptsMade >= settings.attemptLimit) return fail(state, retryAfter(state, now))
+        val safe = state.repeatable || !state.mayHaveRun
+        if (!safe || !seamless ||
+            state.attemptsMade >= settings.attemptLimit
+        ) {
+            return fail(state, retryAfter(state, now))
+        }
         return Transition(state, listOf(AttemptDecision.StartAttempt(resumeFrom(state), state.failedTargets)))
     }
 
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonRegister.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonRegister.kt
@@ -149,7 +149,7 @@
     ): PoisonTransition {
         val strikes = attempts.map { Strike(it.fingerprint, it.target, now) }.toSet()
         if (strikes.isEmpty()) return Transition(state)
-        val returned = returnPermits(state.withStrikes(strikes), attempts)
+        val returned = returnPermits(state.withStrikes(strikes, now), attempts)
         return Transition(returned.state, listOf(PoisonDecision.TellPeers(strikes)) + returned.decisions)
     }
 
@@ -187,7 +187,7 @@
         val settled = now.minus(settings.permitSettleTime)
         val kept = state.granted.filterNot { (permit, at) -> permit.holder == event.daemon && at.isBefore(settled) }
         val told = event.permits.associateWith { now }
-        return Transition(state.withStrikes(event.strikes).copy(granted = kept + told))
+        return Transition(state.withStrikes(event.strikes, now).copy(granted = kept + told))
     }
 
     private fun permitAsked(
@@ -195,7 +195,8 @@
         event: PoisonEvent.PermitAsked,
         now: Instant,
     ): PoisonTransition {
-        val granted = state.permitOwner == state.daemon && state.allows(event.permit, now)
+        val bearable = state.strikesOf(event.permit.fingerprint, settings, now) < STRIKES_BEFORE_REFUSAL
+        val granted = bearable && state.permitOwner == state.daemon && state.allows(event.permit, now)
         val next = if (granted) state.copy(granted = state.granted + (event.permit to now)) else state
         return Transition(next, listOf(PoisonDecision.AnswerPermit(event.permit.holder, event.request, granted)))
     }
@@ -223,8 +224,14 @@
 
     private fun Permit.overlaps(other: Permit): Boolean = host == other.host || fingerprint == other.fingerprint
 
-    private fun PoisonState.withStrikes(strikes: Set<Strike>): PoisonState =
-        copy(strikes = strikes.fold(this.strikes, ::withStrike))
+    private fun PoisonState.withStrikes(
+        strikes: Set<Strike>,
+        now: Instant,
+    ): PoisonState {
+        val oldest = now.minus(settings.strikeLifetime)
+        val kept = this.strikes.mapValues { (_, losses) -> losses.filterValues { it.isAfter(oldest) } }
+        return copy(strikes = strikes.fold(kept.filterValues { it.isNotEmpty() }, ::withStrike))
+    }
 
     private fun withStrike(
         known: Map<CallFingerprint, Map<TargetLoss, Instant>>,
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonState.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonState.kt
@@ -46,6 +46,11 @@
     /** The daemon that gives permits: one for the failure domain, so that a target never gets two suspects. */
     val permitOwner: DaemonId get() = daemons.maxBy { rendezvousWeight(it) }
 
+    /** What heartbeats tell peers of strikes; [held] goes with it. */
+    fun strikesToTell(): Set<Strike> = strikes
+        .flatMap { (fingerprint, losses) -> losses.map { (loss, at) -> Strike(fingerprint, loss, at) } }
+        .toSet()
+
     /** How many targets were lost with [fingerprint] running, as far as known at [now]. */
     fun strikesOf(
         fingerprint: CallFingerprint,
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/attempt/AttemptTrackerTest.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/attempt/AttemptTrackerTest.kt
@@ -101,6 +101,17 @@
         assertEquals(RefusalOutcome.UNKNOWN, refusal.outcome)
     }
 
+    @Test
+    fun `a call without a key is sent again only while no byte can have left`() {
+        val neverSent = AttemptEvent.ConnectionFailed(first, bytesMayHaveLeft = false)
+
+        val before = given(start(first, "h1"), neverSent, repeatable = false)
+        val after = given(start(first, "h1"), failed(first), repeatable = false)
+
+        assertEquals(StartAttempt(0, setOf(HostId("h1"))), before.last())
+        assertEquals(RefusalOutcome.UNKNOWN, (after.last() as FailRequest).refusal.outcome)
+    }
+
     @Test
     fun `not-run is said only while no byte can have left`() {
         val neverSent = AttemptEvent.ConnectionFailed(first, bytesMayHaveLeft = false)
@@ -152,8 +163,9 @@
     private fun given(
         vararg events: AttemptEvent,
         resumable: Boolean = true,
+        repeatable: Boolean = true,
     ): List<AttemptDecision> {
-        var state = AttemptState(Instant.EPOCH, resumable)
+        var state = AttemptState(Instant.EPOCH, resumable, repeatable)
         return events.flatMap { event ->
             val transition = testSubject.handle(state, event, Instant.EPOCH)
             state = transition.state
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/poison/PoisonScenarios.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/poison/PoisonScenarios.kt
@@ -71,6 +71,17 @@
         assertIs<PoisonDecision.Postpone>(denied.decisions.single())
     }
 
+    @Test
+    fun `the owner gives no permit for a request that it knows to be poison`() {
+        val losses = listOf("b1", "b2").map { TargetLoss(HostId("old"), BootId(it)) }
+        val struck = losses.map { heard(it) }.fold(PoisonState(DaemonId("d")), ::after)
+        val permit = Permit(poison, HostId("h"), DaemonId("e"))
+
+        val answer = testSubject.handle(struck, PoisonEvent.PermitAsked(RequestId("r"), permit), Instant.EPOCH)
+
+        assertEquals(PoisonDecision.AnswerPermit(DaemonId("e"), RequestId("r"), false), answer.decisions.single())
+    }
+
     @Test
     fun `identical requests at one daemon go to one target`() {
         val state = running(TargetLoss(HostId("h1"), BootId("b")))
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/LargeOutcomeTest.kt
@@ -0,0 +1,56 @@
+package org.vanillalink.dispatch.record
+
+import arrow.core.left
+import arrow.core.right
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.RequestId
+import org.vanillalink.model.WorkspaceId
+import org.vanillalink.platform.StoreFailure
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class LargeOutcomeTest {
+    private val testSubject = IdempotentDispatch(DispatchSettings(largestInlineBase64 = 10))
+    private val record = RecordId("r")
+    private val call =
+        KeyedCall(
+            request = RequestId("request"),
+            record = record,
+            attempt = AttemptId("a"),
+            fingerprint = CallFingerprint("f"),
+            workspace = WorkspaceId("w"),
+            deadline = Instant.EPOCH.plusSeconds(10),
+        )
+    private val sending = DispatchEntry(call, DispatchPhase.Sending, Instant.EPOCH, version = 2)
+    private var state = DispatchState(RecordOwner(DaemonId("d"), BootId("b")), mapOf(record to sending))
+    private val outcome = CallOutcome(200, body = OutcomeBody.Inline.of(ByteArray(100)))
+
+    @Test
+    fun `a large body goes to the object store before the record says done`() {
+        val answered = at(1, DispatchEvent.TargetAnswered(record, call.attempt, outcome))
+        val storing = assertIs<DispatchDecision.StoreBody>(answered.last())
+        at(1, DispatchEvent.BodyStored(record, storing.name, StoreFailure.AnswerLost.left()))
+        val again = assertIs<DispatchDecision.StoreBody>(at(5, DispatchEvent.Tick).single())
+
+        val done = at(5, DispatchEvent.BodyStored(record, again.name, Unit.right()))
+
+        assertEquals(DispatchDecision.AnswerCaller(call.request, outcome, replay = false), answered.first())
+        val write = assertIs<DispatchDecision.Transact>(done.single()).write
+        assertEquals(2, write.expectedVersion)
+        assertTrue(storing.name in write.value.orEmpty())
+    }
+
+    private fun at(
+        second: Long,
+        event: DispatchEvent,
+    ): List<DispatchDecision> {
+        val transition = testSubject.handle(state, event, Instant.EPOCH.plusSeconds(second))
+        state = transition.state
+        return transition.decisions
+    }
+}
