--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/LargeOutcomeTest.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/LargeOutcomeTest.kt
@@ -45,6 +45,21 @@
         assertTrue(storing.name in write.value.orEmpty())
     }
 
+    @Test
+    fun `an outcome that isn't recorded yet is replayed at a peer that asks its owner`() {
+        at(1, DispatchEvent.TargetAnswered(record, call.attempt, outcome))
+        val status = state.statusOf(record)
+        val owned =
+            DispatchRecord(RecordState.SENDING, state.owner, call.attempt, call.fingerprint, call.workspace, 0)
+        val resend = call.copy(request = RequestId("resend"), attempt = AttemptId("b"))
+        val asking = DispatchEntry(resend, DispatchPhase.AskingOwner(owned), Instant.EPOCH)
+        state = DispatchState(RecordOwner(DaemonId("peer"), BootId("b")), mapOf(record to asking))
+
+        val decisions = at(2, DispatchEvent.OwnerAnswered(record, status))
+
+        assertEquals(listOf(DispatchDecision.AnswerCaller(resend.request, outcome, replay = true)), decisions)
+    }
+
     private fun at(
         second: Long,
         event: DispatchEvent,
