Add the router: choice, queue, shares, deadlines, retries

Cause: nothing chose a target or refused a request yet. Change: the aggregate Router with its events, decisions and state. The state changes in place, confined to the control thread, because a copy for each request costs more than the decision. Ruled out: holding refused requests back until near their deadline (the users forbid it), and sampling two of n targets (a scan is needed anyway where few targets have room).

--- /dev/null
+++ b/routing/src/main/kotlin/org/vanillalink/routing/PrefixSet.kt
@@ -0,0 +1,66 @@
+/*
+ * Which prompt prefixes a target has cached, as far as its events tell. Events come late and with gaps: after a gap an
+ * unseen removal may have made any older entry untrue, so older entries count half and are soon forgotten.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.model.BootId
+import java.time.Duration
+import java.time.Instant
+
+/** The cached prefixes of one [boot]. */
+internal class PrefixSet(
+    private val boot: BootId,
+) {
+    private val learnedAt = LinkedHashMap<Long, Instant>()
+    private var lastSequence: Long? = null
+    private var gapAt: Instant? = null
+
+    fun apply(
+        event: RouterEvent.CacheEventsReceived,
+        now: Instant,
+    ) {
+        if (event.boot != boot) return
+        val last = lastSequence
+        if (last != null && event.sequence <= last) return
+        if (last != null && event.sequence > last + 1) gapAt = now
+        lastSequence = event.sequence
+        event.removed.forEach { learnedAt.remove(it) }
+        event.added.forEach { learn(it, now) }
+    }
+
+    private fun learn(
+        fingerprint: Long,
+        now: Instant,
+    ) {
+        learnedAt.remove(fingerprint)
+        learnedAt[fingerprint] = now
+        if (learnedAt.size > PREFIXES_REMEMBERED) learnedAt.remove(learnedAt.keys.first())
+    }
+
+    /** The part (0.0 to 1.0) of [fingerprints] that is cached from the start on without a break. */
+    fun match(fingerprints: List<Long>): Double {
+        if (learnedAt.isEmpty() || fingerprints.isEmpty()) return 0.0
+        var matched = 0.0
+        for (fingerprint in fingerprints) matched += trust(learnedAt[fingerprint] ?: break)
+        return matched / fingerprints.size
+    }
+
+    /** Forgets what was learned before a gap that is older than [distrust]. */
+    fun ageOut(
+        now: Instant,
+        distrust: Duration,
+    ) {
+        val gap = gapAt ?: return
+        if (Duration.between(gap, now) < distrust) return
+        learnedAt.values.removeIf { it < gap }
+        gapAt = null
+    }
+
+    private fun trust(learned: Instant): Double = if (gapAt?.let { learned < it } == true) TRUST_AFTER_GAP else 1.0
+
+    private companion object {
+        const val PREFIXES_REMEMBERED = 4096
+        const val TRUST_AFTER_GAP = 0.5
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/vanillalink/routing/RoutedRequest.kt
@@ -0,0 +1,38 @@
+/*
+ * A request that has no final answer yet, and its attempts.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.model.HostId
+import org.vanillalink.model.RequestId
+import java.time.Instant
+
+/** What the router remembers of one request. */
+internal class RoutedRequest(
+    val arrival: RouterEvent.RequestArrived,
+    val weight: Int,
+) {
+    val id: RequestId get() = arrival.request
+    val cost: Double get() = arrival.estimatedTokens.toDouble()
+    var attempts = 0
+    var forwardings = 0
+    var mayHaveRun = false
+    var current: AttemptRecord? = null
+    val failedHosts = ArrayList<HostId>(0)
+}
+
+/** Names one attempt. */
+internal data class AttemptKey(
+    val request: RequestId,
+    val attempt: Int,
+)
+
+/** One attempt that still uses a slot, at [candidate] or, where that is null, at the daemon of [remote]. */
+internal class AttemptRecord(
+    val number: Int,
+    val tokens: Int,
+    val startedAt: Instant,
+    val service: ServiceState,
+    val candidate: CandidateEntry?,
+    val remote: RemoteEntry?,
+)
--- /dev/null
+++ b/routing/src/main/kotlin/org/vanillalink/routing/Router.kt
@@ -0,0 +1,76 @@
+/*
+ * The routing aggregate of one daemon: choice of a target, queue, fair shares, deadlines, retries and failure domains.
+ *
+ * It is fed by the control thread. Handling a request costs one scan over its service's candidates.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.configuration.FailureDomainState
+import org.vanillalink.model.Aggregate
+import org.vanillalink.model.Transition
+import java.time.Instant
+
+/**
+ * Decides where requests go. The state changes in place and the transition gives the same object back. Request
+ * identifiers are unique for good: a caller's resend is another request. Services were checked by the caller.
+ */
+class Router : Aggregate<RouterState, RouterEvent, RouterDecision> {
+    override fun handle(
+        state: RouterState,
+        event: RouterEvent,
+        now: Instant,
+    ): Transition<RouterState, RouterDecision> {
+        val step = RoutingStep(state, now)
+        apply(event, step, state)
+        return Transition(state, step.decisions)
+    }
+
+    private fun apply(
+        event: RouterEvent,
+        step: RoutingStep,
+        state: RouterState,
+    ) {
+        val candidates = CandidateUpdates(state, step)
+        val outcomes = AttemptOutcomes(state, step)
+        when (event) {
+            is RouterEvent.RequestArrived -> step.arrive(event)
+            is RouterEvent.RequestCancelled -> outcomes.cancelRequest(event.request)
+            is RouterEvent.CandidatesChanged -> candidates.replaceAll(event.service, event.candidates)
+            is RouterEvent.CandidateUpdated -> candidates.update(event.candidate)
+            is RouterEvent.CandidateRemoved -> candidates.remove(event.service, event.host)
+            is RouterEvent.RemoteCapacityReported -> candidates.updateRemote(event.capacity)
+            is RouterEvent.RemoteDaemonLost -> candidates.removeRemote(event.daemon)
+            is RouterEvent.CacheEventsReceived -> candidates.applyCacheEvents(event)
+            is RouterEvent.FailureDomainStateChanged -> changeFailureDomain(event, step, state)
+            is RouterEvent.CapacityExpected -> candidates.expect(event)
+            is RouterEvent.AttemptFinished -> outcomes.finish(event)
+            is RouterEvent.AttemptFailed -> outcomes.fail(event)
+            is RouterEvent.AttemptWorkEnded -> outcomes.workEnded(event)
+            is RouterEvent.SettingsChanged -> state.settings = event.settings
+            RouterEvent.Tick -> TickSweep(state, step).run()
+        }
+    }
+
+    private fun changeFailureDomain(
+        event: RouterEvent.FailureDomainStateChanged,
+        step: RoutingStep,
+        state: RouterState,
+    ) {
+        when (event.state) {
+            FailureDomainState.OUT -> state.outDomains.add(event.failureDomain)
+            FailureDomainState.IN -> if (state.outDomains.remove(event.failureDomain)) returned(event, step, state)
+        }
+        state.services.values.forEach {
+            step.drain(it)
+            step.shed(it)
+        }
+    }
+
+    private fun returned(
+        event: RouterEvent.FailureDomainStateChanged,
+        step: RoutingStep,
+        state: RouterState,
+    ) {
+        state.inSince[event.failureDomain] = step.now
+    }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/vanillalink/routing/RouterState.kt
@@ -0,0 +1,65 @@
+/*
+ * What the router knows. It changes in place: only the control thread touches it, and copying it for each request would
+ * cost more than the decision.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.RequestId
+import org.vanillalink.model.ServiceName
+import java.time.Instant
+
+/** One daemon's routing state, confined to the thread that calls [Router.handle]. */
+class RouterState(
+    settings: RouterSettings = RouterSettings(),
+) {
+    internal var settings: RouterSettings = settings
+    internal val services = LinkedHashMap<ServiceName, ServiceState>()
+    internal val requests = LinkedHashMap<RequestId, RoutedRequest>()
+    internal val attempts = HashMap<AttemptKey, AttemptRecord>()
+    internal val outDomains = HashSet<FailureDomainId>()
+    internal val inSince = HashMap<FailureDomainId, Instant>()
+
+    /** Requests of [service] that wait for a slot. */
+    fun queueLength(service: ServiceName): Int = services[service]?.queue?.size ?: 0
+
+    /** Requests that could start at [service]'s targets now; what a daemon tells other failure domains. */
+    fun freeRequests(service: ServiceName): Int = services[service]?.entries?.sumOf { freeAt(it) } ?: 0
+
+    /** Own attempts that use a slot at [host]. */
+    fun attemptsInUse(
+        service: ServiceName,
+        host: HostId,
+    ): Int = services[service]?.entry(host)?.inUse ?: 0
+
+    internal fun isUsable(entry: CandidateEntry): Boolean =
+        entry.present && !entry.candidate.leaving && entry.candidate.failureDomain !in outDomains
+
+    internal fun service(name: ServiceName): ServiceState =
+        services.getOrPut(name) { ServiceState(name, RetryBudget(settings.retryBurst)) }
+
+    private fun freeAt(entry: CandidateEntry): Int {
+        if (!isUsable(entry)) return 0
+        return maxOf(0, minOf(entry.limit - entry.inUse, entry.candidate.capacity - entry.estimatedLoad))
+    }
+}
+
+/** What the router knows of one service. */
+internal class ServiceState(
+    val name: ServiceName,
+    val budget: RetryBudget,
+) {
+    val entries = ArrayList<CandidateEntry>()
+    val remotes = LinkedHashMap<DaemonId, RemoteEntry>()
+    val queue = FairQueue()
+    val pace = ServicePace()
+    var expected: RouterEvent.CapacityExpected? = null
+    var forwarded = 0
+    var withoutCapacitySince: Instant? = null
+    var overloadRefusals = 0
+    var lastOverloadAt: Instant? = null
+
+    fun entry(host: HostId): CandidateEntry? = entries.firstOrNull { it.candidate.host == host }
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/vanillalink/routing/TickSweep.kt
@@ -0,0 +1,46 @@
+/*
+ * What is due as time passes: deadlines, queued requests that can't make it any more, the end of overload.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.model.RefusalReason
+import java.time.Duration
+
+/** Looks over all requests and services. */
+internal class TickSweep(
+    private val state: RouterState,
+    private val step: RoutingStep,
+) {
+    fun run() {
+        val overdue = state.requests.values.filter { it.arrival.deadline <= step.now }
+        overdue.forEach { endOverdue(it) }
+        state.services.values.forEach { sweep(it) }
+    }
+
+    private fun endOverdue(request: RoutedRequest) {
+        val service = state.service(request.arrival.service)
+        val current = request.current
+        if (current == null) {
+            service.queue.remove(request)
+        } else {
+            step.decisions.add(RouterDecision.CancelAttempt(request.id, current.number))
+        }
+        step.refuse(service, request, RefusalReason.DEADLINE_EXCEEDED)
+    }
+
+    private fun sweep(service: ServiceState) {
+        service.entries.forEach { it.prefixes.ageOut(step.now, state.settings.cacheDistrust) }
+        service.entries.removeIf { !it.present && it.inUse == 0 }
+        step.drain(service)
+        step.shed(service)
+        endOverload(service)
+    }
+
+    private fun endOverload(service: ServiceState) {
+        val last = service.lastOverloadAt ?: return
+        if (Duration.between(last, step.now) < state.settings.overloadQuiet) return
+        step.decisions.add(RouterDecision.OverloadEnded(service.name, service.overloadRefusals))
+        service.lastOverloadAt = null
+        service.overloadRefusals = 0
+    }
+}
