Test the router: rules, scenarios on virtual time, properties

Cause: the router had no test. Seen while writing: a refused caller that came back exactly when told was refused once more, because slots become free one by one; Retry-After is now rounded up to the next slot (10 queued, 1 s each, deadline 5 s: 7.15 s told before, 8 s now, and the caller is taken in). A report that overtook a newer one put the older load back; the newer is kept now. Ruled out: lagging units or leaving marks in the model; these come from the daemon's own aggregates without a lag.

--- a/routing/src/main/kotlin/org/vanillalink/routing/CandidateEntry.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/CandidateEntry.kt
@@ -37,14 +37,23 @@
         get() = maxOf((estimatedLoad + 1.0) / candidate.capacity, (inUse + 1.0) / limit)
 
     fun update(newer: TargetCandidate) {
-        candidate = newer
+        candidate = newer.copy(load = latest(newer.load, candidate.load))
         present = true
-        val reportedAt = newer.load?.reportedAt ?: return
+        val reportedAt = candidate.load?.reportedAt ?: return
         while (ended.isNotEmpty() && ended.first().second <= reportedAt) ended.removeFirst()
         val startedSince = running.values.count { it > reportedAt }
         ownChange = startedSince - ended.count { it.first <= reportedAt }
     }
 
+    /** Reports may overtake each other. */
+    private fun latest(
+        newer: ReportedLoad?,
+        known: ReportedLoad?,
+    ): ReportedLoad? {
+        if (newer == null || known == null) return newer ?: known
+        return if (newer.reportedAt < known.reportedAt) known else newer
+    }
+
     fun started(
         key: AttemptKey,
         now: Instant,
--- a/routing/src/main/kotlin/org/vanillalink/routing/WaitEstimate.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/WaitEstimate.kt
@@ -5,6 +5,7 @@
 
 import java.time.Duration
 import java.time.Instant
+import kotlin.math.ceil
 
 /** An estimate from the slots in use, the measured pace and the expected growth at [now]. */
 internal class WaitEstimate(
@@ -46,10 +47,16 @@
         val given = Duration.between(now, request.arrival.deadline).toMillis() / MILLISECONDS_PER_SECOND
         val bearable = maxOf(0.0, given - serviceSeconds(request))
         val nextSlot = waitSeconds(request.cost) ?: 0.0
-        val milliseconds = maxOf(wait - bearable, nextSlot) * MILLISECONDS_PER_SECOND
+        val milliseconds = wholeSlots(wait - bearable, nextSlot) * MILLISECONDS_PER_SECOND
         return Duration.ofMillis(milliseconds.toLong()).coerceIn(SHORTEST, LONGEST)
     }
 
+    /** Slots become free one by one, so a part of the time between two of them is rounded up to the whole. */
+    private fun wholeSlots(
+        seconds: Double,
+        nextSlot: Double,
+    ): Double = if (nextSlot <= 0.0) seconds else maxOf(1.0, ceil(seconds / nextSlot)) * nextSlot
+
     private fun untilCapacityReturns(): Duration {
         val probe = service.expected?.nextProbeAt
         if (probe != null && probe > now) return Duration.between(now, probe)
--- /dev/null
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterChoiceTest.kt
@@ -0,0 +1,139 @@
+package org.vanillalink.routing
+
+import org.vanillalink.model.BootId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.RequestId
+import java.time.Duration
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class RouterChoiceTest {
+    private val testSubject = RouterFixture()
+    private val prefix = listOf(11L, 12L, 13L, 14L)
+
+    @Test
+    fun `a lagging report is corrected by own attempts since`() {
+        testSubject.target("a", capacity = 8, load = load(running = 0))
+        testSubject.target("b", capacity = 8, load = load(running = 4))
+        testSubject.now = Instant.EPOCH.plusMillis(1)
+
+        val hosts = (1..12).flatMap { testSubject.arrive("r$it").startedHosts() }
+
+        assertEquals(8, hosts.count { it == "a" })
+        assertEquals(4, hosts.count { it == "b" })
+    }
+
+    @Test
+    fun `an attempt that ended after the report no longer counts as load`() {
+        testSubject.target("a", capacity = 1)
+        testSubject.arrive("r1")
+        testSubject.target("a", capacity = 1, load = load(running = 1))
+        testSubject.now = Instant.EPOCH.plusMillis(5)
+        testSubject.finish("r1")
+
+        val hosts = testSubject.arrive("r2").startedHosts()
+
+        assertEquals(listOf("a"), hosts)
+    }
+
+    @Test
+    fun `a cached prefix draws a request until the target is fuller than others`() {
+        testSubject.target("a", capacity = 10)
+        testSubject.target("b", capacity = 10)
+        cache(sequence = 1, added = prefix)
+
+        val hosts = (1..12).flatMap { testSubject.arrive("r$it", prefix = prefix).startedHosts() }
+
+        assertEquals(listOf("b", "b", "b"), hosts.take(3))
+        assertTrue("a" in hosts)
+    }
+
+    @Test
+    fun `after a gap older prefixes count half and are forgotten, newer ones count`() {
+        val set = PrefixSet(BootId("1"))
+        set.apply(cacheEvent(sequence = 1, added = listOf(11)), Instant.EPOCH)
+        set.apply(cacheEvent(sequence = 5, added = listOf(21)), Instant.EPOCH.plusSeconds(1))
+
+        assertEquals(0.5, set.match(listOf(11)))
+        assertEquals(1.0, set.match(listOf(21)))
+        set.ageOut(Instant.EPOCH.plusSeconds(11), Duration.ofSeconds(10))
+        assertEquals(0.0, set.match(listOf(11)))
+        assertEquals(1.0, set.match(listOf(21)))
+    }
+
+    @Test
+    fun `a late cache event and one of another boot change nothing`() {
+        val set = PrefixSet(BootId("1"))
+        set.apply(cacheEvent(sequence = 2, added = listOf(11)), Instant.EPOCH)
+
+        set.apply(cacheEvent(sequence = 1, removed = listOf(11)), Instant.EPOCH)
+        set.apply(cacheEvent(sequence = 3, removed = listOf(11)).copy(boot = BootId("2")), Instant.EPOCH)
+
+        assertEquals(1.0, set.match(listOf(11)))
+    }
+
+    @Test
+    fun `a straggler is used only when nothing else has room`() {
+        testSubject.target("slow", capacity = 4, straggler = true)
+        testSubject.target("a", capacity = 2)
+
+        val hosts = (1..3).flatMap { testSubject.arrive("r$it").startedHosts() }
+
+        assertEquals(listOf("a", "a", "slow"), hosts)
+    }
+
+    @Test
+    fun `a unit stays in use until the target says that the work ended, also over removal and return`() {
+        testSubject.target("a", capacity = 4, units = 1)
+        testSubject.arrive("r1", repeatable = false)
+        testSubject.fail("r1", workEnded = false)
+        testSubject.feed(RouterEvent.CandidatesChanged(SERVICE, emptyList()))
+        testSubject.target("a", capacity = 4, units = 1)
+
+        val whileInUse = testSubject.arrive("r2").starts()
+        val afterEnd = testSubject.feed(RouterEvent.AttemptWorkEnded(RequestId("r1"), 1)).startedRequests()
+
+        assertEquals(emptyList(), whileInUse)
+        assertEquals(listOf("r2"), afterEnd)
+    }
+
+    @Test
+    fun `another boot of a target starts with all its units free`() {
+        testSubject.target("a", units = 1)
+        testSubject.arrive("r1")
+
+        testSubject.target("a", units = 1, boot = "2")
+
+        assertEquals(listOf("a"), testSubject.arrive("r2").startedHosts())
+    }
+
+    @Test
+    fun `a leaving target gets nothing new while its work finishes`() {
+        testSubject.target("a")
+        testSubject.arrive("r1")
+        testSubject.target("a", leaving = true)
+        testSubject.target("b", capacity = 1)
+
+        val hosts = (2..4).flatMap { testSubject.arrive("r$it").startedHosts() }
+        val answered = testSubject.finish("r1")
+
+        assertEquals(listOf("b"), hosts)
+        assertTrue(RouterDecision.AnswerRequest(RequestId("r1"), 1) in answered)
+        assertEquals(emptyList(), answered.starts())
+    }
+
+    private fun load(running: Int) = ReportedLoad(running, 0, 1.0, Instant.EPOCH)
+
+    private fun cache(
+        sequence: Long,
+        added: List<Long>,
+    ) = testSubject.feed(cacheEvent(sequence, added).copy(host = HostId("b")))
+
+    private fun cacheEvent(
+        sequence: Long,
+        added: List<Long> = emptyList(),
+        removed: List<Long> = emptyList(),
+    ) = RouterEvent.CacheEventsReceived(HostId("a"), BootId("1"), sequence, added, removed)
+}
--- /dev/null
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterFailureDomainTest.kt
@@ -0,0 +1,104 @@
+package org.vanillalink.routing
+
+import org.vanillalink.configuration.FailureDomainState
+import org.vanillalink.model.RefusalOutcome
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RouterFailureDomainTest {
+    private val testSubject = RouterFixture(RouterSettings(remoteSlowStart = Duration.ofSeconds(20)))
+
+    @Test
+    fun `requests of a domain that is out go to a daemon of one that is in`() {
+        testSubject.target("a")
+        testSubject.remote()
+        testSubject.domain(HERE, FailureDomainState.OUT)
+
+        val decisions = testSubject.arrive("r")
+
+        assertEquals(1, decisions.forwards().size)
+        assertEquals(emptyList(), decisions.starts())
+    }
+
+    @Test
+    fun `a forwarded request is never forwarded again`() {
+        testSubject.target("a")
+        testSubject.remote()
+        testSubject.domain(HERE, FailureDomainState.OUT)
+
+        val decisions = testSubject.arrive("r", forwarded = true)
+
+        assertEquals(emptyList(), decisions.forwards())
+        assertEquals(emptyList(), decisions.starts())
+    }
+
+    @Test
+    fun `a forwarded request that waits doesn't keep others from another domain`() {
+        testSubject.target("a", capacity = 1)
+        testSubject.arrive("running")
+        testSubject.arrive("waiting", forwarded = true)
+        testSubject.remote()
+
+        val decisions = testSubject.arrive("r")
+
+        assertEquals(listOf("r"), decisions.forwards().map { it.request.value })
+    }
+
+    @Test
+    fun `no more is forwarded than the reported capacity allows, nothing to a queue and nothing on an old report`() {
+        testSubject.remote(free = 10)
+        val onFresh = (1..10).sumOf { testSubject.arrive("r$it").forwards().size }
+        testSubject.now = testSubject.now.plusSeconds(1)
+        testSubject.remote(free = 10, queue = 1)
+        val onQueue = testSubject.arrive("q").forwards().size
+        testSubject.now = testSubject.now.plusSeconds(4)
+
+        val onOld = testSubject.arrive("o").forwards().size
+
+        assertEquals(listOf(5, 0, 0), listOf(onFresh, onQueue, onOld))
+    }
+
+    @Test
+    fun `a request that was turned away elsewhere goes to another daemon without a retry from the budget`() {
+        testSubject.feed(RouterEvent.SettingsChanged(RouterSettings(retryBurst = 0, retryFraction = 0.0)))
+        testSubject.remote("d2", free = 20)
+        testSubject.remote("d3", free = 10)
+        val first = testSubject.arrive("r").forwards().single()
+
+        val second = testSubject.fail("r", mayHaveRun = false).forwards().single()
+
+        assertEquals(listOf("d2", "d3"), listOf(first.daemon.value, second.daemon.value))
+    }
+
+    @Test
+    fun `a returned domain gets a growing part of what it reports as free`() {
+        testSubject.domain(ELSEWHERE, FailureDomainState.OUT)
+        testSubject.remote(free = 40)
+        val whileOut = testSubject.arrive("out").forwards().size
+        testSubject.domain(ELSEWHERE, FailureDomainState.IN)
+        val parts =
+            (0..2).map { round ->
+                val ofQueue = testSubject.remote(free = 40).forwards().size
+                val sent = ofQueue + (1..40).sumOf { testSubject.arrive("$round-$it").forwards().size }
+                testSubject.now = testSubject.now.plusSeconds(10)
+                testSubject.feed(RouterEvent.Tick)
+                sent
+            }
+
+        assertEquals(0, whileOut)
+        assertEquals(listOf(2, 10, 20), parts)
+    }
+
+    @Test
+    fun `with no capacity anywhere a domain's leaving refuses what waits at once`() {
+        testSubject.target("a", capacity = 1)
+        testSubject.arrive("running")
+        testSubject.arrive("waiting")
+
+        val refusal = testSubject.domain(HERE, FailureDomainState.OUT).refusals().single()
+
+        assertEquals("waiting", refusal.request.value)
+        assertEquals(RefusalOutcome.NOT_RUN, refusal.refusal.outcome)
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterQueueTest.kt
@@ -0,0 +1,172 @@
+package org.vanillalink.routing
+
+import org.vanillalink.model.RefusalOutcome
+import org.vanillalink.model.RefusalReason
+import org.vanillalink.model.RequestId
+import org.vanillalink.model.WorkspaceId
+import java.time.Duration
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class RouterQueueTest {
+    @Test
+    fun `workspaces get slots by their shares and an idle share is used by others`() {
+        val testSubject = fullRouter(RouterSettings(workspaceShares = mapOf(WorkspaceId("large") to 3)))
+        repeat(40) { testSubject.arrive("large-$it", workspace = "large") }
+        repeat(10) { testSubject.arrive("small-$it", workspace = "small") }
+
+        val order = startInTurn(testSubject, 50)
+
+        assertEquals(6, order.take(24).count { it.startsWith("small") }, order.toString())
+        assertEquals(50, order.size)
+    }
+
+    @Test
+    fun `a higher priority goes before shares`() {
+        val testSubject = fullRouter()
+        testSubject.arrive("low", workspace = "a")
+        testSubject.arrive("high", workspace = "b", priority = 5)
+
+        val order = startInTurn(testSubject, 2)
+
+        assertEquals(listOf("high", "low"), order)
+    }
+
+    @Test
+    fun `a full queue drops the newest of the lowest priority and of the workspace most over its share`() {
+        val testSubject = fullRouter(RouterSettings(queuedRequests = 4))
+        repeat(3) { testSubject.arrive("large-$it", workspace = "large") }
+        testSubject.arrive("small", workspace = "small")
+
+        val dropped = testSubject.arrive("urgent", workspace = "small", priority = 1).refusals().single()
+
+        assertEquals(RequestId("large-2"), dropped.request)
+        assertEquals(RefusalOutcome.NOT_RUN, dropped.refusal.outcome)
+        assertEquals(RefusalReason.OVERLOADED, dropped.refusal.reason)
+    }
+
+    @Test
+    fun `a request that can't meet its deadline is refused at once and may come back when told`() {
+        val testSubject = fullRouter()
+        repeat(10) { testSubject.arrive("q$it") }
+
+        val refusal =
+            testSubject
+                .arrive("late", deadlineIn = Duration.ofSeconds(5))
+                .refusals()
+                .single()
+                .refusal
+        serveFor(testSubject, checkNotNull(refusal.retryAfter))
+        val decisions = testSubject.arrive("again", deadlineIn = Duration.ofSeconds(5))
+
+        assertEquals(RefusalOutcome.NOT_RUN, refusal.outcome)
+        assertEquals(RefusalReason.OVERLOADED, refusal.reason)
+        assertTrue(checkNotNull(refusal.retryAfter) > Duration.ofSeconds(5), "${refusal.retryAfter}")
+        assertEquals(emptyList(), decisions.refusals())
+    }
+
+    @Test
+    fun `expected growth lets a request wait that would be refused without it`() {
+        val testSubject = fullRouter()
+        repeat(10) { testSubject.arrive("q$it") }
+        testSubject.feed(RouterEvent.CapacityExpected(SERVICE, unitsPerSecond = 2.0))
+
+        val decisions = testSubject.arrive("late", deadlineIn = Duration.ofSeconds(5))
+
+        assertEquals(emptyList(), decisions.refusals())
+    }
+
+    @Test
+    fun `with nothing serving a request is refused until the next probe`() {
+        val testSubject = RouterFixture()
+        testSubject.feed(RouterEvent.CapacityExpected(SERVICE, 0.0, nextProbeAt = Instant.EPOCH.plusSeconds(7)))
+
+        val refusal =
+            testSubject
+                .arrive("r")
+                .refusals()
+                .single()
+                .refusal
+
+        assertEquals(RefusalReason.NO_SERVING_TARGET, refusal.reason)
+        assertEquals(RefusalOutcome.NOT_RUN, refusal.outcome)
+        assertEquals(Duration.ofSeconds(7), refusal.retryAfter)
+    }
+
+    @Test
+    fun `a loss of targets refuses those queued last and of low priority, at the next tick`() {
+        val testSubject = RouterFixture()
+        testSubject.target("a", capacity = 4)
+        testSubject.target("b", capacity = 1)
+        testSubject.learnPace()
+        repeat(5) { testSubject.arrive("running-$it") }
+        repeat(20) { testSubject.arrive("low-$it", deadlineIn = Duration.ofSeconds(8)) }
+        repeat(4) { testSubject.arrive("high-$it", priority = 1, deadlineIn = Duration.ofSeconds(8)) }
+        testSubject.feed(RouterEvent.CandidateRemoved(SERVICE, testSubject.candidate("a").host))
+
+        val refused = testSubject.tick().refusals().map { it.request.value }
+
+        assertTrue(refused.none { it.startsWith("high") }, refused.toString())
+        assertTrue("low-19" in refused && "low-0" !in refused, refused.toString())
+    }
+
+    @Test
+    fun `a queued request past its deadline is answered by a tick as not run, a started one as unknown`() {
+        val testSubject = RouterFixture()
+        testSubject.target("a", capacity = 1)
+        testSubject.arrive("started", deadlineIn = Duration.ofSeconds(2))
+        testSubject.arrive("queued", deadlineIn = Duration.ofSeconds(2))
+
+        val decisions = testSubject.tick(after = Duration.ofSeconds(2))
+
+        val outcomes = decisions.refusals().associate { it.request.value to it.refusal.outcome }
+        assertEquals(mapOf("started" to RefusalOutcome.UNKNOWN, "queued" to RefusalOutcome.NOT_RUN), outcomes)
+        assertTrue(RouterDecision.CancelAttempt(RequestId("started"), 1) in decisions)
+        assertEquals(1, testSubject.state.attemptsInUse(SERVICE, testSubject.candidate("a").host))
+    }
+
+    @Test
+    fun `the time line shows one beginning and one end of an overload`() {
+        val testSubject = fullRouter(RouterSettings(queuedRequests = 1))
+
+        val began = (1..4).flatMap { testSubject.arrive("q$it") }.filterIsInstance<RouterDecision.OverloadBegan>()
+        val ended = testSubject.tick(after = Duration.ofSeconds(6)).filterIsInstance<RouterDecision.OverloadEnded>()
+
+        assertEquals(1, began.size)
+        assertEquals(listOf(RouterDecision.OverloadEnded(SERVICE, refused = 3)), ended)
+    }
+
+    /** A router whose only slot is taken by the request "first" and that knows that a request takes a second. */
+    private fun fullRouter(settings: RouterSettings = RouterSettings()): RouterFixture {
+        val fixture = RouterFixture(settings)
+        fixture.target("a", capacity = 1)
+        fixture.learnPace()
+        running = fixture.arrive("first").startedRequests().single()
+        return fixture
+    }
+
+    private var running = ""
+
+    private fun startInTurn(
+        fixture: RouterFixture,
+        count: Int,
+    ): List<String> = (1..count).map { next(fixture) }
+
+    private fun next(fixture: RouterFixture): String {
+        running = fixture.finish(running).startedRequests().single()
+        return running
+    }
+
+    private fun serveFor(
+        fixture: RouterFixture,
+        duration: Duration,
+    ) {
+        repeat(duration.toSeconds().toInt()) {
+            fixture.now = fixture.now.plusSeconds(1)
+            next(fixture)
+        }
+        fixture.now = fixture.now.plus(duration.minusSeconds(duration.toSeconds()))
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/org/vanillalink/routing/TargetModel.kt
@@ -0,0 +1,201 @@
+/*
+ * A small model of targets on a scenario's virtual time: service times grow with concurrency, reports lag, and a target
+ * that gets more than its units says so. It carries out the router's decisions and checks them.
+ */
+package org.vanillalink.routing
+
+import org.vanillalink.configuration.FailureDomainState
+import org.vanillalink.model.BootId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.RequestId
+import org.vanillalink.model.WorkspaceId
+import org.vanillalink.testing.Scenario
+import java.time.Duration
+
+internal class ModelledTarget(
+    val host: HostId,
+    val capacity: Int,
+) {
+    var boot = 1
+    var units: Int? = null
+    var leaving = false
+    var serves = true
+    val running = HashSet<AttemptKey>()
+}
+
+internal class TargetModel(
+    private val scenario: Scenario,
+    settings: RouterSettings = RouterSettings(),
+) {
+    val state = RouterState(settings)
+    val targets = LinkedHashMap<HostId, ModelledTarget>()
+    val finals = LinkedHashMap<RequestId, RouterDecision>()
+    val arrivals = LinkedHashMap<RequestId, RouterEvent.RequestArrived>()
+    val answeredInTime = LinkedHashMap<WorkspaceId, Int>()
+    var attempts = 0
+    var domainState = FailureDomainState.IN
+    private val router = Router()
+    private var count = 0
+
+    fun add(
+        host: String,
+        capacity: Int,
+    ): ModelledTarget {
+        val target = ModelledTarget(HostId(host), capacity)
+        targets[target.host] = target
+        publish(target)
+        return target
+    }
+
+    /** Tells the router of a target now; the daemon knows its units and whether it leaves without a lag. */
+    fun publish(target: ModelledTarget) = publish(target, load(target))
+
+    private fun load(target: ModelledTarget) = ReportedLoad(target.running.size, 0, 1.0, scenario.now)
+
+    private fun publish(
+        target: ModelledTarget,
+        load: ReportedLoad,
+    ) {
+        if (!target.serves) return feed(RouterEvent.CandidateRemoved(SERVICE, target.host))
+        val boot = BootId("${target.boot}")
+        val candidate =
+            TargetCandidate(
+                target.host,
+                boot,
+                SERVICE,
+                HERE,
+                target.capacity,
+                target.units,
+                target.leaving,
+                load = load,
+            )
+        feed(RouterEvent.CandidateUpdated(candidate))
+    }
+
+    /** Reports a target's load as it is now, [lag] later. */
+    private fun publishLate(
+        target: ModelledTarget,
+        lag: Duration,
+    ) {
+        val load = load(target)
+        val boot = target.boot
+        scenario.after(lag) { if (target.boot == boot) publish(target, load) }
+    }
+
+    fun setDomain(state: FailureDomainState) {
+        domainState = state
+        feed(RouterEvent.FailureDomainStateChanged(HERE, state))
+    }
+
+    fun arrive(
+        workspace: String,
+        deadline: Duration,
+        priority: Int = 0,
+    ) {
+        val event =
+            RouterEvent.RequestArrived(
+                RequestId("r${count++}"),
+                SERVICE,
+                WorkspaceId(workspace),
+                scenario.now.plus(deadline),
+                priority,
+                estimatedTokens = 100,
+            )
+        arrivals[event.request] = event
+        feed(event)
+    }
+
+    fun tickEvery(period: Duration) = scenario.every(period) { feed(RouterEvent.Tick) }
+
+    fun reportEvery(
+        period: Duration,
+        lag: Duration,
+    ) = scenario.every(period) { targets.values.filter { it.serves }.forEach { publishLate(it, lag) } }
+
+    /** The target dies: what runs on it fails at once. */
+    fun crash(target: ModelledTarget) {
+        target.serves = false
+        target.boot += 1
+        val lost = target.running.toList()
+        target.running.clear()
+        publish(target)
+        lost.forEach { feed(RouterEvent.AttemptFailed(it.request, it.attempt, mayHaveRun = true)) }
+    }
+
+    fun feed(event: RouterEvent) {
+        router.handle(state, event, scenario.now).decisions.forEach { carryOut(it) }
+    }
+
+    private fun carryOut(decision: RouterDecision) {
+        when (decision) {
+            is RouterDecision.StartAttempt -> start(decision)
+
+            is RouterDecision.AnswerRequest -> answer(decision)
+
+            is RouterDecision.RefuseRequest -> final(decision.request, decision)
+
+            is RouterDecision.CancelAttempt -> scenario.after(CANCEL_TIME) { ended(decision) }
+
+            is RouterDecision.ForwardRequest,
+            is RouterDecision.OverloadBegan,
+            is RouterDecision.OverloadEnded,
+            -> scenario.note(decision.toString())
+        }
+    }
+
+    private fun start(decision: RouterDecision.StartAttempt) {
+        attempts += 1
+        val target = targets.getValue(decision.host)
+        val key = AttemptKey(decision.request, decision.attempt)
+        target.running.add(key)
+        val bound = minOf(target.capacity, target.units ?: target.capacity)
+        scenario.check(target.running.size <= bound) { "${target.running.size} on ${target.host}, bound $bound" }
+        scenario.check(!target.leaving) { "attempt on leaving ${target.host}" }
+        scenario.check(domainState == FailureDomainState.IN) { "attempt in a domain that is out" }
+        val time = Duration.ofMillis(BASE_MILLISECONDS + GROWTH_MILLISECONDS * target.running.size)
+        scenario.after(time) { finish(target, key, time) }
+    }
+
+    private fun finish(
+        target: ModelledTarget,
+        key: AttemptKey,
+        time: Duration,
+    ) {
+        if (!target.running.remove(key)) return
+        feed(RouterEvent.AttemptFinished(key.request, key.attempt, time))
+    }
+
+    private fun ended(decision: RouterDecision.CancelAttempt) {
+        val key = AttemptKey(decision.request, decision.attempt)
+        if (targets.values.none { it.running.remove(key) }) return
+        feed(RouterEvent.AttemptWorkEnded(key.request, key.attempt))
+    }
+
+    private fun answer(decision: RouterDecision.AnswerRequest) {
+        final(decision.request, decision)
+        val arrival = arrivals.getValue(decision.request)
+        if (scenario.now <= arrival.deadline) answeredInTime.merge(arrival.workspace, 1, Int::plus)
+    }
+
+    private fun final(
+        request: RequestId,
+        decision: RouterDecision,
+    ) {
+        val earlier = finals.put(request, decision)
+        scenario.check(earlier == null) { "second final decision $decision after $earlier" }
+    }
+
+    /** Fails if a request whose deadline is more than [slack] ago has no final decision. */
+    fun checkAllAnswered(slack: Duration) {
+        val left = arrivals.values.filter { it.request !in finals && it.deadline.plus(slack) < scenario.now }
+        scenario.check(left.isEmpty()) { "left without a final decision: ${left.take(3)}" }
+    }
+
+    fun refused(): Int = finals.values.count { it is RouterDecision.RefuseRequest }
+
+    private companion object {
+        val CANCEL_TIME: Duration = Duration.ofMillis(20)
+        const val BASE_MILLISECONDS = 800L
+        const val GROWTH_MILLISECONDS = 25L
+    }
+}
