Measure overload and a failure domain's move; spread the times told

Also, a forwarded request waited in a domain that was out although it can't be sent on. Change: Retry-After goes one after the other by the workspace's share of the drain rate, up to 60 s; a forwarded request counts on local slots alone and is refused at once without them.

--- a/routing/src/main/kotlin/org/vanillalink/routing/FairQueue.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/FairQueue.kt
@@ -55,6 +55,12 @@
         return above + (classes[priority]?.costAhead(workspace, weight) ?: 0.0)
     }
 
+    /** The part (0.0 to 1.0) of the slots that [workspace] gets beside those that wait. */
+    fun partOf(
+        workspace: WorkspaceId,
+        weight: Int,
+    ): Double = weight.toDouble() / (weight + (classes.values.maxOfOrNull { it.otherWeights(workspace) } ?: 0))
+
     /** The request to drop first: of the lowest class, of the workspace most over its share, the newest. */
     fun leastDeserving(): RoutedRequest? = classes.lastEntry()?.value?.leastDeserving()
 
@@ -110,11 +116,13 @@
         workspace: WorkspaceId,
         weight: Int,
     ): Double {
-        val others = lanes.entries.filter { it.key != workspace && it.value.requests.isNotEmpty() }
         val ownCost = lanes[workspace]?.cost ?: 0.0
-        return shareOfOthers(ownCost, weight, others.sumOf { it.value.weight }, cost)
+        return shareOfOthers(ownCost, weight, otherWeights(workspace), cost)
     }
 
+    fun otherWeights(workspace: WorkspaceId): Int =
+        lanes.entries.filter { it.key != workspace && it.value.requests.isNotEmpty() }.sumOf { it.value.weight }
+
     fun leastDeserving(): RoutedRequest? = waiting().maxByOrNull { it.cost / it.weight }?.requests?.last()
 
     fun collectTooLate(
--- a/routing/src/main/kotlin/org/vanillalink/routing/Refusals.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/Refusals.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
+import java.time.Duration
 import java.time.Instant
 
 /** Gives requests their final refusal at [now]. */
@@ -26,7 +27,7 @@
         val reason =
             when {
                 request.arrival.deadline <= now -> RefusalReason.DEADLINE_EXCEEDED
-                estimate.hasNoCapacity -> RefusalReason.NO_SERVING_TARGET
+                estimate.hasNoCapacityFor(request) -> RefusalReason.NO_SERVING_TARGET
                 else -> RefusalReason.OVERLOADED
             }
         give(request, reason, estimate, tokensAhead)
@@ -58,12 +59,29 @@
                 reason = reason,
                 outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN,
                 detail = reason.title,
-                retryAfter = if (mayAskAgain) estimate.retryAfter(request, tokensAhead) else null,
+                retryAfter = if (mayAskAgain) returnTime(request, estimate, tokensAhead) else null,
             )
         state.requests.remove(request.id)
         decisions.add(RouterDecision.RefuseRequest(request.id, refusal))
     }
 
+    /** Callers of one workspace are told times one after the other, so that not all come back for the same slot. */
+    private fun returnTime(
+        request: RoutedRequest,
+        estimate: WaitEstimate,
+        tokensAhead: Double,
+    ): Duration {
+        val soonest = estimate.retryAfter(request, tokensAhead)
+        if (estimate.hasNoCapacityFor(request)) return soonest
+        val service = state.service(request.arrival.service)
+        val workspace = request.arrival.workspace
+        val afterOthers = Duration.between(now, service.nextReturn[workspace] ?: now)
+        val told = maxOf(soonest, minOf(afterOthers, LONGEST_SPREAD))
+        val part = service.queue.partOf(workspace, request.weight)
+        service.nextReturn[workspace] = now.plus(told).plus(estimate.timeInShare(request, part))
+        return told
+    }
+
     private fun noteCapacity(
         service: ServiceState,
         estimate: WaitEstimate,
@@ -84,4 +102,9 @@
         service.lastOverloadAt = now
         service.overloadRefusals += 1
     }
+
+    private companion object {
+        /** Some callers never come back, so times aren't spread without end. */
+        val LONGEST_SPREAD: Duration = Duration.ofSeconds(60)
+    }
 }
--- a/routing/src/main/kotlin/org/vanillalink/routing/RouterState.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/RouterState.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.model.RequestId
 import org.vanillalink.model.ServiceName
+import org.vanillalink.model.WorkspaceId
 import java.time.Instant
 
 /** One daemon's routing state, confined to the thread that calls [Router.handle]. */
@@ -59,6 +60,9 @@
     var forwarded = 0
     var withoutCapacitySince: Instant? = null
     var overloadRefusals = 0
+
+    /** When the next refused caller of a workspace may come back, after those told before it. */
+    val nextReturn = HashMap<WorkspaceId, Instant>()
     var lastOverloadAt: Instant? = null
 
     fun entry(host: HostId): CandidateEntry? = entries.firstOrNull { it.candidate.host == host }
--- a/routing/src/main/kotlin/org/vanillalink/routing/WaitEstimate.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/WaitEstimate.kt
@@ -13,19 +13,33 @@
     private val service: ServiceState,
     private val now: Instant,
 ) {
-    /** Slots that are going to be free again for this daemon. */
-    private val slots: Int by lazy { countSlots() }
+    private val localSlots: Int by lazy { countLocalSlots() }
+
+    /** Slots that are going to be free again for this daemon's requests, here and elsewhere. */
+    private val slots: Int by lazy { maxOf(localSlots + service.forwarded, if (servesElsewhere()) 1 else 0) }
     private val growth: Double = service.expected?.unitsPerSecond ?: 0.0
 
+    /** Whether nothing that [request] may use serves or is expected to. */
+    fun hasNoCapacityFor(request: RoutedRequest): Boolean = slotsFor(request) == 0 && growth <= 0
+
     /** Whether neither here nor elsewhere anything serves or is expected to. */
     val hasNoCapacity: Boolean get() = slots == 0 && growth <= 0
 
+    /** How long the workspace's share of the slots takes for [request]; zero where nothing is known. */
+    fun timeInShare(
+        request: RoutedRequest,
+        part: Double,
+    ): Duration {
+        val seconds = secondsToDrain(service.pace.seconds(request.cost) / part, slots, growth) ?: 0.0
+        return Duration.ofMillis((seconds * MILLISECONDS_PER_SECOND).toLong())
+    }
+
     /** Whether [request] can't end before its deadline when [tokensAhead] go first. */
     fun isTooLate(
         request: RoutedRequest,
         tokensAhead: Double,
     ): Boolean {
-        val wait = waitSeconds(tokensAhead + request.cost) ?: return true
+        val wait = waitSeconds(request, tokensAhead + request.cost) ?: return true
         return wait + serviceSeconds(request) > secondsLeft(request)
     }
 
@@ -43,10 +57,10 @@
         request: RoutedRequest,
         tokensAhead: Double,
     ): Duration {
-        val wait = waitSeconds(tokensAhead + request.cost) ?: return untilCapacityReturns()
+        val wait = waitSeconds(request, tokensAhead + request.cost) ?: return untilCapacityReturns()
         val given = Duration.between(now, request.arrival.deadline).toMillis() / MILLISECONDS_PER_SECOND
         val bearable = maxOf(0.0, given - serviceSeconds(request))
-        val nextSlot = waitSeconds(request.cost) ?: 0.0
+        val nextSlot = waitSeconds(request, request.cost) ?: 0.0
         val milliseconds = wholeSlots(wait - bearable, nextSlot) * MILLISECONDS_PER_SECOND
         return Duration.ofMillis(milliseconds.toLong()).coerceIn(SHORTEST, LONGEST)
     }
@@ -64,23 +78,28 @@
         return Duration.between(since, now).coerceIn(SHORTEST, LONGEST)
     }
 
-    private fun waitSeconds(tokens: Double): Double? = secondsToDrain(service.pace.seconds(tokens), slots, growth)
+    private fun waitSeconds(
+        request: RoutedRequest,
+        tokens: Double,
+    ): Double? = secondsToDrain(service.pace.seconds(tokens), slotsFor(request), growth)
 
     private fun serviceSeconds(request: RoutedRequest): Double = service.pace.seconds(request.cost) * SAFETY_FACTOR
 
     private fun secondsLeft(request: RoutedRequest): Double =
         Duration.between(now, request.arrival.deadline).toMillis() / MILLISECONDS_PER_SECOND
 
-    private fun countSlots(): Int {
-        var inUse = service.forwarded
-        var serving = inUse > 0
+    /** A forwarded request can't leave this domain again. */
+    private fun slotsFor(request: RoutedRequest): Int = if (request.arrival.forwarded) localSlots else slots
+
+    private fun countLocalSlots(): Int {
+        var inUse = 0
+        var serves = false
         for (entry in service.entries) {
             if (!state.isUsable(entry)) continue
             inUse += entry.inUse
-            serving = serving || entry.candidate.capacity > 0
+            serves = serves || entry.candidate.capacity > 0
         }
-        if (inUse > 0) return inUse
-        return if (serving || servesElsewhere()) 1 else 0
+        return maxOf(inUse, if (serves) 1 else 0)
     }
 
     private fun servesElsewhere(): Boolean = service.remotes.values.any { remote ->
--- a/routing/src/test/kotlin/org/vanillalink/routing/RouterFailureDomainTest.kt
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterFailureDomainTest.kt
@@ -31,6 +31,13 @@
 
         assertEquals(emptyList(), decisions.forwards())
         assertEquals(emptyList(), decisions.starts())
+        assertEquals(
+            RefusalOutcome.NOT_RUN,
+            decisions
+                .refusals()
+                .single()
+                .refusal.outcome,
+        )
     }
 
     @Test
--- a/routing/src/test/kotlin/org/vanillalink/routing/RouterQueueTest.kt
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterQueueTest.kt
@@ -67,6 +67,17 @@
         assertEquals(emptyList(), decisions.refusals())
     }
 
+    @Test
+    fun `callers that are refused together are told to come back one after the other`() {
+        val testSubject = fullRouter()
+        repeat(10) { testSubject.arrive("q$it") }
+
+        val refused = (1..3).flatMap { testSubject.arrive("r$it", deadlineIn = Duration.ofSeconds(5)).refusals() }
+
+        val told = refused.map { checkNotNull(it.refusal.retryAfter).toSeconds() }
+        assertEquals(listOf(8L, 9L, 10L), told)
+    }
+
     @Test
     fun `expected growth lets a request wait that would be refused without it`() {
         val testSubject = fullRouter()
