Give both policies of a routing measurement the same requests

Cause: arrivals shared the scenario's random source with its tie-breaks, so router and baseline were asked different requests; and calls came in before the model's daemon had its first reports, which counted as 1 and 5 refusals in a move at half load (traced: all within the first 0.1 s, no target known). Change: arrivals have a source of their own; the model's daemons begin with their targets' reports, as a daemon that isn't ready gets no calls. Ruled out: a fault of the forwarding (the same two counts stayed when forwarded requests were changed to count on local slots alone).

--- a/measure/src/main/kotlin/org/vanillalink/measure/FailureDomainMoveMeasurement.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/FailureDomainMoveMeasurement.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.testing.Scenario
 import java.time.Duration
 import java.time.Instant
+import kotlin.random.Random
 
 /** Measures a domain's move with capacity left elsewhere (half load) and with too little (nine tenths). */
 class FailureDomainMoveMeasurement : Measurement {
@@ -55,6 +56,9 @@
     private val load: Double,
 ) {
     private val scenario = Scenario(seed)
+
+    /** Both policies get the same requests. */
+    private val arrivals = Random(seed)
     private val domains = listOf("ikeja", "apapa", "lekki").map { FailureDomainId(it) }
     private val targets =
         domains.associateWith { domain ->
@@ -101,10 +105,10 @@
     }
 
     private fun ask(call: (String, Int) -> Unit) {
-        val gap = -Math.log(1 - scenario.random.nextDouble()) / (CAPACITY_PER_SECOND * load)
+        val gap = -Math.log(1 - arrivals.nextDouble()) / (CAPACITY_PER_SECOND * load)
         scenario.after(Duration.ofNanos((gap * NANOSECONDS_PER_SECOND).toLong())) {
             if (scenario.now < Instant.EPOCH.plus(RUN).minus(DEADLINE)) {
-                call("c${asked++}", scenario.random.nextInt(SHORTEST_ANSWER, LONGEST_ANSWER))
+                call("c${asked++}", arrivals.nextInt(SHORTEST_ANSWER, LONGEST_ANSWER))
                 ask(call)
             }
         }
--- a/measure/src/main/kotlin/org/vanillalink/measure/OverloadMeasurement.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/OverloadMeasurement.kt
@@ -19,6 +19,7 @@
 import org.vanillalink.testing.Scenario
 import java.time.Duration
 import java.time.Instant
+import kotlin.random.Random
 
 /** Measures the router at 1, 2 and 5 times the capacity, and its time for each request. */
 class OverloadMeasurement : Measurement {
@@ -97,6 +98,9 @@
     private val load: Int,
 ) {
     private val scenario = Scenario(seed)
+
+    /** Both policies get the same requests. */
+    private val arrivals = Random(seed)
     private val targets = (1..TARGETS).map { RoutingModelTarget(scenario, HostId("h$it"), SLOTS) }
     private var inTime = 0
     private var tokensInTime = 0
@@ -132,17 +136,17 @@
     private fun part(small: Boolean): Double = (firstInTime[small] ?: 0) / maxOf(1.0, (firstCalls[small] ?: 0) * 1.0)
 
     private fun ask(call: (String, Int) -> Unit) {
-        val gap = -Math.log(1 - scenario.random.nextDouble()) / (CAPACITY_PER_SECOND * load)
+        val gap = -Math.log(1 - arrivals.nextDouble()) / (CAPACITY_PER_SECOND * load)
         scenario.after(Duration.ofNanos((gap * NANOSECONDS_PER_SECOND).toLong())) {
-            call(workspace(), scenario.random.nextInt(SHORTEST_ANSWER, LONGEST_ANSWER))
+            call(workspace(), arrivals.nextInt(SHORTEST_ANSWER, LONGEST_ANSWER))
             ask(call)
         }
     }
 
     private fun workspace(): String {
-        val large = scenario.random.nextDouble() < LARGE_PART
-        if (large) return "large-${scenario.random.nextInt(2)}"
-        return "small-${scenario.random.nextInt(SMALL_WORKSPACES)}"
+        val large = arrivals.nextDouble() < LARGE_PART
+        if (large) return "large-${arrivals.nextInt(2)}"
+        return "small-${arrivals.nextInt(SMALL_WORKSPACES)}"
     }
 
     private fun callRouter(
--- a/measure/src/main/kotlin/org/vanillalink/measure/RoutingModel.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/RoutingModel.kt
@@ -162,9 +162,10 @@
         private set
     private var out = false
 
+    /** A daemon gets no calls before it is ready, so it begins with its targets' reports. */
     fun start(peers: List<RoutingModelDaemon>) {
         this.peers = peers
-        publish()
+        targets.forEach { publish(it, ReportedLoad(0, 0, 1.0, scenario.now)) }
         scenario.every(TICK) { feed(RouterEvent.Tick) }
         scenario.every(REPORT) { publish() }
         scenario.every(REMOTE_REPORT) { tellPeers() }
