Keep the configuration: strict sections, conditional edits, forward-only replicas

Cause: one document with sections owned by different teams must be edited without lost updates and never revert. Ruled out: recent edit ids in configuration/revision itself; that row is polled, so they lie in 16 rows of 128 edits chosen by a checksum of the id. Past that bound a retry is answered with a conflict, never applied again, because an edit raises its section's version. Ruled out too: putting the first answer in force in a fresh daemon; a lagging peer would take it behind its previous run, so it listens for 3 s first. Change: sections, strict decoding with the place of each error, editor and replica as aggregates, scenarios over several daemons and a property under lost, late, doubled messages and lost or older answers of the store.

--- /dev/null
+++ b/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationRows.kt
@@ -0,0 +1,72 @@
+/*
+ * The configuration's rows in the platform's table.
+ *
+ * The row `configuration/revision` stays small because daemons poll it. Recent edits are kept in rows of their own,
+ * chosen by a checksum of the edit id, so that an edit rewrites only a small part of what is remembered.
+ */
+package org.vanillalink.configuration
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
+import com.fasterxml.jackson.module.kotlin.readValue
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import java.util.zip.CRC32
+
+/** An edit that took effect, and what it led to. */
+data class RecordedEdit(
+    val edit: EditId,
+    val section: ConfigurationSection,
+    val version: Long,
+    val revision: Long,
+)
+
+/** Names, writes and reads the rows. */
+object ConfigurationRows {
+    /** Rows among which recent edits are spread. */
+    const val EDIT_ROWS = 16
+
+    /** Edits remembered in each of those rows; the oldest are forgotten first. */
+    const val EDITS_PER_ROW = 128
+
+    /** The row with the revision and the sections' versions. */
+    val REVISION = RowKey("configuration/revision")
+
+    private val mapper = jacksonObjectMapper()
+
+    /** The row of [section]. */
+    fun section(section: ConfigurationSection): RowKey = RowKey("configuration/${section.wireName}")
+
+    /** The row that remembers [edit]. */
+    fun recentEdits(edit: EditId): RowKey {
+        val checksum = CRC32().apply { update(edit.value.toByteArray()) }.value
+        return RowKey("configuration/recent-edits/${checksum % EDIT_ROWS}")
+    }
+
+    /** The JSON text of [value], which is one of the classes of the configuration's rows. */
+    fun write(value: Any): String = mapper.writeValueAsString(value)
+
+    /** The revision in [row]; the empty one where [row] is absent, null where it can't be read. */
+    fun readRevision(row: Row?): RevisionVersions? {
+        if (row == null) return RevisionVersions.EMPTY
+        return decode { mapper.readValue<RevisionVersions>(row.value) }
+    }
+
+    /** The section in [row]; the never edited one where [row] is absent, null where it can't be read. */
+    fun readSection(row: Row?): StoredSection? {
+        if (row == null) return StoredSection.NEVER_EDITED
+        return decode { mapper.readValue<StoredSection>(row.value) }
+    }
+
+    /** The edits in [row]; none where [row] is absent, null where it can't be read. */
+    fun readEdits(row: Row?): List<RecordedEdit>? {
+        if (row == null) return emptyList()
+        return decode { mapper.readValue<List<RecordedEdit>>(row.value) }
+    }
+
+    private fun <Value> decode(read: () -> Value): Value? = try {
+        read()
+    } catch (_: JsonProcessingException) {
+        null
+    }
+}
--- /dev/null
+++ b/configuration/src/test/kotlin/org/vanillalink/configuration/ConfigurationScenarios.kt
@@ -0,0 +1,213 @@
+package org.vanillalink.configuration
+
+import org.vanillalink.testing.LinkBehaviour
+import org.vanillalink.testing.Scenario
+import org.vanillalink.testing.StoreBehaviour
+import org.vanillalink.testing.scenario
+import java.time.Duration
+import kotlin.test.Test
+
+class ConfigurationScenarios {
+    private val seeds = 1L..20L
+
+    private fun fleet(
+        size: Int = 3,
+        script: Scenario.(ReplicaFleet) -> Unit,
+    ) = scenario(seeds) {
+        val fleet = ReplicaFleet(this, size)
+        fleet.run(Duration.ofSeconds(6))
+        script(fleet)
+    }
+
+    private fun Scenario.checkAllAt(
+        fleet: ReplicaFleet,
+        revision: Long,
+    ) = check(fleet.revisions().all { it == revision }) { "expected $revision, was ${fleet.revisions()}" }
+
+    private fun ReplicaFleet.result(
+        daemon: Int,
+        edit: String,
+    ): EditResult? = daemons[daemon].answers[EditId(edit)]
+
+    @Test
+    fun `of two edits racing for one section one takes effect and the other learns the present version`() =
+        fleet { fleet ->
+            fleet.daemons[0].edit(limitEdit("a", 0, 10))
+            fleet.daemons[1].edit(limitEdit("b", 0, 20))
+            fleet.run(Duration.ofSeconds(10))
+
+            val results = listOf(fleet.result(0, "a"), fleet.result(1, "b"))
+            check(results.count { it is EditResult.Accepted } == 1) { "$results" }
+            check(EditResult.VersionConflict(1) in results) { "$results" }
+            checkAllAt(fleet, 1)
+        }
+
+    @Test
+    fun `edits racing for two sections both take effect`() = fleet { fleet ->
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.daemons[1].edit(targetEdit("b", 0, 4))
+        fleet.run(Duration.ofSeconds(10))
+
+        val documents = fleet.daemons.map { it.replica.inForce?.document }
+        check(documents.all { it?.limits?.queuedRequests == 10 && it.targets.coldRequests == 4 }) { "$documents" }
+        checkAllAt(fleet, 2)
+    }
+
+    @Test
+    fun `racing edits that are valid only one without the other leave a valid document`() = fleet { fleet ->
+        val section = ConfigurationSection.SERVICES
+        fleet.daemons[0].edit(ConfigurationEdit(EditId("s"), section, 0, """{"m": {"kind": "MODEL"}}""", "t"))
+        fleet.run(Duration.ofSeconds(3))
+
+        fleet.daemons[0].edit(ConfigurationEdit(EditId("remove"), section, 1, "{}", "t"))
+        val workspace = """{"w": {"services": ["m"]}}"""
+        val use = ConfigurationEdit(EditId("use"), ConfigurationSection.WORKSPACES, 0, workspace, "t")
+        fleet.daemons[1].edit(use)
+        fleet.run(Duration.ofSeconds(10))
+
+        val results = listOf(fleet.result(0, "remove"), fleet.result(1, "use"))
+        check(results.count { it is EditResult.Accepted } == 1) { "$results" }
+        check(results.count { it is EditResult.Invalid } == 1) { "$results" }
+    }
+
+    @Test
+    fun `a retry of a superseded edit is answered with its earlier result and changes nothing`() = fleet { fleet ->
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(3))
+        fleet.daemons[0].edit(limitEdit("b", 1, 20))
+        fleet.run(Duration.ofSeconds(3))
+
+        fleet.daemons[2].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(6))
+
+        check(fleet.result(2, "a") == EditResult.Accepted(1, 1, repeated = true)) { "${fleet.result(2, "a")}" }
+        val queued =
+            fleet.daemons.map {
+                it.replica.inForce
+                    ?.document
+                    ?.limits
+                    ?.queuedRequests
+            }
+        check(queued.all { it == 20 }) { "$queued" }
+    }
+
+    @Test
+    fun `an edit whose answer is lost is recognised by its id`() = fleet { fleet ->
+        fleet.daemons[0].losesNextTransactionAnswer = true
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(5))
+
+        check(!fleet.daemons[0].losesNextTransactionAnswer) { "no answer was lost" }
+        check(fleet.result(0, "a") == EditResult.Accepted(1, 1, repeated = false)) { "${fleet.result(0, "a")}" }
+        checkAllAt(fleet, 1)
+    }
+
+    @Test
+    fun `an edit whose answer is lost before the platform goes down is refused as unknown`() = fleet { fleet ->
+        fleet.daemons[0].losesNextTransactionAnswer = true
+        fleet.daemons[0].afterLostAnswer = { fleet.daemons[0].path = StorePath.CUT }
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(5))
+
+        val expected = EditResult.PlatformUnavailable(EditOutcome.UNKNOWN)
+        check(fleet.result(0, "a") == expected) { "${fleet.result(0, "a")}" }
+    }
+
+    @Test
+    fun `with the platform down an edit is refused as certainly not applied`() = fleet { fleet ->
+        fleet.store.behaviour = StoreBehaviour.UNAVAILABLE
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(5))
+
+        val expected = EditResult.PlatformUnavailable(EditOutcome.NOT_APPLIED)
+        check(fleet.result(0, "a") == expected) { "${fleet.result(0, "a")}" }
+    }
+
+    @Test
+    fun `a store that answers with older rows doesn't take a daemon back`() = fleet { fleet ->
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(5))
+        fleet.daemons.forEach { it.answerWithOlderRows() }
+        fleet.daemons.forEach { it.path = StorePath.WHOLE }
+        fleet.daemons[0].edit(limitEdit("b", 1, 20))
+        fleet.run(Duration.ofSeconds(6))
+
+        fleet.daemons.forEach { it.path = StorePath.OLDER_ANSWERS }
+        fleet.run(Duration.ofSeconds(30))
+
+        checkAllAt(fleet, 2)
+        check(fleet.daemons[0].older > 0) { "no older answer was seen" }
+        val age = fleet.daemons[0].replica.age(now)
+        check(age != null && age >= Duration.ofSeconds(25)) { "an older answer confirmed the copy: $age" }
+    }
+
+    @Test
+    fun `a daemon cut off from the platform learns an edit from its peers with their age`() = fleet { fleet ->
+        fleet.daemons[2].path = StorePath.CUT
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(8))
+
+        checkAllAt(fleet, 1)
+        val age = fleet.daemons[2].replica.age(now)
+        check(age != null && age < Duration.ofSeconds(5)) { "age $age" }
+    }
+
+    @Test
+    fun `a restarted daemon that hears a lagging peer first doesn't go behind its previous run`() = fleet { fleet ->
+        fleet.daemons[1].path = StorePath.CUT
+        fleet.isolate(1)
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(6))
+        check(fleet.revisions() == listOf(1L, 0L, 1L)) { "${fleet.revisions()}" }
+        fleet.daemons[2].stop()
+        fleet.daemons[2].path = StorePath.CUT
+        fleet.setLinks(LinkBehaviour()) { from, to -> setOf(from, to) == setOf(1, 2) }
+        fleet.setLinks(LinkBehaviour(Duration.ofMillis(700), Duration.ofMillis(800))) { from, _ -> from == 0 }
+        fleet.setLinks(LinkBehaviour(cut = true)) { from, to -> setOf(from, to) == setOf(0, 1) }
+
+        fleet.daemons[2].start()
+        fleet.run(Duration.ofSeconds(10))
+
+        check(fleet.daemons[2].inForce == listOf(1L)) { "${fleet.daemons[2].inForce}" }
+    }
+
+    @Test
+    fun `a fresh daemon gets the configuration from peers while the platform is down`() = fleet { fleet ->
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(6))
+        fleet.store.behaviour = StoreBehaviour.UNAVAILABLE
+        fleet.daemons[2].stop()
+
+        fleet.daemons[2].start()
+        fleet.run(Duration.ofSeconds(6))
+
+        checkAllAt(fleet, 1)
+    }
+
+    @Test
+    fun `a daemon cut off from everything shows its age and catches up once links are whole`() = fleet { fleet ->
+        fleet.daemons[2].path = StorePath.CUT
+        fleet.isolate(2)
+        fleet.daemons[0].edit(limitEdit("a", 0, 10))
+        fleet.run(Duration.ofSeconds(60))
+        val age = fleet.daemons[2].replica.age(now)
+        check(fleet.daemons[2].replica.revision == 0L) { "${fleet.revisions()}" }
+        check(age != null && age >= Duration.ofSeconds(58)) { "age $age" }
+
+        fleet.setLinks(LinkBehaviour())
+        fleet.run(Duration.ofSeconds(5))
+
+        checkAllAt(fleet, 1)
+    }
+
+    @Test
+    fun `a fresh daemon alone without the platform has nothing in force`() = fleet(size = 1) { fleet ->
+        fleet.daemons[0].stop()
+        fleet.store.behaviour = StoreBehaviour.UNAVAILABLE
+        fleet.daemons[0].start()
+        fleet.run(Duration.ofSeconds(60))
+
+        check(fleet.revisions() == listOf(null)) { "${fleet.revisions()}" }
+        check(fleet.daemons[0].replica.age(now) == null) { "an age without a confirmation" }
+    }
+}
