Spread what daemons know by acknowledged heartbeats

Cause: daemons must learn of each other, of revisions, fencing numbers, strikes and other domains' capacity without a clustering library, at a cost that follows the failure domain. Ruled out: ordering a domain's aggregates by (boot, sequence), since boots have no order; they are ordered by the controller's fencing number and a sequence that goes on from what peers remember. Ruled out: passing every piece to every peer; only a piece's author and two relays do within a domain. A try that failed: a peer that returned kept its slow retry time and fell silent again every 10 s, and a daemon that knew only seeds of another domain was never spoken to; both were found by the scenarios and mended. Change: membership rules, gossip store, rendezvous hashing, target observation; a scenario that an edit is judged by the whole document, because validating the edited section alone had failed no test.

--- a/configuration/src/test/kotlin/org/vanillalink/configuration/ConfigurationScenarios.kt
+++ b/configuration/src/test/kotlin/org/vanillalink/configuration/ConfigurationScenarios.kt
@@ -70,6 +70,24 @@
         check(results.count { it is EditResult.Invalid } == 1) { "$results" }
     }
 
+    @Test
+    fun `an edit is judged by the whole document that it leads to`() = fleet { fleet ->
+        val services = """{"m": {"kind": "MODEL"}}"""
+        val uses = """{"w": {"services": ["m"]}}"""
+        val workspaces = ConfigurationSection.WORKSPACES
+        fleet.daemons[0].edit(ConfigurationEdit(EditId("s"), ConfigurationSection.SERVICES, 0, services, "t"))
+        fleet.run(Duration.ofSeconds(3))
+
+        fleet.daemons[0].edit(ConfigurationEdit(EditId("use"), workspaces, 0, uses, "t"))
+        fleet.run(Duration.ofSeconds(3))
+        fleet.daemons[0].edit(ConfigurationEdit(EditId("remove"), ConfigurationSection.SERVICES, 1, "{}", "t"))
+        fleet.run(Duration.ofSeconds(3))
+
+        check(fleet.result(0, "use") is EditResult.Accepted) { "${fleet.result(0, "use")}" }
+        val errors = (fleet.result(0, "remove") as? EditResult.Invalid)?.errors.orEmpty()
+        check(errors.map { it.path } == listOf("w.services")) { "${fleet.result(0, "remove")}" }
+    }
+
     @Test
     fun `a retry of a superseded edit is answered with its earlier result and changes nothing`() = fleet { fleet ->
         fleet.daemons[0].edit(limitEdit("a", 0, 10))
--- /dev/null
+++ b/membership/src/main/kotlin/org/vanillalink/membership/LocalPublisher.kt
@@ -0,0 +1,49 @@
+/*
+ * Makes this daemon's own pieces of knowledge.
+ */
+package org.vanillalink.membership
+
+import org.vanillalink.model.FencingNumber
+import java.time.Instant
+
+internal class LocalPublisher {
+    /** Makes the piece about this daemon say what is true now, also when an earlier run's piece came back to it. */
+    fun withSelf(
+        state: MembershipState,
+        now: Instant,
+    ): MembershipState {
+        val member = GossipPayload.Member(state.identity, state.leaving)
+        if (state.gossip.entries[member.subject()]?.payload == member) return state
+        return publish(state, member, FencingNumber.NONE, now)
+    }
+
+    fun publish(
+        state: MembershipState,
+        payload: GossipPayload,
+        fencingNumber: FencingNumber,
+        now: Instant,
+    ): MembershipState {
+        val version = state.gossip.nextVersion(payload.subject(), state.identity.daemon, fencingNumber)
+        val gossip = state.gossip.take(GossipItem(version, 0, payload), from = null, now) ?: return state
+        return state.copy(gossip = gossip)
+    }
+
+    fun servicesCounted(
+        state: MembershipState,
+        event: MembershipEvent.ServicesCounted,
+        now: Instant,
+    ): MembershipState {
+        val payload = GossipPayload.Services(state.identity.failureDomain, event.services)
+        return publish(state, payload, event.fencingNumber, now)
+    }
+
+    fun fencingSeen(
+        state: MembershipState,
+        event: MembershipEvent.FencingNumberSeen,
+        now: Instant,
+    ): MembershipState {
+        if (event.fencingNumber <= state.highestFencingNumber(event.failureDomain)) return state
+        val payload = GossipPayload.Control(event.failureDomain, event.fencingNumber)
+        return publish(state, payload, event.fencingNumber, now)
+    }
+}
--- /dev/null
+++ b/membership/src/main/kotlin/org/vanillalink/membership/Rendezvous.kt
@@ -0,0 +1,58 @@
+/*
+ * Rendezvous hashing: every daemon that hears of the same daemons makes the same choice, and a daemon that comes or
+ * goes moves only its own share.
+ */
+package org.vanillalink.membership
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+
+/** Chooses daemons for subjects. */
+object Rendezvous {
+    /** The [count] daemons that rank highest for [subject], best first. */
+    fun choose(
+        subject: String,
+        daemons: Collection<DaemonId>,
+        count: Int,
+    ): List<DaemonId> = daemons
+        .map { it to weight(subject, it.value) }
+        .sortedWith(compareByDescending<Pair<DaemonId, Long>> { it.second }.thenBy { it.first })
+        .take(count)
+        .map { it.first }
+
+    /** The observer of each of [targets] among [daemons]; empty where there is no daemon. */
+    fun observers(
+        targets: Collection<HostId>,
+        daemons: Collection<DaemonId>,
+    ): Map<HostId, DaemonId> {
+        if (daemons.isEmpty()) return emptyMap()
+        return targets.associateWith { choose("target/$it", daemons, 1).first() }
+    }
+
+    private fun weight(
+        subject: String,
+        daemon: String,
+    ): Long {
+        var hash = OFFSET_BASIS
+        for (character in subject) hash = (hash xor character.code.toLong()) * PRIME
+        hash = (hash xor SEPARATOR) * PRIME
+        for (character in daemon) hash = (hash xor character.code.toLong()) * PRIME
+        return mix(hash)
+    }
+
+    /** Spreads small differences over all bits. */
+    private fun mix(hash: Long): Long {
+        val first = (hash xor (hash ushr FIRST_SHIFT)) * FIRST_FACTOR
+        val second = (first xor (first ushr SECOND_SHIFT)) * SECOND_FACTOR
+        return second xor (second ushr LAST_SHIFT)
+    }
+
+    private const val OFFSET_BASIS = -3_750_763_034_362_895_579L
+    private const val PRIME = 1_099_511_628_211L
+    private const val SEPARATOR = 255L
+    private const val FIRST_SHIFT = 30
+    private const val SECOND_SHIFT = 27
+    private const val LAST_SHIFT = 31
+    private const val FIRST_FACTOR = -4_658_895_280_553_007_687L
+    private const val SECOND_FACTOR = -7_723_592_293_110_705_685L
+}
--- /dev/null
+++ b/membership/src/main/kotlin/org/vanillalink/membership/TargetObservation.kt
@@ -0,0 +1,149 @@
+/*
+ * Which targets a daemon asks for reports, and how it passes the reports on within its failure domain.
+ *
+ * A report travels with its age. Once a peer has a report, only the host's name is repeated while asking the target
+ * again gives the same content; the name then says that the report is as fresh as the message's age for it.
+ */
+package org.vanillalink.membership
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetReport
+import java.time.Duration
+import java.time.Instant
+
+/** A report with the age of its content and how long ago the target last confirmed it. */
+data class AgedReport(
+    val report: TargetReport,
+    val ageMilliseconds: Long,
+)
+
+/** What an observer tells one peer: reports that changed, and the age of those that the target confirmed unchanged. */
+data class ReportDelta(
+    val observer: DaemonId,
+    val change: Long,
+    val changed: List<AgedReport>,
+    val stillFresh: Map<HostId, Long>,
+)
+
+/** A report as this daemon keeps it; [confirmedAt] is when the target last said the same, by this daemon's clock. */
+data class ObservedReport(
+    val report: TargetReport,
+    val confirmedAt: Instant,
+    val change: Long,
+)
+
+/**
+ * The reports that one daemon has. [observed] come from targets that it asks itself, [received] from peers.
+ * [acknowledged] is the change up to which each peer has all observed reports.
+ */
+data class TargetObservation(
+    val self: DaemonId,
+    val observed: Map<HostId, ObservedReport> = emptyMap(),
+    val received: Map<HostId, ObservedReport> = emptyMap(),
+    val change: Long = 0,
+    val acknowledged: Map<DaemonId, Long> = emptyMap(),
+) {
+    /** The targets that this daemon is to ask, out of all [targets] of its failure domain. */
+    fun targetsToAsk(
+        targets: Collection<HostId>,
+        heardDaemons: Collection<DaemonId>,
+    ): Set<HostId> = Rendezvous.observers(targets, heardDaemons).filterValues { it == self }.keys
+
+    /** Takes a report that a target gave this daemon. */
+    fun withAnswer(
+        report: TargetReport,
+        now: Instant,
+    ): TargetObservation {
+        val present = observed[report.host]
+        val same = present != null && present.report.copy(sequence = report.sequence) == report
+        val next = if (same) change else change + 1
+        val kept = if (same && present != null) present.copy(confirmedAt = now) else ObservedReport(report, now, next)
+        return copy(observed = observed + (report.host to kept), change = next)
+    }
+
+    /** What [peer] is to be told; hosts not confirmed within [freshness] are left out. */
+    fun deltaFor(
+        peer: DaemonId,
+        freshness: Duration,
+        now: Instant,
+    ): ReportDelta {
+        val known = acknowledged[peer] ?: 0
+        val fresh = observed.filterValues { Duration.between(it.confirmedAt, now) <= freshness }
+        val (changed, same) = fresh.values.partition { it.change > known }
+        return ReportDelta(
+            observer = self,
+            change = change,
+            changed = changed.map { AgedReport(it.report, age(it, now)) },
+            stillFresh = same.associate { it.report.host to age(it, now) },
+        )
+    }
+
+    /** [peer] has everything up to [upTo]. */
+    fun acknowledgedBy(
+        peer: DaemonId,
+        upTo: Long,
+    ): TargetObservation = copy(acknowledged = acknowledged + (peer to maxOf(acknowledged[peer] ?: 0, upTo)))
+
+    /** [peer] restarted or was lost: it is told everything again. */
+    fun forgetting(peer: DaemonId): TargetObservation = copy(acknowledged = acknowledged - peer)
+
+    /** Takes what a peer told; nothing gets older by it, and an unknown host that is still fresh says nothing. */
+    fun withDelta(
+        delta: ReportDelta,
+        now: Instant,
+    ): TargetObservation {
+        val changed = delta.changed.fold(received) { reports, aged -> newer(reports, aged, now) }
+        val confirmed =
+            delta.stillFresh.entries.fold(
+                changed,
+            ) { reports, (host, age) -> touched(reports, host, age, now) }
+        return copy(received = confirmed)
+    }
+
+    /** The newest report of [host] and its age; null where there is none. */
+    fun report(
+        host: HostId,
+        now: Instant,
+    ): AgedReport? {
+        val best = listOfNotNull(observed[host], received[host]).maxByOrNull { it.confirmedAt } ?: return null
+        return AgedReport(best.report, age(best, now))
+    }
+
+    private fun newer(
+        reports: Map<HostId, ObservedReport>,
+        aged: AgedReport,
+        now: Instant,
+    ): Map<HostId, ObservedReport> {
+        val host = aged.report.host
+        val present = reports[host]
+        val confirmedAt = now.minusMillis(aged.ageMilliseconds)
+        if (present != null && isOlder(aged.report, confirmedAt, present)) return reports
+        return reports + (host to ObservedReport(aged.report, confirmedAt, change = 0))
+    }
+
+    private fun isOlder(
+        report: TargetReport,
+        confirmedAt: Instant,
+        present: ObservedReport,
+    ): Boolean {
+        if (report.boot == present.report.boot) return report.sequence <= present.report.sequence
+        return confirmedAt <= present.confirmedAt
+    }
+
+    private fun touched(
+        reports: Map<HostId, ObservedReport>,
+        host: HostId,
+        age: Long,
+        now: Instant,
+    ): Map<HostId, ObservedReport> {
+        val present = reports[host] ?: return reports
+        val confirmedAt = maxOf(present.confirmedAt, now.minusMillis(age))
+        return reports + (host to present.copy(confirmedAt = confirmedAt))
+    }
+
+    private fun age(
+        report: ObservedReport,
+        now: Instant,
+    ): Long = Duration.between(report.confirmedAt, now).toMillis()
+}
--- /dev/null
+++ b/membership/src/test/kotlin/org/vanillalink/membership/MembershipFleet.kt
@@ -0,0 +1,162 @@
+/*
+ * Several daemons' membership rules on virtual time, joined by unreliable links.
+ */
+package org.vanillalink.membership
+
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.testing.LinkBehaviour
+import org.vanillalink.testing.Scenario
+import org.vanillalink.testing.UnreliableLink
+import java.time.Duration
+
+internal class MembershipFleet(
+    val scenario: Scenario,
+    domains: List<String>,
+    seedCount: Int = 1,
+) {
+    private val identities = domains.mapIndexed { index, domain -> identity(index, FailureDomainId(domain), "first") }
+    val daemons =
+        identities.map {
+            MemberDaemon(
+                it,
+                this,
+                identities.take(seedCount).map { seed ->
+                    seed.endpoints.peers
+                },
+            )
+        }
+    private val links = daemons.associateWith { to -> daemons.associateWith { link(to) } }
+
+    init {
+        daemons.forEach { it.start() }
+    }
+
+    private fun link(to: MemberDaemon) = UnreliableLink<Any>(scenario) { to.receive(it) }
+
+    fun at(endpoint: Endpoint): MemberDaemon = daemons.first { it.identity.endpoints.peers == endpoint }
+
+    fun named(daemon: DaemonId): MemberDaemon = daemons.first { it.identity.daemon == daemon }
+
+    fun send(
+        from: MemberDaemon,
+        to: MemberDaemon,
+        message: Any,
+    ) = links.getValue(to).getValue(from).send(message)
+
+    fun setLinks(
+        behaviour: LinkBehaviour,
+        touching: (MemberDaemon, MemberDaemon) -> Boolean = { _, _ -> true },
+    ) = links.forEach { (to, senders) ->
+        senders.filterKeys { touching(it, to) }.values.forEach { it.behaviour = behaviour }
+    }
+
+    fun run(seconds: Long) = scenario.run(Duration.ofSeconds(seconds))
+}
+
+internal fun identity(
+    index: Int,
+    failureDomain: FailureDomainId,
+    boot: String,
+): DaemonIdentity {
+    fun endpoint(port: Int) = Endpoint("10.0.0.$index", port)
+    return DaemonIdentity(
+        DaemonId("d$index"),
+        BootId(boot),
+        failureDomain,
+        DaemonEndpoints(endpoint(8080), endpoint(8081), endpoint(8082)),
+    )
+}
+
+internal class MemberDaemon(
+    var identity: DaemonIdentity,
+    private val fleet: MembershipFleet,
+    private val seeds: List<Endpoint>,
+) {
+    private val rules = Membership()
+    private var process = 0
+    lateinit var state: MembershipState
+    var running = false
+    val changes = mutableListOf<Pair<DaemonId, PeerChange>>()
+    val strikes = mutableListOf<String>()
+    var sent = 0
+    var itemsSent = 0
+
+    fun start() {
+        running = true
+        val thisProcess = ++process
+        state = MembershipState(identity, seeds)
+        tickLater(thisProcess)
+    }
+
+    fun restart(boot: String) {
+        identity = identity.copy(boot = BootId(boot))
+        start()
+    }
+
+    fun stop() {
+        running = false
+        process++
+    }
+
+    private fun tickLater(thisProcess: Int) {
+        fleet.scenario.after(Duration.ofMillis(200)) {
+            if (process == thisProcess) {
+                feed(MembershipEvent.Tick)
+                tickLater(thisProcess)
+            }
+        }
+    }
+
+    fun receive(message: Any) {
+        if (!running) return
+        when (message) {
+            is Heartbeat -> feed(MembershipEvent.HeartbeatReceived(message), fleet.named(message.identity.daemon))
+            is HeartbeatAnswer -> feed(MembershipEvent.HeartbeatAnswered(message))
+        }
+    }
+
+    fun feed(
+        event: MembershipEvent,
+        asker: MemberDaemon? = null,
+    ) {
+        val transition = rules.handle(state, event, fleet.scenario.now)
+        state = transition.state
+        transition.decisions.forEach { carryOut(it, asker) }
+    }
+
+    private fun carryOut(
+        decision: MembershipDecision,
+        asker: MemberDaemon?,
+    ) {
+        when (decision) {
+            is MembershipDecision.SendHeartbeat -> {
+                sent++
+                itemsSent += decision.heartbeat.items.size
+                fleet.send(this, fleet.at(decision.endpoint), decision.heartbeat)
+            }
+
+            is MembershipDecision.AnswerHeartbeat -> {
+                asker?.let { fleet.send(this, it, decision.answer) }
+            }
+
+            is MembershipDecision.StrikeHeard -> {
+                strikes.add(decision.strike.id)
+            }
+
+            is MembershipDecision.RecordPeerChange -> {
+                fleet.scenario.note("${identity.daemon} sees ${decision.peer.daemon} ${decision.change}")
+                changes.add(decision.peer.daemon to decision.change)
+            }
+
+            is MembershipDecision.RevisionHeard,
+            is MembershipDecision.FencingNumberHeard,
+            is MembershipDecision.HeardDaemonsChanged,
+            -> {
+                Unit
+            }
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/test/kotlin/org/vanillalink/membership/TargetObservationTest.kt
@@ -0,0 +1,85 @@
+package org.vanillalink.membership
+
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetPhase
+import org.vanillalink.model.TargetReport
+import java.time.Duration
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class TargetObservationTest {
+    private val host = HostId("h")
+    private val observer = DaemonId("o")
+    private val peer = DaemonId("p")
+    private val freshness = Duration.ofSeconds(2)
+
+    // Two hosts' clocks that are hours apart.
+    private val observerNow = Instant.EPOCH
+    private val peerNow = Instant.EPOCH.plus(Duration.ofHours(3))
+
+    private fun report(
+        sequence: Long,
+        phase: TargetPhase = TargetPhase.READY,
+    ) = TargetReport(host, BootId("b"), sequence, phase)
+
+    @Test
+    fun `each target has one observer, and a lost daemon moves only its own targets`() {
+        val targets = List(364) { HostId("h$it") }
+        val daemons = List(14) { DaemonId("d$it") }
+
+        val before = Rendezvous.observers(targets, daemons)
+        val after = Rendezvous.observers(targets, daemons.drop(1))
+
+        val moved = targets.filter { before[it] != after[it] }
+        assertTrue(moved.all { before[it] == daemons.first() })
+        val shares = before.values.groupingBy { it }.eachCount()
+        assertTrue(shares.size == 14 && shares.values.all { it in 10..50 }, "$shares")
+    }
+
+    @Test
+    fun `an unchanged report is only named again, and its age is by the receiver's clock`() {
+        val testSubject = TargetObservation(observer).withAnswer(report(1), observerNow)
+        val first = testSubject.deltaFor(peer, freshness, observerNow)
+        val later = observerNow.plusSeconds(5)
+        val again = testSubject.acknowledgedBy(peer, first.change).withAnswer(report(2), later)
+
+        val second = again.deltaFor(peer, freshness, later.plusMillis(300))
+        val received =
+            TargetObservation(peer).withDelta(first, peerNow).withDelta(second, peerNow.plusSeconds(5))
+
+        assertEquals(emptyList(), second.changed)
+        assertEquals(mapOf(host to 300L), second.stillFresh)
+        assertEquals(300L, received.report(host, peerNow.plusSeconds(5))?.ageMilliseconds)
+    }
+
+    @Test
+    fun `a report whose delta was lost is sent again, and meanwhile nothing calls the old one fresh`() {
+        val first = TargetObservation(observer).withAnswer(report(1), observerNow)
+        val acknowledged = first.acknowledgedBy(peer, first.change)
+        val testSubject = acknowledged.withAnswer(report(2, TargetPhase.LOADING), observerNow.plusSeconds(1))
+
+        testSubject.deltaFor(peer, freshness, observerNow.plusSeconds(1))
+        val second = testSubject.deltaFor(peer, freshness, observerNow.plusSeconds(2))
+
+        assertEquals(listOf(TargetPhase.LOADING), second.changed.map { it.report.phase })
+        assertEquals(emptyMap(), second.stillFresh)
+    }
+
+    @Test
+    fun `a late delta doesn't replace a newer report, nor does an unasked target stay fresh`() {
+        val old = TargetObservation(observer).withAnswer(report(1), observerNow)
+        val new = old.withAnswer(report(2, TargetPhase.EMPTY), observerNow.plusSeconds(1))
+        val late = old.deltaFor(peer, freshness, observerNow)
+        val current = new.deltaFor(peer, freshness, observerNow.plusSeconds(1))
+
+        val testSubject = TargetObservation(peer).withDelta(current, peerNow).withDelta(late, peerNow)
+
+        assertEquals(TargetPhase.EMPTY, testSubject.report(host, peerNow)?.report?.phase)
+        val unasked = new.acknowledgedBy(peer, new.change).deltaFor(peer, freshness, observerNow.plusSeconds(10))
+        assertEquals(emptyMap(), unasked.stillFresh)
+    }
+}
