--- a/membership/src/main/kotlin/org/vanillalink/membership/Membership.kt
+++ b/membership/src/main/kotlin/org/vanillalink/membership/Membership.kt
@@ -203,6 +203,7 @@
         item: GossipItem,
         now: Instant,
     ): MembershipTransition {
+        if (isSurplusContact(state, item.payload)) return Transition(state)
         val gossip = state.gossip.take(item, from, now) ?: return Transition(state)
         val taken = state.copy(gossip = gossip)
         return when (val payload = item.payload) {
@@ -225,6 +226,17 @@
         }
     }
 
+    /** Whether enough daemons of another failure domain are known, so that what is kept doesn't follow the fleet. */
+    private fun isSurplusContact(
+        state: MembershipState,
+        payload: GossipPayload,
+    ): Boolean {
+        val identity = (payload as? GossipPayload.Member)?.identity ?: return false
+        val near = identity.failureDomain == state.identity.failureDomain
+        if (near || identity.daemon in state.peers) return false
+        return state.contacts(identity.failureDomain).size >= HeartbeatComposer.CONTACTS_TOLD
+    }
+
     private fun memberHeard(
         state: MembershipState,
         member: GossipPayload.Member,
