Add the whole-group check, control of a failure domain and its groups

Change: module groups. WholeGroupCheck decides from fresh reports of one generation and the boots a group became whole with. FailureDomainAggregate joins FailureDomainControl (one row, conditional writes, every transaction rewrites it) and GroupController (take-over, repairs, claims, orders). FirstFit is the baseline placement, BestFit the one that merges remains.

Ruled out: deleting rows (a row's version would start again at 1); using a spare that the table doesn't show as one's own; re-ordering a generation that may have been whole before its member restarted.

A try that failed: the controller alone judged restarts. Routers now tell controllers which generations have ended (GenerationEnded).

Two scenarios were wrong as first written and were changed before this commit: one asked for two groups of four from nine hosts in fabric domains of six and three; one let no message show the old controller the greater number and yet expected it to concede. The second now lets reports through and cuts platform and peers.

--- /dev/null
+++ b/groups/src/main/kotlin/org/vanillalink/groups/ControllerState.kt
@@ -0,0 +1,130 @@
+/*
+ * What a controller knows and wants.
+ *
+ * What it wants and hasn't written yet is the difference between [ControllerState.groups] and [ControllerState.stored];
+ * while the platform is down that is its journal.
+ */
+package org.vanillalink.groups
+
+import org.vanillalink.model.Assignment
+import org.vanillalink.model.BootId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
+import org.vanillalink.model.Host
+import org.vanillalink.model.HostId
+import org.vanillalink.model.HostStatus
+import org.vanillalink.model.TargetPhase
+import org.vanillalink.model.TargetReport
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import java.time.Instant
+
+/** How far a controller is with its control. */
+enum class ControllerPhase { WITHOUT_CONTROL, READING_ROWS, AWAITING_REPORTS, ACTIVE }
+
+/** A group as the controller wants it; [boots] are its members' boots when they first showed their place. */
+data class WorkingGroup(
+    val group: GroupId,
+    val row: GroupRow,
+    val boots: Map<HostId, BootId> = emptyMap(),
+) {
+    /** The group as routers are told of it. */
+    val description: GroupDescription get() = GroupDescription(row.service, group, row.generation, row.members)
+}
+
+/** The last order to a host. */
+data class SentOrder(
+    val order: TargetOrder,
+    val at: Instant,
+)
+
+/** The state of [GroupController]; a row that was read and doesn't exist is null in [stored]. */
+data class ControllerState(
+    val number: FencingNumber = FencingNumber.NONE,
+    val gainedAt: Instant = Instant.EPOCH,
+    val phase: ControllerPhase = ControllerPhase.WITHOUT_CONTROL,
+    val hostsListed: Boolean = false,
+    val hosts: Map<HostId, Host> = emptyMap(),
+    val services: List<DesiredService>? = null,
+    val reports: ReportBook = ReportBook(),
+    val groups: Map<GroupId, WorkingGroup> = emptyMap(),
+    val groupsScanned: Boolean = false,
+    val stored: Map<RowKey, Row?> = emptyMap(),
+    val lostVersions: Set<RowKey> = emptySet(),
+    val readAt: Instant = Instant.EPOCH,
+    val writing: Map<RowKey, String>? = null,
+    val ended: Map<GroupId, Generation> = emptyMap(),
+    val orders: Map<HostId, SentOrder> = emptyMap(),
+    val sequence: Long = 0,
+    val reachable: Boolean = true,
+) {
+    /** The claim on [host] as the table holds it, or null where there is none or it isn't known. */
+    fun storedClaim(host: HostId): HostClaim? = stored[GroupRows.hostKey(host)]?.let { GroupRows.readClaim(it.value) }
+
+    /** Whether the table says that this controller, and nobody else, may use [host]. */
+    fun owns(host: HostId): Boolean = storedClaim(host)?.owner == number
+
+    /** The hosts that have a place in some group. */
+    fun membersOfAll(): Map<HostId, WorkingGroup> =
+        groups.values.flatMap { group -> group.row.members.map { it to group } }.toMap()
+
+    /** The rows that have to be read before they can be written. */
+    fun unreadRows(): Set<RowKey> = hosts.keys
+        .map { GroupRows.hostKey(it) }
+        .filter { it !in stored }
+        .toSet() + lostVersions
+}
+
+/** Reads [state] as of [now]. */
+internal class ControllerView(
+    val state: ControllerState,
+    val now: Instant,
+    private val settings: GroupSettings,
+) {
+    fun fresh(host: HostId): TargetReport? = state.reports.fresh(host, now, settings.reportFresh)
+
+    fun shows(
+        host: HostId,
+        assignment: Assignment?,
+    ): Boolean = assignment != null && fresh(host)?.assignment == assignment
+
+    /** Whether every member shows its place and is ready. */
+    fun isWhole(group: WorkingGroup): Boolean {
+        val members = group.row.members
+        if (members.isEmpty()) return false
+        return members.all { shows(it, group.description.assignmentOf(it)) && fresh(it)?.phase == TargetPhase.READY }
+    }
+
+    fun isSilent(host: HostId): Boolean {
+        val heardAt = state.reports.latest[host]?.receivedAt ?: Instant.EPOCH
+        return maxOf(heardAt, state.gainedAt).plus(settings.memberSilentAfter) < now
+    }
+
+    fun isLive(host: HostId): Boolean = state.hosts[host]?.status == HostStatus.LIVE
+
+    /** The hosts that no group has and that this controller may use, the ones it owns first. */
+    fun freeHosts(): List<HostId> {
+        val taken = state.membersOfAll().keys
+        val usable = state.hosts.keys.filter { it !in taken && isLive(it) && fresh(it) != null }
+        val owned = usable.filter { state.owns(it) }.sorted()
+        if (!state.reachable) return owned
+        return owned + usable.filter { !state.owns(it) && canBeClaimed(it) }.sorted()
+    }
+
+    /**
+     * Whether a host that a predecessor may have owned can be taken: its own report shows that it has no place, and
+     * where the target checks fencing numbers, that the predecessor can't give it one any more.
+     */
+    private fun canBeClaimed(host: HostId): Boolean {
+        val report = fresh(host) ?: return false
+        if (GroupRows.hostKey(host) !in state.stored || report.assignment != null) return false
+        return !checksFencing(host) || report.highestFencingNumber >= state.number
+    }
+
+    fun checksFencing(host: HostId): Boolean = state.hosts[host]?.checksFencing ?: false
+
+    /** Whether orders for [group] may be sent: the table says that all its members are this controller's. */
+    fun mayOrder(group: WorkingGroup): Boolean =
+        group.row.generation.fencingNumber == state.number && group.row.members.all { state.owns(it) }
+}
--- /dev/null
+++ b/groups/src/main/kotlin/org/vanillalink/groups/GroupDescription.kt
@@ -0,0 +1,25 @@
+/*
+ * What a serving group should consist of. Routers learn it from the group's row, from the controller or from peers.
+ */
+package org.vanillalink.groups
+
+import org.vanillalink.model.Assignment
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+
+/** A group's [members] in the order of their ranks under [generation]. */
+data class GroupDescription(
+    val service: ServiceName,
+    val group: GroupId,
+    val generation: Generation,
+    val members: List<HostId>,
+) {
+    /** What [host] has to report, or null where it isn't a member. */
+    fun assignmentOf(host: HostId): Assignment? {
+        val rank = members.indexOf(host)
+        if (rank < 0) return null
+        return Assignment(service, group, generation, rank, members.size)
+    }
+}
--- /dev/null
+++ b/groups/src/main/kotlin/org/vanillalink/groups/Repairs.kt
@@ -0,0 +1,148 @@
+/*
+ * Forms the groups that are lacking and mends the broken ones, each under a new generation.
+ */
+package org.vanillalink.groups
+
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.model.Transition
+
+private typealias RepairStep = Transition<ControllerState, DomainDecision>
+
+/** Plans repairs with [placement]. */
+internal class Repairs(
+    private val domain: FailureDomainId,
+    private val settings: GroupSettings,
+    private val placement: PlacementPolicy,
+) {
+    /** Applies all repairs that are possible now. */
+    fun apply(view: ControllerView): RepairStep {
+        val desired = desiredGroups(view.state)
+        val dissolved = dissolve(view.state, desired.keys)
+        val current = ControllerView(dissolved.state, view.now, settings)
+        val repaired = repair(current, desired)
+        return Transition(repaired.state, dissolved.decisions + repaired.decisions)
+    }
+
+    /** Serving and desired groups of each service. */
+    fun standings(view: ControllerView): Map<ServiceName, ServiceStanding> {
+        val serving =
+            view.state.groups.values
+                .filter { view.isWhole(it) }
+                .groupingBy { it.row.service }
+                .eachCount()
+        val services = view.state.services.orEmpty()
+        return services.associate { it.service to ServiceStanding(serving[it.service] ?: 0, it.groups) }
+    }
+
+    private fun desiredGroups(state: ControllerState): Map<GroupId, DesiredService> = state.services
+        .orEmpty()
+        .flatMap { service -> List(service.groups) { GroupId("$domain/${service.service}/$it") to service } }
+        .toMap()
+
+    private fun dissolve(
+        state: ControllerState,
+        desired: Set<GroupId>,
+    ): RepairStep {
+        val unwanted = state.groups.values.filter { it.group !in desired && it.row.members.isNotEmpty() }
+        val emptied = unwanted.associate { it.group to it.copy(row = it.row.copy(members = emptyList())) }
+        val decisions = unwanted.map { DomainDecision.PublishDissolved(it.group, it.row.generation) }
+        return Transition(state.copy(groups = state.groups + emptied), decisions)
+    }
+
+    private fun repair(
+        view: ControllerView,
+        desired: Map<GroupId, DesiredService>,
+    ): RepairStep {
+        val free = view.freeHosts()
+        val faults = faults(view, desired, free.filter { view.state.owns(it) })
+        if (faults.isEmpty()) return Transition(view.state)
+        val placed = placement.place(request(view, desired, faults, free))
+        return placed.fold(Transition(withoutTaken(view.state, placed))) { soFar, group ->
+            form(soFar, group, desired.getValue(group.group), faults.getValue(group.group))
+        }
+    }
+
+    private fun faults(
+        view: ControllerView,
+        desired: Map<GroupId, DesiredService>,
+        ownedFree: List<HostId>,
+    ): Map<GroupId, GroupFault> {
+        val descriptions =
+            view.state.groups.values
+                .map { it.description }
+        val stragglers = Stragglers(settings).find(descriptions, view.state.reports, view.now)
+        val memberFaults = MemberFaults(view, stragglers, ownedFree)
+        val faults = mutableMapOf<GroupId, GroupFault>()
+        desired.forEach { (group, service) ->
+            val working = view.state.groups[group]
+            val fault =
+                if (working == null) {
+                    GroupFault(RepairReason.Lacking, emptySet())
+                } else {
+                    memberFaults.of(working, service.membersPerGroup)
+                }
+            if (fault != null) faults[group] = fault
+        }
+        return faults
+    }
+
+    private fun request(
+        view: ControllerView,
+        desired: Map<GroupId, DesiredService>,
+        faults: Map<GroupId, GroupFault>,
+        free: List<HostId>,
+    ): PlacementRequest {
+        val lacking =
+            faults.map { (group, fault) ->
+                val service = desired.getValue(group)
+                val members =
+                    view.state.groups[group]
+                        ?.row
+                        ?.members
+                        .orEmpty()
+                val survivors = members.filter { it !in fault.departing }.take(service.membersPerGroup)
+                LackingGroup(group, service.service, service.membersPerGroup, service.priority, survivors)
+            }
+        val fabricDomains = view.state.hosts.mapValues { it.value.fabricDomain }
+        return PlacementRequest(lacking, free, fabricDomains, standings(view))
+    }
+
+    /** A broken group that gave hosts to another keeps only the rest. */
+    private fun withoutTaken(
+        state: ControllerState,
+        placed: List<PlacedGroup>,
+    ): ControllerState {
+        val taken = placed.flatMap { it.members }.toSet()
+        val groups =
+            state.groups.mapValues { (_, group) ->
+                val members = group.row.members.filter { it !in taken }
+                if (members.size ==
+                    group.row.members.size
+                ) {
+                    group
+                } else {
+                    group.copy(row = group.row.copy(members = members))
+                }
+            }
+        return state.copy(groups = groups)
+    }
+
+    private fun form(
+        soFar: RepairStep,
+        placed: PlacedGroup,
+        service: DesiredService,
+        fault: GroupFault,
+    ): RepairStep {
+        val sequence = soFar.state.sequence + 1
+        val generation = Generation(soFar.state.number, sequence)
+        val group = WorkingGroup(placed.group, GroupRow(service.service, generation, placed.members))
+        val state = soFar.state.copy(sequence = sequence, groups = soFar.state.groups + (group.group to group))
+        val published = DomainDecision.PublishDescription(group.description)
+        val formed = DomainDecision.GroupFormed(group.description, fault.reason)
+        return Transition(state, soFar.decisions + listOf(published, formed))
+    }
+}
--- /dev/null
+++ b/groups/src/test/kotlin/org/vanillalink/groups/FakeDaemon.kt
@@ -0,0 +1,151 @@
+/*
+ * A daemon of a scenario: the module's aggregates with links to a table and to targets.
+ */
+package org.vanillalink.groups
+
+import arrow.core.Either
+import arrow.core.left
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.platform.StoreFailure
+import org.vanillalink.testing.InMemoryTableStore
+import org.vanillalink.testing.Scenario
+import org.vanillalink.testing.UnreliableLink
+import java.time.Duration
+
+internal class FakeDaemon(
+    name: String,
+    private val scenario: Scenario,
+    private val table: InMemoryTableStore,
+    settings: GroupSettings,
+    private val targets: () -> Collection<FakeTarget>,
+) {
+    private val aggregate =
+        FailureDomainAggregate(ControlHolder(DaemonId(name), BootId("$name-1")), FakeDomain.ID, true, settings)
+    private val check = WholeGroupCheck(settings)
+    private val held = mutableListOf<() -> Unit>()
+    val reports = UnreliableLink<ReceivedReport>(scenario) { received -> whenAwake { hear(received) } }
+    val orders = UnreliableLink<DomainDecision.SendOrder>(scenario) { deliver(it) }
+    val decisions = mutableListOf<DomainDecision>()
+    val servingDecisions = mutableListOf<ServingDecision>()
+    var state = DomainState()
+        private set
+    var serving = ServingState()
+        private set
+    var cutFromPlatform = false
+    var cutFromPeers = false
+    var paused = false
+        private set
+
+    fun pause() {
+        paused = true
+    }
+
+    fun wake() {
+        paused = false
+        val waiting = held.toList()
+        held.clear()
+        waiting.forEach { it() }
+    }
+
+    fun feed(event: DomainEvent) {
+        whenAwake {
+            val transition = aggregate.handle(state, event, scenario.now)
+            state = transition.state
+            decisions.addAll(transition.decisions)
+            transition.decisions.forEach { carryOut(it) }
+        }
+    }
+
+    fun tick() {
+        if (paused) return
+        passOnEnded(this)
+        feed(DomainEvent.Tick)
+        route(ServingEvent.Tick)
+    }
+
+    fun route(event: ServingEvent) {
+        val transition = check.handle(serving, event, scenario.now)
+        serving = transition.state
+        servingDecisions.addAll(transition.decisions)
+    }
+
+    /** Tells this daemon's router of the groups and the fencing number of a peer. */
+    fun learnFrom(peer: FakeDaemon) {
+        if (cutFromPeers || peer.cutFromPeers) return
+        peer.state.heldNumber?.let { feed(ControlEvent.FencingNumberSeen(it)) }
+        passOnEnded(peer)
+        peer.state.descriptions.forEach { description -> whenAwake { route(ServingEvent.GroupDescribed(description)) } }
+    }
+
+    private fun passOnEnded(from: FakeDaemon) {
+        from.serving.endedGenerations.forEach { (group, generation) ->
+            feed(ControllerEvent.GenerationEnded(group, generation))
+        }
+    }
+
+    private fun whenAwake(action: () -> Unit) {
+        if (paused) held.add(action) else action()
+    }
+
+    private fun hear(received: ReceivedReport) {
+        route(ServingEvent.ReportReceived(received))
+        feed(ControllerEvent.ReportReceived(received))
+    }
+
+    private fun deliver(order: DomainDecision.SendOrder) {
+        val target = targets().first { it.host.id == order.host }
+        val answer = target.take(order)
+        scenario.after(NETWORK_DELAY) { feed(ControllerEvent.OrderAnswered(order.host, answer)) }
+    }
+
+    private fun carryOut(decision: DomainDecision) {
+        when (decision) {
+            is DomainDecision.ReadControlRow -> {
+                ask({ table.readNow(setOf(decision.key)).map { it[decision.key] } }) { ControlEvent.ControlRowRead(it) }
+            }
+
+            is DomainDecision.Transact -> {
+                ask({ table.transactNow(decision.writes) }) { ControlEvent.TransactionFinished(decision.write, it) }
+            }
+
+            is DomainDecision.ScanRows -> {
+                ask({ table.scanNow(decision.prefix) }) { ControllerEvent.RowsScanned(it) }
+            }
+
+            is DomainDecision.ReadRows -> {
+                ask({ table.readNow(decision.keys) }) { ControllerEvent.RowsRead(decision.keys, it) }
+            }
+
+            is DomainDecision.SendOrder -> {
+                orders.send(decision)
+            }
+
+            is DomainDecision.PublishDescription -> {
+                route(ServingEvent.GroupDescribed(decision.description))
+            }
+
+            is DomainDecision.PublishDissolved -> {
+                route(ServingEvent.GroupDissolved(decision.group, decision.generation))
+            }
+
+            else -> {
+                scenario.note("${state.heldNumber} $decision")
+            }
+        }
+    }
+
+    private fun <T> ask(
+        call: () -> Either<StoreFailure, T>,
+        answer: (Either<StoreFailure, T>) -> DomainEvent,
+    ) {
+        scenario.after(NETWORK_DELAY) {
+            val result = if (cutFromPlatform) StoreFailure.Unavailable.left() else call()
+            scenario.after(NETWORK_DELAY) { feed(answer(result)) }
+        }
+    }
+
+    private companion object {
+        val NETWORK_DELAY: Duration = Duration.ofMillis(2)
+    }
+}
--- /dev/null
+++ b/groups/src/test/kotlin/org/vanillalink/groups/WholeGroupCheckTest.kt
@@ -0,0 +1,138 @@
+/*
+ * The whole-group check on single events.
+ */
+package org.vanillalink.groups
+
+import org.vanillalink.model.BootId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.model.TargetPhase
+import org.vanillalink.model.TargetReport
+import java.time.Duration
+import java.time.Instant
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class WholeGroupCheckTest {
+    private val testSubject = WholeGroupCheck(GroupSettings())
+    private val hosts = listOf(HostId("a"), HostId("b"), HostId("c"))
+    private val group = GroupId("g")
+    private val description =
+        GroupDescription(ServiceName("model"), group, Generation(FencingNumber(1), 1), hosts)
+    private var state = ServingState()
+    private var now = Instant.EPOCH
+    private var sequence = 0L
+
+    @Test
+    fun `a group serves once every member reports its place`() {
+        describe(description)
+
+        val before = hosts.dropLast(1).flatMap { report(it) }
+        val last = report(hosts.last())
+
+        assertEquals(emptyList(), before)
+        assertEquals(listOf(ServingDecision.GroupServing(group, description.generation)), last)
+    }
+
+    @Test
+    fun `a silent member stops the group`() {
+        makeWhole()
+
+        now = now.plus(Duration.ofMillis(1_500))
+        report(hosts[0])
+        report(hosts[1])
+        now = now.plus(Duration.ofSeconds(1))
+        val decisions = handle(ServingEvent.Tick)
+
+        assertEquals(listOf(stopped(NotServingReason.MemberSilent(hosts[2]))), decisions)
+    }
+
+    @Test
+    fun `a member that restarted and reports its place again doesn't bring the generation back`() {
+        makeWhole()
+
+        val decisions = report(hosts[1], boot = "second")
+        report(hosts[1], boot = "second")
+
+        assertEquals(listOf(stopped(NotServingReason.MemberRestarted(hosts[1]))), decisions)
+        assertIs<GroupStatus.NotServing>(state.statusOf(group))
+    }
+
+    @Test
+    fun `a late report of the boot before doesn't bring the generation back`() {
+        makeWhole()
+        val late = TargetReport(hosts[1], BootId("first"), 99, TargetPhase.READY, description.assignmentOf(hosts[1]))
+
+        report(hosts[1], boot = "second")
+        handle(ServingEvent.ReportReceived(ReceivedReport(late, now)))
+
+        assertIs<GroupStatus.NotServing>(state.statusOf(group))
+    }
+
+    @Test
+    fun `a new generation waits for reports of all its members`() {
+        makeWhole()
+        val next = description.copy(generation = Generation(FencingNumber(1), 2))
+
+        val decisions = describe(next)
+        describe(description)
+
+        assertEquals(listOf(stopped(NotServingReason.MembersChanged)), decisions)
+        assertIs<GroupStatus.NotServing>(state.statusOf(group))
+    }
+
+    @Test
+    fun `a loading member keeps the group from serving`() {
+        describe(description)
+        report(hosts[0])
+        report(hosts[1])
+
+        report(hosts[2], phase = TargetPhase.LOADING)
+
+        val expected = NotServingReason.MemberNotReady(hosts[2], TargetPhase.LOADING)
+        assertEquals(GroupStatus.NotServing(expected), state.statusOf(group))
+    }
+
+    @Test
+    fun `a member far under the median makes the group a straggler`() {
+        describe(description)
+        report(hosts[0], speed = 100.0)
+        report(hosts[1], speed = 90.0)
+        report(hosts[2], speed = 20.0)
+
+        val decisions = handle(ServingEvent.Tick)
+
+        assertEquals(listOf<ServingDecision>(ServingDecision.StragglerChanged(group, hosts[2])), decisions)
+    }
+
+    private fun makeWhole() {
+        describe(description)
+        hosts.forEach { report(it) }
+    }
+
+    private fun stopped(reason: NotServingReason): ServingDecision =
+        ServingDecision.GroupStoppedServing(group, description.generation, reason)
+
+    private fun describe(description: GroupDescription) = handle(ServingEvent.GroupDescribed(description))
+
+    private fun report(
+        host: HostId,
+        boot: String = "first",
+        phase: TargetPhase = TargetPhase.READY,
+        speed: Double = 0.0,
+    ): List<ServingDecision> {
+        val assignment = description.assignmentOf(host)
+        val report = TargetReport(host, BootId(boot), ++sequence, phase, assignment, tokensPerSecond = speed)
+        return handle(ServingEvent.ReportReceived(ReceivedReport(report, now)))
+    }
+
+    private fun handle(event: ServingEvent): List<ServingDecision> {
+        val transition = testSubject.handle(state, event, now)
+        state = transition.state
+        return transition.decisions
+    }
+}
