--- a/groups/src/test/kotlin/org/vanillalink/groups/FakeTarget.kt
+++ b/groups/src/test/kotlin/org/vanillalink/groups/FakeTarget.kt
@@ -23,7 +23,8 @@
     private var starts = 1
     private var sequence = 0L
     private var assignment: Assignment? = null
-    private var phase = TargetPhase.EMPTY
+    var phase = TargetPhase.EMPTY
+        private set
     private var highest = FencingNumber.NONE
     var tokensPerSecond = 0.0
     var dead = false
--- a/groups/src/test/kotlin/org/vanillalink/groups/GroupScenarios.kt
+++ b/groups/src/test/kotlin/org/vanillalink/groups/GroupScenarios.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetPhase
 import org.vanillalink.testing.LinkBehaviour
 import org.vanillalink.testing.Scenario
 import org.vanillalink.testing.StoreBehaviour
@@ -216,6 +217,20 @@
         check(testSubject.daemons.count { it.state.heldNumber != null } == 1) { "not one controller" }
     }
 
+    @Test
+    fun `no more hosts load weights at once than allowed`() = scenario(seeds) {
+        val services = listOf(DesiredService(FakeDomain.SERVICE, 4, 3))
+        val testSubject = FakeDomain(this, listOf(12), services, settings = GroupSettings(weightLoadsAtOnce = 3))
+
+        every(Duration.ofMillis(100)) {
+            val loading = testSubject.targets.values.count { it.phase == TargetPhase.LOADING }
+            check(loading <= 3) { "$loading hosts load" }
+        }
+        testSubject.run(80)
+
+        check(testSubject.servingGroups().size == 3) { "not all groups serve" }
+    }
+
     @Test
     fun `a write whose answer is lost is recognised and leaves one owner for each host`() = scenario(seeds) {
         val testSubject = formed(this, listOf(5), groups = 1)
