Keep groups that can't be made whole from holding up others' loads

The dead members of the group that couldn't be placed were ordered to load again and again and counted as loading, so no slot of weightLoadsAtOnce was left.

Change: a group with a silent member gets no load orders, and a silent host holds no slot. New scenario with the same shape (two fabric domains of nine).

--- a/groups/src/main/kotlin/org/vanillalink/groups/TargetOrders.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/TargetOrders.kt
@@ -36,7 +36,7 @@
     private fun loads(view: ControllerView): Map<HostId, TargetOrder> {
         val awaited = mutableMapOf<HostId, TargetOrder>()
         var slots = settings.weightLoadsAtOnce - loadsInProgress(view)
-        inRepairOrder(view).filter { view.mayOrder(it) }.forEach { group ->
+        inRepairOrder(view).filter { canBecomeWhole(view, it) }.forEach { group ->
             group.row.members.filter { !view.shows(it, group.description.assignmentOf(it)) }.forEach { host ->
                 val order = loadOrder(group, host)
                 val free = hasWeights(view, group, host) || wasSent(view, host, order)
@@ -47,6 +47,12 @@
         return awaited
     }
 
+    /** A group with a silent member that couldn't be replaced must not hold up the loads of others. */
+    private fun canBecomeWhole(
+        view: ControllerView,
+        group: WorkingGroup,
+    ): Boolean = view.mayOrder(group) && group.row.members.none { view.isSilent(it) }
+
     private fun inRepairOrder(view: ControllerView): List<WorkingGroup> {
         val broken =
             view.state.groups.values
@@ -91,7 +97,7 @@
             val shown = view.shows(host, group.description.assignmentOf(host))
             val loading = view.fresh(host)?.phase == TargetPhase.LOADING
             val awaited = !shown && wasSent(view, host, loadOrder(group, host)) && !hasWeights(view, group, host)
-            loading || awaited
+            !view.isSilent(host) && (loading || awaited)
         }
     }
 
--- a/groups/src/test/kotlin/org/vanillalink/groups/GroupScenarios.kt
+++ b/groups/src/test/kotlin/org/vanillalink/groups/GroupScenarios.kt
@@ -51,6 +51,16 @@
         check(testSubject.servingGroups().size == 2) { "not both groups serve" }
     }
 
+    @Test
+    fun `a group that can't be made whole doesn't hold up the loads of one that can`() = scenario(seeds) {
+        val testSubject = formed(this, listOf(9, 9), groups = 3)
+
+        testSubject.killFabricDomain("f0")
+        testSubject.run(60)
+
+        check(testSubject.servingGroups().size == 2) { "serving: ${testSubject.servingGroups()}" }
+    }
+
     @Test
     fun `two broken groups without spares give one whole group`() = scenario(seeds) {
         val testSubject = formed(this, listOf(8), groups = 2)
