Run the whole path in separate processes

Cause: the modules decided, but nothing carried a request from a caller to a group and back. Ruled out: a description of groups that only the controller hands out: routers would then depend on it and on the platform; they read the members' own reports instead. Found on the way: with two daemons in a failure domain no group formed for 40 s. A report that the target confirmed unchanged came through the peer with its old sequence number and was dropped as old, so its host looked silent. The book of reports now takes the same report with a later time; a test holds it.

--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/CallsPart.kt
@@ -0,0 +1,156 @@
+/*
+ * The requests' part of a daemon's decisions: where requests go, and calls that may run at most once.
+ */
+package org.vanillalink.control
+
+import org.vanillalink.dispatch.record.DispatchDecision
+import org.vanillalink.dispatch.record.DispatchEvent
+import org.vanillalink.dispatch.record.DispatchState
+import org.vanillalink.dispatch.record.IdempotentDispatch
+import org.vanillalink.dispatch.record.RecordOwner
+import org.vanillalink.membership.DaemonIdentity
+import org.vanillalink.model.RequestId
+import org.vanillalink.routing.Router
+import org.vanillalink.routing.RouterDecision
+import org.vanillalink.routing.RouterEvent
+import org.vanillalink.routing.RouterState
+
+/** [describe] completes the router's choice with what an attempt's target has to be told. */
+internal class CallsPart(
+    identity: DaemonIdentity,
+    private val describe: (RouterDecision.StartAttempt) -> AttemptTarget?,
+) {
+    private val router = Router()
+    private val dispatch = IdempotentDispatch()
+    private val keyedCalls = KeyedCalls()
+
+    val routerState = RouterState()
+
+    var dispatchState = DispatchState(RecordOwner(identity.daemon, identity.boot))
+        private set
+
+    fun tick(step: ControlStep) {
+        handle(RouterEvent.Tick, step)
+        handle(DispatchEvent.Tick, step)
+    }
+
+    fun handle(
+        event: RouterEvent,
+        step: ControlStep,
+    ) {
+        router.handle(routerState, event, step.now).decisions.forEach { follow(it, step) }
+    }
+
+    fun handle(
+        event: DispatchEvent,
+        step: ControlStep,
+    ) {
+        val next = dispatch.handle(dispatchState, event, step.now)
+        dispatchState = next.state
+        next.decisions.forEach { follow(it, step) }
+    }
+
+    fun keyedCallArrived(
+        event: DaemonEvent.KeyedCallArrived,
+        step: ControlStep,
+    ) {
+        keyedCalls.add(event.call, event.arrival)
+        handle(DispatchEvent.CallArrived(event.call), step)
+    }
+
+    fun keyedCallAnswered(
+        event: DaemonEvent.KeyedCallAnswered,
+        step: ControlStep,
+    ) {
+        keyedCalls.answered(event.finished.request, event.outcome)
+        handle(event.finished, step)
+    }
+
+    private fun follow(
+        decision: RouterDecision,
+        step: ControlStep,
+    ) {
+        when (decision) {
+            is RouterDecision.StartAttempt -> {
+                startAttempt(decision, step)
+            }
+
+            is RouterDecision.AnswerRequest -> {
+                finish(decision, keyedCalls.finish(decision.request), step)
+            }
+
+            is RouterDecision.RefuseRequest -> {
+                finish(decision, keyedCalls.fail(decision.request, decision.refusal), step)
+            }
+
+            is RouterDecision.OverloadBegan -> {
+                step.decide(TimelineNotes.of(decision))
+            }
+
+            is RouterDecision.OverloadEnded -> {
+                step.decide(TimelineNotes.of(decision))
+            }
+
+            is RouterDecision.ForwardRequest, is RouterDecision.CancelAttempt -> {
+                step.decide(DaemonDecision.ForRouter(decision))
+            }
+        }
+    }
+
+    private fun startAttempt(
+        decision: RouterDecision.StartAttempt,
+        step: ControlStep,
+    ) {
+        val target = describe(decision)
+        if (target != null) {
+            step.decide(DaemonDecision.StartAttempt(decision.request, decision.attempt, target))
+            return
+        }
+        handle(RouterEvent.AttemptFailed(decision.request, decision.attempt, mayHaveRun = false), step)
+    }
+
+    /** A keyed call's end goes to its record first, which then gives the caller its answer. */
+    private fun finish(
+        decision: RouterDecision,
+        keyed: DispatchEvent?,
+        step: ControlStep,
+    ) {
+        if (keyed == null) step.decide(DaemonDecision.ForRouter(decision)) else handle(keyed, step)
+    }
+
+    private fun follow(
+        decision: DispatchDecision,
+        step: ControlStep,
+    ) {
+        when (decision) {
+            is DispatchDecision.SendToTarget -> {
+                keyedCalls.arrivalOf(decision.call.request)?.let { handle(it, step) }
+            }
+
+            is DispatchDecision.AnswerCaller -> {
+                finishKeyed(decision.request, decision, step)
+            }
+
+            is DispatchDecision.RefuseCall -> {
+                finishKeyed(decision.request, decision, step)
+            }
+
+            is DispatchDecision.Transact,
+            is DispatchDecision.ReadRow,
+            is DispatchDecision.AskOwner,
+            is DispatchDecision.StoreBody,
+            -> {
+                step.decide(DaemonDecision.ForDispatch(decision))
+            }
+        }
+    }
+
+    private fun finishKeyed(
+        request: RequestId,
+        decision: DispatchDecision,
+        step: ControlStep,
+    ) {
+        keyedCalls.forget(request)
+        step.decide(DaemonDecision.ForDispatch(decision))
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/ConfigurationPart.kt
@@ -0,0 +1,75 @@
+/*
+ * The configuration's part of a daemon's decisions.
+ */
+package org.vanillalink.control
+
+import org.vanillalink.configuration.ConfigurationDocument
+import org.vanillalink.configuration.ConfigurationEditor
+import org.vanillalink.configuration.ConfigurationReplica
+import org.vanillalink.configuration.EditResult
+import org.vanillalink.configuration.EditorDecision
+import org.vanillalink.configuration.EditorEvent
+import org.vanillalink.configuration.EditorState
+import org.vanillalink.configuration.ReplicaDecision
+import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.configuration.ReplicaState
+import java.time.Instant
+
+internal class ConfigurationPart(
+    startedAt: Instant,
+) {
+    private val replica = ConfigurationReplica()
+    private val editor = ConfigurationEditor()
+    private var editorState = EditorState()
+
+    var replicaState = ReplicaState(startedAt)
+        private set
+
+    var document = ConfigurationDocument()
+        private set
+
+    fun handle(
+        event: ReplicaEvent,
+        step: ControlStep,
+    ) {
+        val next = replica.handle(replicaState, event, step.now)
+        val changed = next.state.confirmedAt != replicaState.confirmedAt
+        replicaState = next.state
+        next.decisions.forEach { follow(it, step) }
+        if (changed) step.tell(PartNews.LocalStateChanged(urgent = false))
+    }
+
+    fun handle(
+        event: EditorEvent,
+        step: ControlStep,
+    ) {
+        val next = editor.handle(editorState, event, step.now)
+        editorState = next.state
+        next.decisions.forEach { decision ->
+            step.decide(DaemonDecision.ForEditor(decision))
+            val accepted = (decision as? EditorDecision.AnswerEdit)?.result as? EditResult.Accepted
+            accepted?.let { handle(ReplicaEvent.EditAccepted(it.revision), step) }
+        }
+    }
+
+    private fun follow(
+        decision: ReplicaDecision,
+        step: ControlStep,
+    ) {
+        when (decision) {
+            is ReplicaDecision.ConfigurationInForce -> {
+                document = decision.document
+                step.decide(DaemonDecision.ConfigurationChanged(document, decision.revision))
+                step.tell(PartNews.ConfigurationInForce(document, decision.source))
+            }
+
+            is ReplicaDecision.RecordTimeline -> {
+                step.decide(TimelineNotes.of(decision.entry))
+            }
+
+            is ReplicaDecision.ReadRows, is ReplicaDecision.AskPeer -> {
+                step.decide(DaemonDecision.ForReplica(decision))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/PartNews.kt
@@ -0,0 +1,93 @@
+/*
+ * What the parts of a daemon's decisions tell each other.
+ *
+ * The parts don't know each other. Each puts its news into the step in progress, and [DaemonControl] passes them on
+ * until none are left.
+ */
+package org.vanillalink.control
+
+import org.vanillalink.configuration.ConfigurationDocument
+import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.configuration.RevisionSource
+import org.vanillalink.groups.ReceivedReport
+import org.vanillalink.membership.ServiceAggregate
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.Host
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.routing.RouterEvent
+import java.time.Instant
+
+/** News of one part for the others. */
+internal sealed interface PartNews {
+    /** From now on [document] is to be worked by. */
+    data class ConfigurationInForce(
+        val document: ConfigurationDocument,
+        val source: RevisionSource,
+    ) : PartNews
+
+    /** What this daemon tells its peers about itself may have changed. */
+    data class LocalStateChanged(
+        val urgent: Boolean,
+    ) : PartNews
+
+    /** This daemon controls its failure domain with [fencingNumber]. */
+    data class ControlGained(
+        val fencingNumber: FencingNumber,
+    ) : PartNews
+
+    /** A peer knows [fencingNumber] for this failure domain. */
+    data class FencingNumberHeard(
+        val fencingNumber: FencingNumber,
+    ) : PartNews
+
+    /** Peers told something about the configuration. */
+    data class ForReplica(
+        val event: ReplicaEvent,
+    ) : PartNews
+
+    /** The platform listed [hosts]. */
+    data class HostsListed(
+        val hosts: Map<HostId, Host>,
+    ) : PartNews
+
+    /** A target's report is known, from the target itself or from a peer. */
+    data class ReportKnown(
+        val received: ReceivedReport,
+    ) : PartNews
+
+    /** Which targets may be used, or what they bear, may have changed. */
+    data object ServingChanged : PartNews
+
+    /** What other failure domains offer. */
+    data class ForRouter(
+        val event: RouterEvent,
+    ) : PartNews
+
+    /** This daemon controls its failure domain, which offers [services]. */
+    data class ServicesCounted(
+        val services: Map<ServiceName, ServiceAggregate>,
+        val fencingNumber: FencingNumber,
+    ) : PartNews
+}
+
+/** One event's way through the parts. */
+internal class ControlStep(
+    val now: Instant,
+) {
+    private val news = ArrayDeque<PartNews>()
+
+    /** What has to be done, in order. */
+    val decisions = mutableListOf<DaemonDecision>()
+
+    fun decide(decision: DaemonDecision) {
+        decisions.add(decision)
+    }
+
+    fun tell(item: PartNews) {
+        news.addLast(item)
+    }
+
+    /** The next news that nobody was told yet. */
+    fun nextNews(): PartNews? = news.removeFirstOrNull()
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
@@ -0,0 +1,145 @@
+/*
+ * The other daemons' part of a daemon's decisions: heartbeats, shared reports, what other failure domains offer.
+ */
+package org.vanillalink.control
+
+import org.vanillalink.configuration.ConfigurationReplica
+import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.groups.ReceivedReport
+import org.vanillalink.membership.DaemonIdentity
+import org.vanillalink.membership.LocalState
+import org.vanillalink.membership.Membership
+import org.vanillalink.membership.MembershipDecision
+import org.vanillalink.membership.MembershipEvent
+import org.vanillalink.membership.MembershipState
+import org.vanillalink.membership.PeerChange
+import org.vanillalink.membership.ReportDelta
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.Host
+import java.time.Duration
+import java.time.Instant
+
+internal class PeersPart(
+    private val identity: DaemonIdentity,
+    seeds: List<Endpoint>,
+    startedAt: Instant,
+) {
+    private val membership = Membership()
+    private val targetReports = TargetReports(identity.daemon)
+    private val remoteCapacities = RemoteCapacities(identity.daemon)
+    private var nextReportsAt = startedAt
+
+    var state = MembershipState(identity, seeds)
+        private set
+
+    fun handle(
+        event: MembershipEvent,
+        step: ControlStep,
+    ) {
+        val next = membership.handle(state, event, step.now)
+        state = next.state
+        next.decisions.forEach { follow(it, step) }
+    }
+
+    fun localStateChanged(
+        local: LocalState,
+        urgent: Boolean,
+        step: ControlStep,
+    ) {
+        if (local != state.local) handle(MembershipEvent.LocalStateChanged(local, urgent), step)
+    }
+
+    /** Takes a report that a target itself gave. */
+    fun reportAnswered(
+        received: ReceivedReport,
+        step: ControlStep,
+    ) {
+        targetReports.answered(received.report, received.receivedAt)
+        step.tell(PartNews.ReportKnown(received))
+    }
+
+    fun reportsShared(
+        delta: ReportDelta,
+        step: ControlStep,
+    ) = targetReports.received(delta, step.now).forEach { step.tell(PartNews.ReportKnown(it)) }
+
+    fun reportsAcknowledged(
+        peer: DaemonId,
+        change: Long,
+    ) = targetReports.acknowledged(peer, change)
+
+    /** Shares reports and asks targets for new ones, when it is time to. */
+    fun exchangeReports(
+        hosts: Collection<Host>,
+        step: ControlStep,
+    ) {
+        if (step.now < nextReportsAt) return
+        nextReportsAt = step.now.plus(REPORT_INTERVAL)
+        state.contacts(identity.failureDomain).map { it.identity }.forEach { peer ->
+            val delta = targetReports.deltaFor(peer.daemon, step.now)
+            step.decide(DaemonDecision.ShareReports(peer.daemon, peer.endpoints.peers, delta))
+        }
+        val own = hosts.filter { it.failureDomain == identity.failureDomain }
+        targetReports.toAsk(own, state, step.now).forEach {
+            step.decide(DaemonDecision.FetchReport(it.id, it.endpoint))
+        }
+    }
+
+    /** Tells what [failureDomains] offer. */
+    fun tellRemoteCapacities(
+        failureDomains: Collection<FailureDomainId>,
+        step: ControlStep,
+    ) = remoteCapacities.events(failureDomains, state, step.now).forEach { step.tell(PartNews.ForRouter(it)) }
+
+    private fun follow(
+        decision: MembershipDecision,
+        step: ControlStep,
+    ) {
+        when (decision) {
+            is MembershipDecision.RevisionHeard -> {
+                val event = ReplicaEvent.PeerRevisionHeard(decision.peer, decision.revision, decision.confirmedAge)
+                step.tell(PartNews.ForReplica(event))
+            }
+
+            is MembershipDecision.FencingNumberHeard -> {
+                val own = decision.failureDomain == identity.failureDomain
+                if (own) step.tell(PartNews.FencingNumberHeard(decision.fencingNumber))
+            }
+
+            is MembershipDecision.HeardDaemonsChanged -> {
+                val polls = state.isPoller(ConfigurationReplica.POLLERS_PER_FAILURE_DOMAIN)
+                step.tell(PartNews.ForReplica(ReplicaEvent.PollingRoleChanged(polls)))
+            }
+
+            is MembershipDecision.RecordPeerChange -> {
+                peerChanged(decision, step)
+            }
+
+            is MembershipDecision.StrikeHeard -> {
+                Unit
+            }
+
+            is MembershipDecision.SendHeartbeat, is MembershipDecision.AnswerHeartbeat -> {
+                step.decide(DaemonDecision.ForMembership(decision))
+            }
+        }
+    }
+
+    private fun peerChanged(
+        decision: MembershipDecision.RecordPeerChange,
+        step: ControlStep,
+    ) {
+        step.decide(TimelineNotes.of(decision))
+        if (decision.change == PeerChange.JOINED) return
+        val peer = decision.peer.daemon
+        targetReports.forget(peer)
+        val gone = decision.change == PeerChange.SILENT || decision.change == PeerChange.LEAVING
+        if (gone) step.tell(PartNews.ForReplica(ReplicaEvent.PeerLost(peer)))
+    }
+
+    private companion object {
+        val REPORT_INTERVAL: Duration = Duration.ofMillis(500)
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/TimelineNotes.kt
@@ -0,0 +1,96 @@
+/*
+ * The names and fields under which decisions appear on the time line.
+ */
+package org.vanillalink.control
+
+import org.vanillalink.configuration.ReplicaTimelineEntry
+import org.vanillalink.groups.DomainDecision
+import org.vanillalink.groups.ServingDecision
+import org.vanillalink.membership.MembershipDecision
+import org.vanillalink.routing.RouterDecision
+
+internal object TimelineNotes {
+    fun of(note: DomainDecision.Note): DaemonDecision.Record = when (note) {
+        is DomainDecision.ControlGained -> {
+            record("control-gained", "fencing" to note.fencingNumber)
+        }
+
+        is DomainDecision.ControlLost -> {
+            record("control-lost", "fencing" to note.fencingNumber, "reason" to note.reason)
+        }
+
+        is DomainDecision.GroupFormed -> {
+            record(
+                "group-formed",
+                "service" to note.description.service,
+                "group" to note.description.group,
+                "generation" to note.description.generation,
+                "members" to note.description.members.joinToString(","),
+                "reason" to note.reason,
+            )
+        }
+
+        is DomainDecision.GroupTakenOver -> {
+            record(
+                "group-taken-over",
+                "group" to note.description.group,
+                "generation" to note.description.generation,
+            )
+        }
+
+        is DomainDecision.PlatformReachable -> {
+            record("platform-reachable", "reachable" to note.reachable)
+        }
+    }
+
+    fun of(decision: ServingDecision): DaemonDecision.Record = when (decision) {
+        is ServingDecision.GroupServing -> {
+            record("group-serving", "group" to decision.group, "generation" to decision.generation)
+        }
+
+        is ServingDecision.GroupStoppedServing -> {
+            record(
+                "group-stopped-serving",
+                "group" to decision.group,
+                "generation" to decision.generation,
+                "reason" to decision.reason,
+            )
+        }
+
+        is ServingDecision.StragglerChanged -> {
+            record("straggler-changed", "group" to decision.group, "host" to decision.host)
+        }
+    }
+
+    fun of(entry: ReplicaTimelineEntry): DaemonDecision.Record = when (entry) {
+        is ReplicaTimelineEntry.RevisionInForce -> {
+            record("configuration-in-force", "revision" to entry.revision, "source" to entry.source)
+        }
+
+        is ReplicaTimelineEntry.RevisionUnreadable -> {
+            record("configuration-unreadable", "revision" to entry.revision, "errors" to entry.errors)
+        }
+
+        is ReplicaTimelineEntry.OlderRevisionIgnored -> {
+            record("configuration-older-ignored", "revision" to entry.revision, "held" to entry.held)
+        }
+    }
+
+    fun of(decision: MembershipDecision.RecordPeerChange) = record(
+        "peer-" + decision.change.name.lowercase(),
+        "peer" to decision.peer.daemon,
+        "boot" to decision.peer.boot,
+        "failure-domain" to decision.peer.failureDomain,
+    )
+
+    fun of(decision: RouterDecision.OverloadBegan) =
+        record("overload-began", "service" to decision.service, "queued" to decision.queued)
+
+    fun of(decision: RouterDecision.OverloadEnded) =
+        record("overload-ended", "service" to decision.service, "refused" to decision.refused)
+
+    private fun record(
+        name: String,
+        vararg fields: Pair<String, Any?>,
+    ) = DaemonDecision.Record(name, fields.toMap())
+}
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Main.kt
@@ -1,9 +1,14 @@
 /*
- * Entry point.
+ * Entry point of the daemon `vanillalinkd`.
  */
 package org.vanillalink.daemon
 
-/** Starts the program. */
-fun main() {
-    println("not built yet")
+import org.vanillalink.daemon.settings.DaemonCommand
+import picocli.CommandLine
+import kotlin.system.exitProcess
+
+/** Runs a daemon until it is told to end. */
+@Suppress("SpreadOperator")
+fun main(arguments: Array<String>) {
+    exitProcess(CommandLine(DaemonCommand()).execute(*arguments))
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -0,0 +1,148 @@
+/*
+ * Carries out decisions on requests.
+ */
+package org.vanillalink.daemon.control
+
+import org.vanillalink.control.AttemptTarget
+import org.vanillalink.control.DaemonDecision
+import org.vanillalink.control.DaemonEvent
+import org.vanillalink.daemon.traffic.ActiveCall
+import org.vanillalink.daemon.traffic.ActiveCalls
+import org.vanillalink.daemon.traffic.CallEvents
+import org.vanillalink.daemon.traffic.ForwardTarget
+import org.vanillalink.daemon.traffic.KeyedPlainCall
+import org.vanillalink.daemon.traffic.attemptId
+import org.vanillalink.dispatch.record.CallOutcome
+import org.vanillalink.dispatch.record.KeyedCall
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.RequestId
+import org.vanillalink.routing.RouterDecision
+import org.vanillalink.routing.RouterEvent
+import org.vanillalink.targets.TargetClient
+
+/** [forwardTargetOf] gives where a peer takes requests that are passed on. */
+class CallExecutor(
+    private val loop: ControlLoop,
+    private val thread: ControlThread,
+    private val targets: TargetClient,
+    private val calls: ActiveCalls,
+    private val observer: CallObserver,
+    private val forwardTargetOf: (DaemonId) -> ForwardTarget?,
+) : DecisionExecutor,
+    CallEvents {
+    override fun arrived(
+        call: ActiveCall,
+        event: RouterEvent.RequestArrived,
+    ) = thread.execute {
+        calls.add(call)
+        observer.arrived(event)
+        loop.handle(DaemonEvent.ForRouter(event))
+    }
+
+    override fun keyedCallArrived(
+        call: ActiveCall,
+        keyed: KeyedCall,
+        event: RouterEvent.RequestArrived,
+    ) = thread.execute {
+        calls.add(call)
+        observer.arrived(event)
+        loop.handle(DaemonEvent.KeyedCallArrived(keyed, event))
+    }
+
+    override fun keyedCallAnswered(
+        finished: RouterEvent.AttemptFinished,
+        outcome: CallOutcome,
+    ) = loop.tell(DaemonEvent.KeyedCallAnswered(finished, outcome))
+
+    override fun happened(event: RouterEvent) = thread.execute {
+        if (event is RouterEvent.RequestCancelled) cancelled(event) else loop.handle(DaemonEvent.ForRouter(event))
+    }
+
+    override fun execute(decision: DaemonDecision) {
+        when (decision) {
+            is DaemonDecision.StartAttempt -> {
+                start(decision)
+            }
+
+            is DaemonDecision.EndAttempts -> {
+                calls.all.forEach {
+                    it.endAttemptAt(
+                        decision.host,
+                        decision.reason.toString(),
+                    )
+                }
+            }
+
+            is DaemonDecision.ForRouter -> {
+                executeFor(decision.decision)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    private fun start(decision: DaemonDecision.StartAttempt) {
+        observer.attemptStarted(decision)
+        calls[decision.request]?.start(decision.attempt, decision.target)
+    }
+
+    private fun executeFor(decision: RouterDecision) {
+        when (decision) {
+            is RouterDecision.AnswerRequest -> {
+                observer.answered(decision.request)
+                calls.remove(decision.request)?.complete()
+            }
+
+            is RouterDecision.RefuseRequest -> {
+                observer.refused(decision.request, decision.refusal)
+                calls.remove(decision.request)?.refuse(decision.refusal)
+            }
+
+            is RouterDecision.ForwardRequest -> {
+                forward(decision)
+            }
+
+            is RouterDecision.CancelAttempt -> {
+                val target = calls[decision.request]?.stopAttempt() ?: return
+                cancel(decision.request, decision.attempt, target)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    private fun forward(decision: RouterDecision.ForwardRequest) {
+        val target = forwardTargetOf(decision.daemon)
+        if (target == null) {
+            val failed = RouterEvent.AttemptFailed(decision.request, decision.attempt, mayHaveRun = false)
+            loop.tell(DaemonEvent.ForRouter(failed))
+            return
+        }
+        observer.forwarded(decision)
+        calls[decision.request]?.forward(decision.attempt, target)
+    }
+
+    /** The attempt's connection closes. A keyed call goes on: its outcome is kept for the caller's resend. */
+    private fun cancelled(event: RouterEvent.RequestCancelled) {
+        val call = calls[event.request] ?: return
+        if (call is KeyedPlainCall) return
+        observer.cancelled(event.request)
+        calls.remove(event.request)
+        call.stopAttempt()
+        loop.handle(DaemonEvent.ForRouter(event))
+    }
+
+    private fun cancel(
+        request: RequestId,
+        attempt: Int,
+        target: AttemptTarget,
+    ) {
+        targets.cancel(target.endpoint, attemptId(request, attempt)).thenAccept { answer ->
+            answer.onRight { happened(RouterEvent.AttemptWorkEnded(request, attempt)) }
+        }
+    }
+}
--- a/groups/src/main/kotlin/org/vanillalink/groups/ReportBook.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/ReportBook.kt
@@ -34,12 +34,21 @@
         val host = received.report.host
         val known = latest[host] ?: return copy(latest = latest + (host to received))
         val sameBoot = known.report.boot == received.report.boot
-        if (sameBoot && known.report.sequence >= received.report.sequence) return this
+        if (sameBoot && !isNewer(received, known)) return this
         if (received.report.boot in endedBoots[host].orEmpty()) return this
         val ended = if (sameBoot) endedBoots else endedBoots + (host to endedWith(host, known.report.boot))
         return ReportBook(latest + (host to received), ended)
     }
 
+    /** The same report may come again with a later time: the target confirmed it to the peer that passes it on. */
+    private fun isNewer(
+        received: ReceivedReport,
+        known: ReceivedReport,
+    ): Boolean {
+        if (received.report.sequence != known.report.sequence) return received.report.sequence > known.report.sequence
+        return received.receivedAt > known.receivedAt
+    }
+
     /** The report of [host] if it is still evidence at [now]. */
     fun fresh(
         host: HostId,
--- a/groups/src/test/kotlin/org/vanillalink/groups/WholeGroupCheckTest.kt
+++ b/groups/src/test/kotlin/org/vanillalink/groups/WholeGroupCheckTest.kt
@@ -51,6 +51,24 @@
         assertEquals(listOf(stopped(NotServingReason.MemberSilent(hosts[2]))), decisions)
     }
 
+    @Test
+    fun `a report that a peer's target confirmed again stays evidence`() {
+        makeWhole()
+        val confirmed =
+            hosts.map {
+                state.reports.latest
+                    .getValue(it)
+                    .report
+            }
+
+        now = now.plus(Duration.ofMillis(1_500))
+        confirmed.forEach { handle(ServingEvent.ReportReceived(ReceivedReport(it, now))) }
+        now = now.plus(Duration.ofSeconds(1))
+        val decisions = handle(ServingEvent.Tick)
+
+        assertEquals(emptyList(), decisions)
+    }
+
     @Test
     fun `a member that restarted and reports its place again doesn't bring the generation back`() {
         makeWhole()
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/caller/CallerCommand.kt
@@ -0,0 +1,48 @@
+/*
+ * A caller's stand-in: sends one HTTP request and prints the answer as it arrives.
+ */
+package org.vanillalink.standins.caller
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.util.concurrent.Callable
+
+/** Sends one request; the exit code is 0 for a status of 200 to 299. */
+@Command(name = "caller", mixinStandardHelpOptions = true)
+class CallerCommand : Callable<Int> {
+    @Parameters(index = "0", description = ["The address to call."])
+    private lateinit var address: URI
+
+    @Option(names = ["--method"])
+    private var method: String = "GET"
+
+    @Option(names = ["--header"], description = ["name=value"])
+    private var headers: Map<String, String> = emptyMap()
+
+    @Option(names = ["--body"])
+    private var body: String = ""
+
+    @Option(names = ["--print-headers"])
+    private var printHeaders: Boolean = false
+
+    override fun call(): Int {
+        val request = HttpRequest.newBuilder(address).method(method, HttpRequest.BodyPublishers.ofString(body))
+        headers.forEach { (name, value) -> request.header(name, value) }
+        val answer = HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofLines())
+        if (printHeaders) {
+            println("status: ${answer.statusCode()}")
+            answer.headers().map().forEach { (name, values) -> println("$name: ${values.joinToString(", ")}") }
+        }
+        answer.body().forEach(::println)
+        return if (answer.statusCode() in SUCCESS) 0 else 1
+    }
+
+    private companion object {
+        val SUCCESS = 200..299
+    }
+}
--- a/tool/src/main/kotlin/org/vanillalink/tool/Main.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/Main.kt
@@ -1,9 +1,13 @@
 /*
- * Entry point.
+ * Entry point of the operators' tool `vanillalink`.
  */
 package org.vanillalink.tool
 
-/** Starts the program. */
-fun main() {
-    println("not built yet")
+import picocli.CommandLine
+import kotlin.system.exitProcess
+
+/** Runs one command. */
+@Suppress("SpreadOperator")
+fun main(arguments: Array<String>) {
+    exitProcess(CommandLine(VanillalinkCommand()).execute(*arguments))
 }
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/OperatorsClient.kt
@@ -0,0 +1,89 @@
+/*
+ * Calls to daemons' operators' ports.
+ */
+package org.vanillalink.tool
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.vanillalink.model.Endpoint
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpAnswer
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpClient
+import java.time.Duration
+
+/** Why a daemon gave no usable answer. */
+sealed interface OperatorsFailure {
+    /** What to show. */
+    val detail: String
+
+    /** No answer. [mayHaveArrived] tells whether the daemon may have got the call. */
+    data class Unreachable(
+        override val detail: String,
+        val mayHaveArrived: Boolean,
+    ) : OperatorsFailure
+
+    /** The secret is missing or wrong. */
+    data object Unauthorized : OperatorsFailure {
+        override val detail: String get() = "the secret is missing or wrong"
+    }
+
+    /** An answer that this tool can't read. */
+    data class Malformed(
+        override val detail: String,
+    ) : OperatorsFailure
+}
+
+/** Calls daemons with [secret]. */
+class OperatorsClient(
+    private val secret: String?,
+) : AutoCloseable {
+    private val loops = NettyEventLoops(1)
+    private val client = NettyHttpClient(loops)
+
+    /** `GET` [path] from [daemon], read as a [type]. */
+    fun <T> get(
+        daemon: Endpoint,
+        path: String,
+        type: Class<T>,
+    ): Either<OperatorsFailure, T> = send(daemon, HttpRequestMessage("GET", path, headers()), type)
+
+    /** `POST` [message] to [path] of [daemon]; the answer is read as a [type] whatever its status. */
+    fun <T> post(
+        daemon: Endpoint,
+        path: String,
+        message: Any,
+        type: Class<T>,
+    ): Either<OperatorsFailure, T> =
+        send(daemon, HttpRequestMessage("POST", path, headers(), Json.write(message)), type)
+
+    override fun close() = loops.close()
+
+    private fun headers(): HeaderFields {
+        val plain = HeaderFields.of("content-type" to "application/json")
+        return secret?.let { plain.with("authorization", "Bearer $it") } ?: plain
+    }
+
+    private fun <T> send(
+        daemon: Endpoint,
+        request: HttpRequestMessage,
+        type: Class<T>,
+    ): Either<OperatorsFailure, T> = client
+        .call(daemon, request, TIMEOUT)
+        .join()
+        .mapLeft { OperatorsFailure.Unreachable(it.detail, it.requestMayHaveArrived) }
+        .flatMap(::authorized)
+        .flatMap { answer -> Json.read(answer.body, type).mapLeft { OperatorsFailure.Malformed(it.detail) } }
+
+    private fun authorized(answer: HttpAnswer): Either<OperatorsFailure, HttpAnswer> =
+        if (answer.status == UNAUTHORIZED) OperatorsFailure.Unauthorized.left() else answer.right()
+
+    private companion object {
+        const val UNAUTHORIZED = 401
+        val TIMEOUT: Duration = Duration.ofSeconds(5)
+    }
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationApplyCommand.kt
@@ -0,0 +1,71 @@
+/*
+ * Applies an edit to one section. The edit has an id, so that it can be sent again after a lost answer without being
+ * applied twice.
+ */
+package org.vanillalink.tool.configuration
+
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.OperatorsClient
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.UUID
+import java.util.concurrent.Callable
+
+/** `configuration apply`. */
+@Command(
+    name = "apply",
+    description = ["Replaces a section if it still has the expected version."],
+    mixinStandardHelpOptions = true,
+)
+class ConfigurationApplyCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    @Parameters(index = "0", description = ["The section: services, workspaces, failure-domains, targets or limits."])
+    private lateinit var section: String
+
+    @Parameters(index = "1", description = ["The file with the section's new content, JSON."])
+    private lateinit var file: Path
+
+    @Option(names = ["--expected-version"], required = true, description = ["The version that the edit was made from."])
+    private var expectedVersion: Long = 0
+
+    @Option(names = ["--edit"], description = ["The edit's id; give the same to repeat an edit after a lost answer."])
+    private var edit: String = UUID.randomUUID().toString()
+
+    @Option(names = ["--author"], description = ["Who makes the edit."])
+    private var author: String = System.getProperty("user.name").orEmpty()
+
+    override fun call(): Int {
+        val message = EditMessage(edit, section, expectedVersion, Files.readString(file), author)
+        System.err.println("edit $edit")
+        return OperatorsClient(options.secret).use { client -> send(client, message).number }
+    }
+
+    private fun send(
+        client: OperatorsClient,
+        message: EditMessage,
+    ): ExitCode {
+        for (daemon in options.daemons) {
+            val answer = client.post(daemon, "/configuration/edits", message, EditMessageAnswer::class.java)
+            answer.onLeft { System.err.println("$daemon: ${it.detail}") }
+            answer.onRight { return report(it) }
+        }
+        return ExitCode.UNREACHABLE
+    }
+
+    private fun report(answer: EditMessageAnswer): ExitCode {
+        when (answer.result) {
+            "accepted" -> println("accepted: version ${answer.version}, revision ${answer.revision}")
+            else -> println("${answer.result}: ${answer.outcome ?: "not-applied"}")
+        }
+        answer.presentVersion?.let { println("the section has version $it") }
+        answer.errors.forEach { println("${it.section}${it.path}: ${it.value}; allowed: ${it.allowed}") }
+        return if (answer.result == "accepted") ExitCode.DONE else ExitCode.REFUSED
+    }
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationShowCommand.kt
@@ -0,0 +1,49 @@
+/*
+ * Shows the configuration that a daemon has in force.
+ */
+package org.vanillalink.tool.configuration
+
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.OperatorsClient
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+import java.util.concurrent.Callable
+
+/** `configuration show`. */
+@Command(
+    name = "show",
+    description = ["Prints each section with its version, as the first reachable daemon has it in force."],
+    mixinStandardHelpOptions = true,
+)
+class ConfigurationShowCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    @Option(names = ["--section"], description = ["Print the content of this section alone."])
+    private var section: String? = null
+
+    override fun call(): Int = OperatorsClient(options.secret).use { client ->
+        for (daemon in options.daemons) {
+            val answer = client.get(daemon, "/configuration", ConfigurationMessage::class.java)
+            answer.onLeft { System.err.println("$daemon: ${it.detail}") }
+            answer.onRight { return@use print(it).number }
+        }
+        ExitCode.UNREACHABLE.number
+    }
+
+    private fun print(configuration: ConfigurationMessage): ExitCode {
+        val wanted = section
+        if (wanted != null) {
+            val content = configuration.sections[wanted]?.content ?: return ExitCode.FAILED
+            println(content)
+            return ExitCode.DONE
+        }
+        println("daemon ${configuration.daemon}, revision ${configuration.revision}")
+        configuration.sections.forEach { (name, section) ->
+            println("$name, version ${section.version}: ${section.content}")
+        }
+        return ExitCode.DONE
+    }
+}
--- a/transport/src/main/kotlin/org/vanillalink/transport/Json.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/Json.kt
@@ -7,7 +7,9 @@
 import arrow.core.Either
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.DeserializationFeature
+import com.fasterxml.jackson.databind.SerializationFeature
 import com.fasterxml.jackson.databind.json.JsonMapper
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule
 import com.fasterxml.jackson.module.kotlin.kotlinModule
 import java.io.IOException
 
@@ -23,6 +25,8 @@
         JsonMapper
             .builder()
             .addModule(kotlinModule())
+            .addModule(JavaTimeModule())
+            .disable(SerializationFeature.WRITE_DATES_AS_TIMESTAMPS)
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .build()
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/ProblemDetails.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ProblemDetails.kt
@@ -37,6 +37,9 @@
     }
 }
 
+/** In each refusal: its outcome, `not-run` or `unknown`. */
+const val OUTCOME_HEADER = "vanillalink-outcome"
+
 private const val MILLISECONDS_PER_SECOND = 1_000L
 
 /** Writes [refusal] as the whole answer; `Retry-After` is rounded up to whole seconds. */
@@ -44,7 +47,8 @@
     refusal: Refusal,
     requestId: String? = null,
 ) {
-    var headers = HeaderFields.of("content-type" to ProblemDetails.MEDIA_TYPE)
+    var headers =
+        HeaderFields.of("content-type" to ProblemDetails.MEDIA_TYPE, OUTCOME_HEADER to refusal.outcome.wireName)
     refusal.retryAfter?.let { headers = headers.with("retry-after", wholeSeconds(it).toString()) }
     requestId?.let { headers = headers.with("vanillalink-request", it) }
     answer(refusal.reason.status, headers, Json.write(ProblemDetails.of(refusal, requestId)))
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerSentEventDecoder.kt
@@ -0,0 +1,53 @@
+/*
+ * Splits a stream of server-sent events into the data of each event. Only `data` lines matter here; comments and other
+ * fields are passed over.
+ */
+package org.vanillalink.transport
+
+import java.io.ByteArrayOutputStream
+
+/** Collects bytes and gives whole events; an event of more than [eventBytes] makes it [overflowed]. */
+class ServerSentEventDecoder(
+    private val eventBytes: Int = EVENT_BYTES,
+) {
+    private val line = ByteArrayOutputStream()
+    private val data = StringBuilder()
+
+    /** Whether an event was larger than allowed; no more events come then. */
+    var overflowed: Boolean = false
+        private set
+
+    /** The data of the events that [bytes] complete. */
+    fun decode(bytes: ByteArray): List<String> {
+        val events = mutableListOf<String>()
+        for (byte in bytes) {
+            if (overflowed) return events
+            if (byte == LINE_FEED) endLine(events) else add(byte)
+        }
+        return events
+    }
+
+    private fun add(byte: Byte) {
+        line.write(byte.toInt())
+        if (line.size() + data.length > eventBytes) overflowed = true
+    }
+
+    private fun endLine(events: MutableList<String>) {
+        val text = line.toString(Charsets.UTF_8).removeSuffix("\r")
+        line.reset()
+        if (text.isEmpty()) {
+            if (data.isNotEmpty()) events.add(data.toString())
+            data.clear()
+            return
+        }
+        if (!text.startsWith(FIELD)) return
+        if (data.isNotEmpty()) data.append('\n')
+        data.append(text.removePrefix(FIELD).removePrefix(" "))
+    }
+
+    private companion object {
+        const val EVENT_BYTES = 1_048_576
+        const val FIELD = "data:"
+        const val LINE_FEED = '\n'.code.toByte()
+    }
+}
