--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AccountState.kt
@@ -0,0 +1,83 @@
+/*
+ * What a daemon knows of the units that it borrowed.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import java.time.Instant
+
+/**
+ * The account of [holder]. [owner] lends under [fencingNumber] and was last heard at [heardAt]. [holdingsSent] is when
+ * the use of units of earlier controllers was last declared, [holdingsKnown] what the owner acknowledged of it.
+ */
+data class AccountState(
+    val holder: Holder,
+    val owner: DaemonId? = null,
+    val fencingNumber: FencingNumber = FencingNumber.NONE,
+    val heardAt: Instant = Instant.EPOCH,
+    val nextSequence: Long = 1,
+    val targets: Map<HostId, TargetAccount> = emptyMap(),
+    val holdingsSent: Instant = Instant.EPOCH,
+    val holdingsKnown: Map<HostId, Set<AttemptId>>? = null,
+)
+
+/** A loan that was asked for and isn't answered yet. */
+data class PendingLoan(
+    val loan: LoanId,
+    val units: Int,
+    val sentAt: Instant,
+)
+
+/**
+ * A loan as its holder sees it. [units] includes those of the attempts [inUse]. A [retired] loan's free units were
+ * given up; [returnKnown] is what the owner acknowledged of that and [returnSent] when it was last told.
+ */
+data class HeldLoan(
+    val fencingNumber: FencingNumber,
+    val boot: BootId,
+    val units: Int,
+    val end: Instant,
+    val sequence: Long,
+    val bound: Int,
+    val cold: Boolean,
+    val inUse: Set<AttemptId> = emptySet(),
+    val retired: Boolean = false,
+    val returnKnown: Int? = null,
+    val returnSent: Instant = Instant.EPOCH,
+) {
+    /** Units that another attempt may use. */
+    val free: Int get() = if (retired) 0 else units - inUse.size
+}
+
+/**
+ * The units of one target. [wanted] attempts found none since the last loan; none is asked for before [askAfter].
+ * [lost] are attempts whose end only an answer to the question of that number can show. [boot], [sequence], [cold] and
+ * [bearableRequests] are those of the latest report; [turnSequence] is the latest in which the target was seen to bear
+ * less than before. While [bootInDoubt] some report named another boot, and only an answer to question
+ * [doubtQuestion] or a later one tells which is the present one.
+ */
+data class TargetAccount(
+    val pending: PendingLoan? = null,
+    val loans: Map<LoanId, HeldLoan> = emptyMap(),
+    val wanted: Int = 0,
+    val askAfter: Instant = Instant.EPOCH,
+    val lost: Map<AttemptId, Long> = emptyMap(),
+    val question: Long = 0,
+    val boot: BootId? = null,
+    val sequence: Long = -1,
+    val cold: Boolean = false,
+    val bearableRequests: Int? = null,
+    val turnSequence: Long = -1,
+    val bootInDoubt: Boolean = false,
+    val doubtQuestion: Long = 0,
+)
+
+/** The state with [target] as what it knows of [host]. */
+internal fun AccountState.with(
+    host: HostId,
+    target: TargetAccount,
+): AccountState = copy(targets = targets + (host to target))
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionAccount.kt
@@ -0,0 +1,219 @@
+/*
+ * The borrower's side of admission: a daemon sends a request only with a unit that it borrowed, its own domain's
+ * controller included.
+ *
+ * The end of a loan's time makes the holder give back what it doesn't use; until the owner hears of it the units stay
+ * lent, so a holder that was paused past that time does no harm.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.Aggregate
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import org.vanillalink.model.Transition
+import java.time.Instant
+
+/** Decides whether this daemon may send a request to a target. */
+class AdmissionAccount(
+    private val settings: AdmissionSettings,
+) : Aggregate<AccountState, AccountEvent, AccountDecision> {
+    private val correspondence = Correspondence(settings)
+
+    override fun handle(
+        state: AccountState,
+        event: AccountEvent,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        val changed = apply(state, event, now)
+        val told = correspondence.tell(changed.state, now)
+        return Transition(told.state, changed.decisions + told.decisions)
+    }
+
+    /** Units of [target] that an attempt could use at once. */
+    fun freeUnits(
+        state: AccountState,
+        target: HostId,
+    ): Int = state.targets[target]
+        ?.loans
+        ?.values
+        ?.sumOf { it.free } ?: 0
+
+    private fun apply(
+        state: AccountState,
+        event: AccountEvent,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> = when (event) {
+        is AccountEvent.ControlChanged -> Transition(follow(state, event.owner, event.fencingNumber, now))
+        is AccountEvent.AttemptRequested -> admit(state, event)
+        is AccountEvent.AttemptEnded -> Transition(change(state, event.target) { it.free(event.attempt) })
+        is AccountEvent.AttemptLost -> lose(state, event)
+        is AccountEvent.ReportReceived -> report(state, event, now)
+        is AccountEvent.MessageReceived -> receive(state, event.message, now)
+        AccountEvent.Tick -> tick(state, now)
+    }
+
+    /** A greater fencing number ends the free units of all earlier ones. */
+    private fun follow(
+        state: AccountState,
+        owner: DaemonId?,
+        fencingNumber: FencingNumber,
+        now: Instant,
+    ): AccountState {
+        if (fencingNumber < state.fencingNumber) return state
+        if (fencingNumber == state.fencingNumber) return state.copy(owner = state.owner ?: owner)
+        val targets =
+            state.targets.mapValues { (_, target) ->
+                target.copy(pending = null, askAfter = now).retire { _, _ -> true }
+            }
+        return state.copy(
+            owner = owner,
+            fencingNumber = fencingNumber,
+            heardAt = now,
+            targets = targets,
+            holdingsSent = Instant.EPOCH,
+            holdingsKnown = null,
+        )
+    }
+
+    private fun admit(
+        state: AccountState,
+        event: AccountEvent.AttemptRequested,
+    ): Transition<AccountState, AccountDecision> {
+        val target = state.targets[event.target] ?: TargetAccount()
+        val (used, loan) =
+            target.use(event.attempt) ?: return Transition(
+                state.with(event.target, target.copy(wanted = target.wanted + 1)),
+                listOf(AccountDecision.Defer(event.attempt, event.target)),
+            )
+        val admit = AccountDecision.Admit(event.attempt, event.target, loan.boot, loan.fencingNumber)
+        val wanted = if (used.loans.values.sumOf { it.free } == 0) maxOf(used.wanted, 1) else used.wanted
+        return Transition(state.with(event.target, used.copy(wanted = wanted)), listOf(admit))
+    }
+
+    private fun lose(
+        state: AccountState,
+        event: AccountEvent.AttemptLost,
+    ): Transition<AccountState, AccountDecision> {
+        val target = state.targets[event.target] ?: return Transition(state)
+        if (target.loans.values.none { event.attempt in it.inUse }) return Transition(state)
+        val question = target.question + 1
+        val next = target.copy(question = question, lost = target.lost + (event.attempt to question))
+        return Transition(state.with(event.target, next), listOf(AccountDecision.AskReport(event.target, question)))
+    }
+
+    private fun report(
+        state: AccountState,
+        event: AccountEvent.ReportReceived,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        val report = event.report
+        val current = follow(state, owner = null, report.highestFencingNumber, now)
+        val before = current.targets[report.host] ?: TargetAccount()
+        val observed = before.observe(report, event.question)
+        val settled = event.question?.let { observed.settleLost(report, it) } ?: observed
+        val asks = if (observed.question > before.question) listOf(question(report.host, settled)) else emptyList()
+        return Transition(current.with(report.host, settled), asks)
+    }
+
+    private fun question(
+        host: HostId,
+        target: TargetAccount,
+    ): AccountDecision = AccountDecision.AskReport(host, target.question)
+
+    private fun receive(
+        state: AccountState,
+        message: MessageToHolder,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        if (message.fencingNumber < state.fencingNumber) return Transition(state)
+        val current = follow(state, message.owner, message.fencingNumber, now).copy(heardAt = now)
+        return when (message) {
+            is MessageToHolder.Grant -> accept(current, message, now)
+            is MessageToHolder.Refuse -> Transition(refused(current, message, now))
+            is MessageToHolder.Recall -> recall(current, message)
+            is MessageToHolder.ReturnAcknowledged -> Transition(acknowledged(current, message))
+            is MessageToHolder.HoldingsAcknowledged -> Transition(current.copy(holdingsKnown = message.inUse))
+        }
+    }
+
+    private fun accept(
+        state: AccountState,
+        grant: MessageToHolder.Grant,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        val target = state.targets[grant.target] ?: TargetAccount()
+        if (grant.loan in target.loans) return Transition(state)
+        if (target.pending?.loan != grant.loan) return refuseLoan(state, grant.loan, grant.target)
+        val end = now.plus(grant.duration)
+        val loan = HeldLoan(grant.fencingNumber, grant.boot, grant.units, end, grant.sequence, grant.bound, grant.cold)
+        val next = target.copy(pending = null, wanted = 0, loans = target.loans + (grant.loan to loan))
+        val outdated = next.retire { id, held -> id == grant.loan && next.outdates(held) }
+        return Transition(state.with(grant.target, outdated))
+    }
+
+    /** A loan that isn't awaited is given back whole, and never used. */
+    private fun refuseLoan(
+        state: AccountState,
+        loan: LoanId,
+        target: HostId,
+    ): Transition<AccountState, AccountDecision> {
+        val owner = state.owner ?: return Transition(state)
+        val message = MessageToOwner.Return(loan, target, kept = 0, state.fencingNumber)
+        return Transition(state, listOf(AccountDecision.Send(owner, message)))
+    }
+
+    private fun refused(
+        state: AccountState,
+        message: MessageToHolder.Refuse,
+        now: Instant,
+    ): AccountState = change(state, message.target) { target ->
+        if (target.pending?.loan != message.loan) return@change target
+        target.copy(pending = null, askAfter = now.plus(minOf(message.retryAfter, settings.loanDuration)))
+    }
+
+    private fun recall(
+        state: AccountState,
+        message: MessageToHolder.Recall,
+    ): Transition<AccountState, AccountDecision> {
+        val target = state.targets[message.target] ?: TargetAccount()
+        if (target.pending?.loan == message.loan) {
+            val cancelled = state.with(message.target, target.copy(pending = null))
+            return refuseLoan(cancelled, message.loan, message.target)
+        }
+        if (message.loan !in target.loans) return refuseLoan(state, message.loan, message.target)
+        return Transition(change(state, message.target) { it.retire { id, _ -> id == message.loan } })
+    }
+
+    private fun acknowledged(
+        state: AccountState,
+        message: MessageToHolder.ReturnAcknowledged,
+    ): AccountState = change(state, message.target) { target ->
+        val loan = target.loans[message.loan] ?: return@change target
+        val known = minOf(message.kept, loan.returnKnown ?: message.kept)
+        target.copy(loans = target.loans + (message.loan to loan.copy(returnKnown = known))).dropFinished()
+    }
+
+    private fun tick(
+        state: AccountState,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        val ownerHeard = state.heardAt.plus(settings.loanDuration) > now
+        val targets =
+            state.targets.mapValues { (_, target) ->
+                target.retire { _, loan -> ownerHeard && loan.end <= now }
+            }
+        val asks =
+            targets.filterValues { it.lost.isNotEmpty() || it.bootInDoubt }.map { (host, it) ->
+                question(host, it)
+            }
+        return Transition(state.copy(targets = targets), asks)
+    }
+
+    private fun change(
+        state: AccountState,
+        host: HostId,
+        change: (TargetAccount) -> TargetAccount,
+    ): AccountState = state.with(host, change(state.targets[host] ?: TargetAccount()))
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionLedger.kt
@@ -0,0 +1,239 @@
+/*
+ * The controller's side of admission: it owns all units of its domain's targets and lends them, to its own daemon too.
+ *
+ * A unit that was lent counts until its holder returns it, or until the holder's process has ended and the target
+ * itself shows what of its work still runs. The end of a loan's time only makes the ledger ask for it.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.Aggregate
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetReport
+import org.vanillalink.model.Transition
+import java.time.Duration
+import java.time.Instant
+
+/** Decides who may use a domain's units. */
+class AdmissionLedger(
+    private val settings: AdmissionSettings,
+) : Aggregate<LedgerState, LedgerEvent, LedgerDecision> {
+    private val rules = TargetRules(settings)
+    private val lending = Lending(settings, rules)
+
+    override fun handle(
+        state: LedgerState,
+        event: LedgerEvent,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> = when (event) {
+        is LedgerEvent.ControlGained -> gain(state, event)
+        LedgerEvent.ControlLost -> Transition(withoutControl(state))
+        is LedgerEvent.HoldersRegistered -> Transition(state.copy(registered = event.holders))
+        is LedgerEvent.TargetAdded -> add(state, event)
+        is LedgerEvent.TargetRemoved -> remove(state, event.host, now)
+        is LedgerEvent.ReportReceived -> report(state, event, now)
+        is LedgerEvent.SlownessSeen -> slow(state, event, now)
+        is LedgerEvent.MessageReceived -> receive(state, event.message, now)
+        is LedgerEvent.DaemonEnded -> endHolder(state, event.holder)
+        LedgerEvent.Tick -> tick(state, now)
+    }
+
+    /** Units of [host] that may be lent now. */
+    fun freeUnits(
+        state: LedgerState,
+        host: HostId,
+    ): Int = lending.freeUnits(state, host)
+
+    /** An estimate of how long it takes until [host] has capacity for one request more than it now bears. */
+    fun timeToCapacity(
+        state: LedgerState,
+        host: HostId,
+        now: Instant,
+    ): Duration = lending.timeToCapacity(state, host, now)
+
+    private fun gain(
+        state: LedgerState,
+        event: LedgerEvent.ControlGained,
+    ): Transition<LedgerState, LedgerDecision> {
+        val cleared = withoutControl(state)
+        val gained =
+            cleared.copy(
+                control = event.fencingNumber,
+                registered = event.holders,
+                predecessors = event.holders,
+            )
+        return Transition(gained, gained.targets.values.flatMap { questions(gained, it) })
+    }
+
+    private fun withoutControl(state: LedgerState): LedgerState = state.copy(
+        control = null,
+        gone = emptySet(),
+        predecessors = emptySet(),
+        declared = emptyMap(),
+        targets = state.targets.mapValues { (_, target) -> forget(target) },
+    )
+
+    private fun forget(target: TargetLedger): TargetLedger {
+        val question = target.question + 1
+        return target.copy(
+            fenced = false,
+            loans = emptyMap(),
+            ended = listOf(EndedUnits(limit = null, question = question)),
+            question = question,
+        )
+    }
+
+    private fun add(
+        state: LedgerState,
+        event: LedgerEvent.TargetAdded,
+    ): Transition<LedgerState, LedgerDecision> {
+        val known = state.targets[event.host]
+        val target = known?.copy(warmRequests = event.warmRequests, removed = false) ?: rules.added(event)
+        return Transition(state.with(target), questions(state, target))
+    }
+
+    private fun report(
+        state: LedgerState,
+        event: LedgerEvent.ReportReceived,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        val target = state.targets[event.report.host] ?: return Transition(state)
+        val control = state.control
+        if (control != null && event.report.highestFencingNumber > control) return superseded(state, event.report)
+        val next = rules.reported(target, event.report, event.question, control)
+        val asks = if (next.question != target.question || fenceMissing(next)) questions(state, next) else emptyList()
+        val told = asks + boundChange(target, next)
+        if (!shrank(target, next)) return Transition(state.with(next), told)
+        return recall(state.with(next), next, now, next.loans.keys, told)
+    }
+
+    private fun slow(
+        state: LedgerState,
+        event: LedgerEvent.SlownessSeen,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        val target = state.targets[event.host]?.takeIf { it.boot == event.boot } ?: return Transition(state)
+        val next = rules.slow(target)
+        if (next == target) return Transition(state)
+        return recall(state.with(next), next, now, next.loans.keys, boundChange(target, next))
+    }
+
+    private fun superseded(
+        state: LedgerState,
+        report: TargetReport,
+    ): Transition<LedgerState, LedgerDecision> =
+        Transition(withoutControl(state), listOf(LedgerDecision.ControlSuperseded(report.highestFencingNumber)))
+
+    private fun receive(
+        state: LedgerState,
+        message: MessageToOwner,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        val control = state.control ?: return Transition(state)
+        if (message.fencingNumber > control) {
+            return Transition(
+                withoutControl(state),
+                listOf(LedgerDecision.ControlSuperseded(message.fencingNumber)),
+            )
+        }
+        if (message.fencingNumber < control) return Transition(state)
+        return when (message) {
+            is MessageToOwner.Borrow -> lending.borrow(state, message, control, now)
+            is MessageToOwner.Return -> lending.takeBack(state, message, control)
+            is MessageToOwner.Holdings -> lending.declare(state, message, control)
+        }
+    }
+
+    private fun endHolder(
+        state: LedgerState,
+        holder: Holder,
+    ): Transition<LedgerState, LedgerDecision> {
+        val targets =
+            state.targets.mapValues { (host, target) ->
+                rules.holderEnded(target, holder, earlierUnits(state, holder, host))
+            }
+        val next =
+            state.copy(
+                targets = targets,
+                predecessors = state.predecessors - holder,
+                declared = state.declared - holder,
+                gone = state.gone + holder,
+            )
+        return Transition(next, targets.values.filter { it.ended.isNotEmpty() }.flatMap { questions(next, it) })
+    }
+
+    private fun earlierUnits(
+        state: LedgerState,
+        holder: Holder,
+        host: HostId,
+    ): EndedUnits? {
+        if (holder !in state.predecessors) return null
+        val declared = state.declared[holder] ?: return EndedUnits(limit = null, question = 0)
+        return declared[host]?.takeIf { it.isNotEmpty() }?.let { EndedUnits(it.size, question = 0) }
+    }
+
+    private fun tick(
+        state: LedgerState,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        if (state.control == null) return Transition(state)
+        val start: Transition<LedgerState, LedgerDecision> = Transition(state)
+        return state.targets.values.fold(start) { before, target ->
+            val due = target.loans.filterValues { it.recallAt <= now }.keys
+            recall(before.state, target, now, due, before.decisions + questions(state, target))
+        }
+    }
+
+    private fun questions(
+        state: LedgerState,
+        target: TargetLedger,
+    ): List<LedgerDecision> {
+        val control = state.control ?: return emptyList()
+        val fence = LedgerDecision.OrderFence(target.host, control).takeIf { fenceMissing(target) }
+        val ask =
+            LedgerDecision.AskReport(target.host, target.question).takeIf {
+                fenceMissing(target) || rules.needsAnswer(target)
+            }
+        return listOfNotNull(fence, ask)
+    }
+
+    private fun fenceMissing(target: TargetLedger): Boolean = target.checksFencing && !target.fenced
+
+    private fun shrank(
+        before: TargetLedger,
+        after: TargetLedger,
+    ): Boolean = after.ramp.bound < before.ramp.bound || (after.bootInDoubt && !before.bootInDoubt)
+
+    /** Asks for [loans] back, and again later until they are returned. */
+    private fun recall(
+        state: LedgerState,
+        target: TargetLedger,
+        now: Instant,
+        loans: Set<LoanId>,
+        others: List<LedgerDecision>,
+    ): Transition<LedgerState, LedgerDecision> {
+        val control = state.control ?: return Transition(state, others)
+        val recallAt = now.plus(settings.loanDuration)
+        val asked = target.loans.filterKeys { it in loans }.mapValues { (_, loan) -> loan.copy(recallAt = recallAt) }
+        val recalls =
+            loans.map { LedgerDecision.Send(it.holder, MessageToHolder.Recall(state.daemon, control, it, target.host)) }
+        return Transition(state.with(target.copy(loans = target.loans + asked)), others + recalls)
+    }
+
+    private fun remove(
+        state: LedgerState,
+        host: HostId,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        val target = state.targets[host] ?: return Transition(state)
+        return recall(state, target.copy(removed = true), now, target.loans.keys, emptyList())
+    }
+
+    private fun boundChange(
+        before: TargetLedger,
+        after: TargetLedger,
+    ): List<LedgerDecision> {
+        if (before.ramp.bound == after.ramp.bound && before.ramp.cold == after.ramp.cold) return emptyList()
+        return listOf(LedgerDecision.BoundChanged(after.host, after.ramp.bound, after.ramp.cold))
+    }
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionMessage.kt
@@ -0,0 +1,106 @@
+/*
+ * What a failure domain's controller, which owns the units, and the holders of loans tell each other.
+ *
+ * Each message may be lost, late, doubled or reordered. The numbers of units that a holder keeps only ever fall, so the
+ * smallest that was received is the truth.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import java.time.Duration
+
+/** A message to the controller; [fencingNumber] is the number under which the sender believes it controls. */
+sealed interface MessageToOwner {
+    val holder: Holder
+    val fencingNumber: FencingNumber
+
+    /** Asks for up to [units] units of [target]. */
+    data class Borrow(
+        val loan: LoanId,
+        val target: HostId,
+        val units: Int,
+        override val fencingNumber: FencingNumber,
+    ) : MessageToOwner {
+        override val holder get() = loan.holder
+    }
+
+    /** The holder keeps only [kept] units of [loan], each with an attempt in use, and uses no others. */
+    data class Return(
+        val loan: LoanId,
+        val target: HostId,
+        val kept: Int,
+        override val fencingNumber: FencingNumber,
+    ) : MessageToOwner {
+        override val holder get() = loan.holder
+    }
+
+    /**
+     * The holder uses no unit of a controller before [fencingNumber] but for the attempts [inUse], by target. Targets
+     * that aren't named have none.
+     */
+    data class Holdings(
+        override val holder: Holder,
+        override val fencingNumber: FencingNumber,
+        val inUse: Map<HostId, Set<AttemptId>>,
+    ) : MessageToOwner
+}
+
+/** A message to a holder; [owner] controls the failure domain under [fencingNumber]. */
+sealed interface MessageToHolder {
+    val owner: DaemonId
+    val fencingNumber: FencingNumber
+
+    /**
+     * Lends [units] units of [target] in its [boot] for [duration]. The decision rests on report [sequence], after
+     * which the target's bound was [bound], [cold] or not.
+     */
+    data class Grant(
+        override val owner: DaemonId,
+        override val fencingNumber: FencingNumber,
+        val loan: LoanId,
+        val target: HostId,
+        val boot: BootId,
+        val units: Int,
+        val duration: Duration,
+        val sequence: Long,
+        val bound: Int,
+        val cold: Boolean,
+    ) : MessageToHolder
+
+    /** Lends nothing; more may be there after [retryAfter]. */
+    data class Refuse(
+        override val owner: DaemonId,
+        override val fencingNumber: FencingNumber,
+        val loan: LoanId,
+        val target: HostId,
+        val retryAfter: Duration,
+    ) : MessageToHolder
+
+    /** Asks for all unused units of [loan]. */
+    data class Recall(
+        override val owner: DaemonId,
+        override val fencingNumber: FencingNumber,
+        val loan: LoanId,
+        val target: HostId,
+    ) : MessageToHolder
+
+    /** A [MessageToOwner.Return] with [kept] arrived. */
+    data class ReturnAcknowledged(
+        override val owner: DaemonId,
+        override val fencingNumber: FencingNumber,
+        val loan: LoanId,
+        val target: HostId,
+        val kept: Int,
+    ) : MessageToHolder
+
+    /** A [MessageToOwner.Holdings] with [inUse] arrived. */
+    data class HoldingsAcknowledged(
+        override val owner: DaemonId,
+        override val fencingNumber: FencingNumber,
+        val inUse: Map<HostId, Set<AttemptId>>,
+    ) : MessageToHolder
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionSettings.kt
@@ -0,0 +1,38 @@
+/*
+ * Settings of admission.
+ */
+package org.vanillalink.admission
+
+import java.time.Duration
+
+private val DEFAULT_LOAN_DURATION = Duration.ofSeconds(2)
+private val DEFAULT_RESEND_AFTER = Duration.ofMillis(200)
+private val DEFAULT_REPORT_INTERVAL = Duration.ofMillis(500)
+
+/**
+ * Settings of lending and of the ramp. [coldRequests] is a cold target's first bound where its report gives none.
+ * [loanDuration] is how long a borrower keeps idle units and [resendAfter] how long a message stays unanswered before
+ * it is sent again; both only save work. [unitsPerLoan] bounds one loan.
+ */
+data class AdmissionSettings(
+    val coldRequests: Int = 1,
+    val loanDuration: Duration = DEFAULT_LOAN_DURATION,
+    val resendAfter: Duration = DEFAULT_RESEND_AFTER,
+    val unitsPerLoan: Int = 4,
+    val ramp: RampSettings = RampSettings(),
+)
+
+/**
+ * Settings of the ramp. The bound grows by [growthFactor], and at least by one, after [reportsPerStep] reports in which
+ * at least [loadedFraction] of it was in use and each request ran at [healthyFraction] or more of the reference rate.
+ * Below [healthyFraction] it shrinks by one; below [coldFraction] the target counts as cold. [reportInterval] is how
+ * often reports usually come, and is used for estimates only.
+ */
+data class RampSettings(
+    val growthFactor: Double = 1.5,
+    val reportsPerStep: Int = 2,
+    val loadedFraction: Double = 0.75,
+    val healthyFraction: Double = 0.7,
+    val coldFraction: Double = 0.35,
+    val reportInterval: Duration = DEFAULT_REPORT_INTERVAL,
+)
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/Correspondence.kt
@@ -0,0 +1,98 @@
+/*
+ * What a holder tells the owner of its units, and when it says it again.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.Transition
+import java.time.Instant
+
+/** Sends a holder's messages, and sends them again until they are answered. */
+internal class Correspondence(
+    private val settings: AdmissionSettings,
+) {
+    /** Sends what the owner has to know and doesn't yet: returns, declarations and requests for loans. */
+    fun tell(
+        state: AccountState,
+        now: Instant,
+    ): Transition<AccountState, AccountDecision> {
+        val owner = state.owner ?: return Transition(state)
+        val messages = mutableListOf<MessageToOwner>()
+        val declared = declare(state, now, messages)
+        var next = declared
+        declared.targets.forEach { (host, target) ->
+            val returned = tellReturns(declared, host, target, now, messages)
+            next = borrow(next.with(host, returned), host, returned, now, messages)
+        }
+        return Transition(next, messages.map { AccountDecision.Send(owner, it) })
+    }
+
+    private fun declare(
+        state: AccountState,
+        now: Instant,
+        messages: MutableList<MessageToOwner>,
+    ): AccountState {
+        val inUse = earlierUse(state)
+        if (state.holdingsKnown == inUse) return state.copy(targets = dropEarlier(state))
+        if (state.holdingsSent.plus(settings.resendAfter) > now) return state
+        messages.add(MessageToOwner.Holdings(state.holder, state.fencingNumber, inUse))
+        return state.copy(holdingsSent = now)
+    }
+
+    private fun earlierUse(state: AccountState): Map<HostId, Set<AttemptId>> = state.targets
+        .mapValues { (_, target) -> earlierLoans(state, target).values.flatMapTo(mutableSetOf()) { it.inUse } }
+        .filterValues { it.isNotEmpty() }
+
+    private fun earlierLoans(
+        state: AccountState,
+        target: TargetAccount,
+    ): Map<LoanId, HeldLoan> = target.loans.filterValues { it.fencingNumber < state.fencingNumber }
+
+    private fun dropEarlier(state: AccountState): Map<HostId, TargetAccount> = state.targets.mapValues { (_, target) ->
+        val finished = earlierLoans(state, target).filterValues { it.units == 0 }
+        target.copy(loans = target.loans - finished.keys)
+    }
+
+    private fun tellReturns(
+        state: AccountState,
+        host: HostId,
+        target: TargetAccount,
+        now: Instant,
+        messages: MutableList<MessageToOwner>,
+    ): TargetAccount {
+        val due = target.loans.filterValues { it.fencingNumber == state.fencingNumber && it.mustTell(now, settings) }
+        due.forEach { (id, loan) -> messages.add(MessageToOwner.Return(id, host, loan.units, state.fencingNumber)) }
+        return target.copy(loans = target.loans + due.mapValues { (_, loan) -> loan.copy(returnSent = now) })
+    }
+
+    private fun borrow(
+        state: AccountState,
+        host: HostId,
+        target: TargetAccount,
+        now: Instant,
+        messages: MutableList<MessageToOwner>,
+    ): AccountState {
+        val pending = target.pending ?: newLoan(state, target, now) ?: return state
+        val resent = target.pending != null
+        if (resent && pending.sentAt.plus(settings.resendAfter) > now) return state
+        messages.add(MessageToOwner.Borrow(pending.loan, host, pending.units, state.fencingNumber))
+        val next = state.with(host, target.copy(pending = pending.copy(sentAt = now)))
+        return if (resent) next else next.copy(nextSequence = state.nextSequence + 1)
+    }
+
+    private fun newLoan(
+        state: AccountState,
+        target: TargetAccount,
+        now: Instant,
+    ): PendingLoan? {
+        if (target.wanted == 0 || target.askAfter > now) return null
+        val units = minOf(target.wanted + SPARE_UNITS, settings.unitsPerLoan)
+        return PendingLoan(LoanId(state.holder, state.nextSequence), units, now)
+    }
+
+    private companion object {
+        /** Units asked for ahead of need. */
+        const val SPARE_UNITS = 1
+    }
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/LedgerState.kt
@@ -0,0 +1,88 @@
+/*
+ * What the controller of a failure domain knows of the units that it owns.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.BootId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import org.vanillalink.model.TargetPhase
+import java.time.Instant
+
+/**
+ * The ledger of [daemon]. It lends only while [control] is set. [registered] are the runs of daemons that the
+ * table names, [gone] those that have ended; [predecessors] those that may still use units of an earlier controller;
+ * [declared] what they said that they still use.
+ */
+data class LedgerState(
+    val daemon: DaemonId,
+    val control: FencingNumber? = null,
+    val registered: Set<Holder> = emptySet(),
+    val gone: Set<Holder> = emptySet(),
+    val predecessors: Set<Holder> = emptySet(),
+    val declared: Map<Holder, Map<HostId, Set<AttemptId>>> = emptyMap(),
+    val targets: Map<HostId, TargetLedger> = emptyMap(),
+)
+
+/**
+ * Units lent to a holder, which is asked for them at [recallAt]. [sequence], [bound] and [cold] are the target's at the
+ * time of the loan: a grant that is sent again must not look newer than it is.
+ */
+data class Loan(
+    val units: Int,
+    val boot: BootId,
+    val sequence: Long,
+    val bound: Int,
+    val cold: Boolean,
+    val end: Instant,
+    val recallAt: Instant,
+)
+
+/** Up to [limit] units of an ended process (null: unknown), to be settled by the answer to question [question]. */
+data class EndedUnits(
+    val limit: Int?,
+    val question: Long,
+)
+
+/** Up to [limit] units (null: all) that are in use as long as the target lists any of [attempts]. */
+data class OrphanedUnits(
+    val limit: Int?,
+    val attempts: Set<AttemptId>,
+) {
+    /** The units still in use, without those of [counted] attempts, which are counted elsewhere. */
+    fun units(counted: Set<AttemptId> = emptySet()): Int {
+        val others = attempts.count { it !in counted }
+        return minOf(limit ?: others, others)
+    }
+}
+
+/**
+ * The units of one target. [question] numbers the latest question for a report; [bootQuestion] is the latest one asked
+ * before [boot] was believed. While [bootInDoubt] some report named another boot.
+ * A [removed] target is kept until its loans are back.
+ */
+data class TargetLedger(
+    val host: HostId,
+    val checksFencing: Boolean,
+    val warmRequests: Int,
+    val boot: BootId? = null,
+    val sequence: Long = -1,
+    val phase: TargetPhase = TargetPhase.EMPTY,
+    val fenced: Boolean = false,
+    val bootInDoubt: Boolean = false,
+    val ramp: Ramp = Ramp(bound = 0, cold = true),
+    val loans: Map<LoanId, Loan> = emptyMap(),
+    val ended: List<EndedUnits> = emptyList(),
+    val orphaned: List<OrphanedUnits> = emptyList(),
+    val question: Long = 1,
+    val bootQuestion: Long = 0,
+    val removed: Boolean = false,
+)
+
+/** The state with [target] in place of what it knew of it; a removed target goes once all its loans are back. */
+internal fun LedgerState.with(target: TargetLedger): LedgerState {
+    if (target.removed && target.loans.isEmpty()) return copy(targets = targets - target.host)
+    return copy(targets = targets + (target.host to target))
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/vanillalink/admission/Lending.kt
@@ -0,0 +1,151 @@
+/*
+ * Lending: how the ledger answers the messages of holders, and how many units it may lend.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import org.vanillalink.model.Transition
+import java.time.Duration
+import java.time.Instant
+
+/** Answers holders on behalf of a controller with a fencing number. */
+internal class Lending(
+    private val settings: AdmissionSettings,
+    private val rules: TargetRules,
+) {
+    /** Units of [host] that may be lent now. */
+    fun freeUnits(
+        state: LedgerState,
+        host: HostId,
+    ): Int = state.targets[host]?.let { rules.freeUnits(it, declaredUnits(state, host)) } ?: 0
+
+    /** An estimate of how long it takes until [host] has capacity for one request more than it now bears. */
+    fun timeToCapacity(
+        state: LedgerState,
+        host: HostId,
+        now: Instant,
+    ): Duration {
+        val target = state.targets[host] ?: return settings.loanDuration
+        val growth = rules.rampRules(target).timeTo(target.ramp, target.ramp.bound + 1)
+        val nextEnd = target.loans.values.minOfOrNull { it.end } ?: return growth
+        val returned = Duration.between(now, nextEnd).coerceAtLeast(settings.resendAfter)
+        return minOf(returned, growth)
+    }
+
+    /** Answers a request for a loan. */
+    fun borrow(
+        state: LedgerState,
+        message: MessageToOwner.Borrow,
+        control: FencingNumber,
+        now: Instant,
+    ): Transition<LedgerState, LedgerDecision> {
+        val target = state.targets[message.target]
+        val known = target?.loans?.get(message.loan)
+        if (target != null &&
+            known != null
+        ) {
+            return Transition(state, listOf(grant(state, control, target, message.loan)))
+        }
+        val units = minOf(lendable(state, message), message.units, settings.unitsPerLoan)
+        if (target?.boot == null || units <= 0) return Transition(state, listOf(refuse(state, control, message, now)))
+        val end = now.plus(settings.loanDuration)
+        val loan =
+            Loan(
+                units,
+                target.boot,
+                target.sequence,
+                target.ramp.bound,
+                target.ramp.cold,
+                end,
+                recallAt = end.plus(settings.loanDuration),
+            )
+        val next = target.copy(loans = target.loans + (message.loan to loan))
+        return Transition(state.with(next), listOf(grant(state, control, next, message.loan)))
+    }
+
+    /** A run that the table doesn't name could hide units of a target that doesn't check from the next controller. */
+    private fun lendable(
+        state: LedgerState,
+        message: MessageToOwner.Borrow,
+    ): Int {
+        if (message.holder in state.gone) return 0
+        val checks = state.targets[message.target]?.checksFencing == true
+        return if (checks || message.holder in state.registered) freeUnits(state, message.target) else 0
+    }
+
+    private fun grant(
+        state: LedgerState,
+        control: FencingNumber,
+        target: TargetLedger,
+        id: LoanId,
+    ): LedgerDecision {
+        val loan = target.loans.getValue(id)
+        val grant =
+            MessageToHolder.Grant(
+                owner = state.daemon,
+                fencingNumber = control,
+                loan = id,
+                target = target.host,
+                boot = loan.boot,
+                units = loan.units,
+                duration = settings.loanDuration,
+                sequence = loan.sequence,
+                bound = loan.bound,
+                cold = loan.cold,
+            )
+        return LedgerDecision.Send(id.holder, grant)
+    }
+
+    private fun refuse(
+        state: LedgerState,
+        control: FencingNumber,
+        message: MessageToOwner.Borrow,
+        now: Instant,
+    ): LedgerDecision {
+        val retryAfter = timeToCapacity(state, message.target, now)
+        val refuse = MessageToHolder.Refuse(state.daemon, control, message.loan, message.target, retryAfter)
+        return LedgerDecision.Send(message.holder, refuse)
+    }
+
+    /** Takes back what the holder no longer keeps. */
+    fun takeBack(
+        state: LedgerState,
+        message: MessageToOwner.Return,
+        control: FencingNumber,
+    ): Transition<LedgerState, LedgerDecision> {
+        val reply =
+            MessageToHolder.ReturnAcknowledged(state.daemon, control, message.loan, message.target, message.kept)
+        val decisions = listOf(LedgerDecision.Send(message.holder, reply))
+        val target = state.targets[message.target] ?: return Transition(state, decisions)
+        val loan = target.loans[message.loan] ?: return Transition(state, decisions)
+        val left = loan.copy(units = minOf(loan.units, message.kept))
+        val loans = if (left.units > 0) target.loans + (message.loan to left) else target.loans - message.loan
+        return Transition(state.with(target.copy(loans = loans)), decisions)
+    }
+
+    /** Takes note of what a holder still uses of earlier controllers' units. */
+    fun declare(
+        state: LedgerState,
+        message: MessageToOwner.Holdings,
+        control: FencingNumber,
+    ): Transition<LedgerState, LedgerDecision> {
+        val reply = MessageToHolder.HoldingsAcknowledged(state.daemon, control, message.inUse)
+        val decisions = listOf(LedgerDecision.Send(message.holder, reply))
+        if (message.holder !in state.predecessors) return Transition(state, decisions)
+        val earlier = state.declared[message.holder]
+        val least =
+            earlier?.mapValues { (host, attempts) -> attempts intersect message.inUse[host].orEmpty() } ?: message.inUse
+        return Transition(state.copy(declared = state.declared + (message.holder to least)), decisions)
+    }
+
+    /** What holders of earlier controllers' units still use of [host]; null while one hasn't said. */
+    private fun declaredUnits(
+        state: LedgerState,
+        host: HostId,
+    ): Set<AttemptId>? {
+        if (state.predecessors.any { it !in state.declared }) return null
+        return state.declared.values.flatMapTo(mutableSetOf()) { it[host].orEmpty() }
+    }
+}
--- /dev/null
+++ b/admission/src/test/kotlin/org/vanillalink/admission/AdmissionBoundProperties.kt
@@ -0,0 +1,67 @@
+package org.vanillalink.admission
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.testing.Scenario
+import java.time.Duration
+import kotlin.test.assertTrue
+
+class AdmissionBoundProperties {
+    @Property(tries = 150)
+    fun `no order of faults lets a cold target run more than its bound`(
+        @ForAll @LongRange(min = 0, max = 1_000_000_000) seed: Long,
+    ) {
+        val scenario = Scenario(seed)
+        val domain = roughDomain(scenario)
+
+        scenario.run(Duration.ofSeconds(30))
+
+        assertTrue(domain.started > 0, "nothing was admitted [seed=$seed]")
+    }
+
+    private fun roughDomain(scenario: Scenario): SmallDomain {
+        val targets = listOf(SmallTarget(HostId("checking"), true), SmallTarget(HostId("trusting"), false))
+        val domain = SmallDomain(scenario, targets = targets)
+        domain.begin(SmallDomain.ROUGH)
+        repeat(FAULTS) { scenario.after(upTo(scenario, 25_000)) { fault(scenario, domain) } }
+        return domain
+    }
+
+    private fun fault(
+        scenario: Scenario,
+        domain: SmallDomain,
+    ) {
+        val daemon = domain.daemons.keys.random(scenario.random)
+        val target = domain.targets.values.random(scenario.random)
+        when (scenario.random.nextInt(6)) {
+            0 -> domain.pause(daemon, upTo(scenario, 6_000))
+            1 -> domain.kill(daemon, upTo(scenario, 2_000))
+            2 -> domain.cutOff(daemon, upTo(scenario, 5_000))
+            3 -> replaceController(scenario, domain, daemon)
+            4 -> target.restart().also { scenario.note("restart ${target.host}") }
+            else -> target.turnCold().also { scenario.note("cold ${target.host}") }
+        }
+    }
+
+    private fun replaceController(
+        scenario: Scenario,
+        domain: SmallDomain,
+        daemon: DaemonId,
+    ) {
+        if (domain.daemon(daemon).paused || domain.daemon(daemon).dead) return
+        scenario.note("control to $daemon")
+        domain.takeControl(daemon)
+    }
+
+    private fun upTo(
+        scenario: Scenario,
+        milliseconds: Long,
+    ): Duration = Duration.ofMillis(scenario.random.nextLong(1, milliseconds))
+
+    private companion object {
+        const val FAULTS = 12
+    }
+}
--- /dev/null
+++ b/admission/src/test/kotlin/org/vanillalink/admission/AdmissionScenarios.kt
@@ -0,0 +1,92 @@
+package org.vanillalink.admission
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.testing.LinkBehaviour
+import org.vanillalink.testing.Scenario
+import org.vanillalink.testing.scenario
+import java.time.Duration
+import kotlin.test.Test
+
+/** Each scenario lets the model's own check of the bound run, and asks that requests flow again afterwards. */
+class AdmissionScenarios {
+    private val first = DaemonId("d1")
+    private val second = DaemonId("d2")
+
+    @Test
+    fun `an owner that dies with units lent is followed by one that keeps the bound`() = scenario(SEEDS) {
+        val domain = smallDomain(this)
+        after(seconds(5)) { domain.kill(first, knownAfter = seconds(2)) }
+        after(seconds(6)) { domain.takeControl(second) }
+
+        runAndCheckFlow(domain, seconds(12))
+    }
+
+    @Test
+    fun `units of a borrower that dies with attempts running come back once the target shows them gone`() =
+        scenario(SEEDS) {
+            val domain = smallDomain(this)
+            after(seconds(5)) { domain.kill(second, knownAfter = seconds(1)) }
+
+            runAndCheckFlow(domain, seconds(12))
+        }
+
+    @Test
+    fun `a borrower that is paused past its loan's end does no harm when it wakes`() = scenario(SEEDS) {
+        val domain = smallDomain(this)
+        after(seconds(3)) { domain.pause(second, seconds(6)) }
+
+        runAndCheckFlow(domain, seconds(12))
+    }
+
+    @Test
+    fun `lost returns and doubled grants leave no unit used twice and none lost for good`() = scenario(SEEDS) {
+        val domain = smallDomain(this, ROUGHER)
+
+        runAndCheckFlow(domain, seconds(20))
+    }
+
+    @Test
+    fun `a controller that was replaced while paused does no harm when it wakes`() = scenario(SEEDS) {
+        val domain = smallDomain(this)
+        after(seconds(3)) { domain.pause(first, seconds(4)) }
+        after(seconds(4)) { domain.takeControl(second) }
+
+        runAndCheckFlow(domain, seconds(15))
+    }
+
+    @Test
+    fun `a target that restarts with loans outstanding starts at its cold bound`() = scenario(SEEDS) {
+        val domain = smallDomain(this)
+        after(seconds(6)) { domain.targets.values.forEach { it.restart() } }
+
+        runAndCheckFlow(domain, seconds(12))
+    }
+
+    private fun smallDomain(
+        scenario: Scenario,
+        behaviour: LinkBehaviour = SmallDomain.SMOOTH,
+    ): SmallDomain {
+        val targets = listOf(SmallTarget(HostId("checking"), true), SmallTarget(HostId("trusting"), false))
+        return SmallDomain(scenario, targets = targets).also { it.begin(behaviour) }
+    }
+
+    private fun Scenario.runAndCheckFlow(
+        domain: SmallDomain,
+        duration: Duration,
+    ) {
+        run(duration)
+        val before = domain.startedAt.toMap()
+        run(seconds(8))
+        domain.targets.keys.forEach { host ->
+            check(domain.startedAt.getOrDefault(host, 0) > before.getOrDefault(host, 0)) { "nothing starts at $host" }
+        }
+    }
+
+    private fun seconds(count: Long): Duration = Duration.ofSeconds(count)
+
+    private companion object {
+        val SEEDS = 1L..20L
+        val ROUGHER = SmallDomain.ROUGH.copy(lossProbability = 0.4, duplicateProbability = 0.5)
+    }
+}
--- /dev/null
+++ b/admission/src/test/kotlin/org/vanillalink/admission/SmallDomain.kt
@@ -0,0 +1,309 @@
+/*
+ * A small failure domain for tests: daemons, targets, links that lose, delay, double and reorder, and the table.
+ *
+ * It assumes what the integrator has to provide: a connection that was closed, or whose process has ended, delivers
+ * nothing later than a question asked after that; a run is named in the table before it borrows and until it's known to
+ * have ended. A request on an open connection may arrive late, also in the next boot of its target.
+ */
+package org.vanillalink.admission
+
+import org.vanillalink.model.AttemptId
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FencingNumber
+import org.vanillalink.model.HostId
+import org.vanillalink.testing.LinkBehaviour
+import org.vanillalink.testing.Scenario
+import org.vanillalink.testing.UnreliableLink
+import java.time.Duration
+
+internal class SmallDomain(
+    private val scenario: Scenario,
+    daemonCount: Int = 3,
+    targets: List<SmallTarget>,
+    private val requestProbability: Double = 0.5,
+    private val workMilliseconds: LongRange = 50L..900L,
+) {
+    private val settings = AdmissionSettings(coldRequests = SmallTarget.COLD)
+    private val random get() = scenario.random
+    private val link = UnreliableLink<() -> Unit>(scenario) { it() }
+    private val boots = mutableMapOf<DaemonId, Int>()
+    private val table = mutableSetOf<Holder>()
+    private val cut = mutableSetOf<DaemonId>()
+    private val openRequests = mutableMapOf<AttemptId, Holder>()
+    private val grantedTurn = mutableMapOf<LoanId, Int>()
+    private val endedHolders = mutableSetOf<Holder>()
+    private var nextAttempt = 0
+    private var fencingNumber = FencingNumber.NONE
+
+    val targets = targets.associateBy { it.host }
+    val daemons = (1..daemonCount).map { DaemonId("d$it") }.associateWith { start(it) }.toMutableMap()
+    var controller: DaemonId = daemons.keys.first()
+        private set
+
+    /** Requests that arrived beyond a bound of which nobody could know yet. */
+    var excused = 0
+        private set
+    var started = 0
+        private set
+    val startedAt = mutableMapOf<HostId, Int>()
+    var greatestLoad = 0.0
+        private set
+
+    fun begin(behaviour: LinkBehaviour) {
+        link.behaviour = behaviour
+        takeControl(controller)
+        scenario.every(TICK) { tick() }
+        scenario.every(REPORT) { targets.values.forEach { passOn(it) } }
+        scenario.every(SCAN) { scan() }
+    }
+
+    fun daemon(id: DaemonId): SmallDaemon = daemons.getValue(id)
+
+    fun takeControl(id: DaemonId) {
+        fencingNumber = fencingNumber.next()
+        controller = id
+        val gained = LedgerEvent.ControlGained(fencingNumber, table.toSet())
+        feed(daemon(id), gained)
+        tellControl()
+    }
+
+    fun pause(
+        id: DaemonId,
+        duration: Duration,
+    ) {
+        val daemon = daemon(id)
+        daemon.pause()
+        scenario.note("pause $id")
+        scenario.after(duration) { daemon.wake(scenario.now) }
+    }
+
+    /** Kills a daemon; its end is known, and its connections closed, after [knownAfter]; then it starts again. */
+    fun kill(
+        id: DaemonId,
+        knownAfter: Duration,
+    ) {
+        val daemon = daemon(id)
+        if (daemon.dead) return
+        daemon.dead = true
+        scenario.note("kill ${daemon.holder}")
+        scenario.after(knownAfter) {
+            openRequests.values.removeIf { it == daemon.holder }
+            endedHolders.add(daemon.holder)
+            table.remove(daemon.holder)
+            daemons[id] = start(id)
+            if (controller == id) takeControl(id)
+        }
+    }
+
+    fun cutOff(
+        id: DaemonId,
+        duration: Duration,
+    ) {
+        cut.add(id)
+        scenario.note("cut $id")
+        scenario.after(duration) { cut.remove(id) }
+    }
+
+    fun request(
+        id: DaemonId,
+        host: HostId,
+    ) = feed(daemon(id), AccountEvent.AttemptRequested(AttemptId("a${nextAttempt++}"), host))
+
+    private fun start(id: DaemonId): SmallDaemon {
+        val daemon = SmallDaemon(id, boots.merge(id, 1, Int::plus)!!, settings, ::carryOut)
+        table.add(daemon.holder)
+        targets.values.forEach { target ->
+            feed(daemon, LedgerEvent.TargetAdded(target.host, target.checks, SmallTarget.WARM))
+        }
+        return daemon
+    }
+
+    private fun tick() {
+        daemons.values.toList().forEach { daemon ->
+            if (daemon.paused) return@forEach
+            feed(daemon, LedgerEvent.Tick)
+            feed(daemon, AccountEvent.Tick)
+            targets.keys.forEach { if (random.nextDouble() < requestProbability) request(daemon.id, it) }
+        }
+    }
+
+    /** What a daemon that reaches the table finds there. */
+    private fun scan() {
+        tellControl()
+        val owner = daemon(controller)
+        if (owner.paused || controller in cut) return
+        feed(owner, LedgerEvent.HoldersRegistered(table.toSet()))
+        endedHolders.toList().forEach { feed(owner, LedgerEvent.DaemonEnded(it)) }
+    }
+
+    private fun tellControl() {
+        val changed = AccountEvent.ControlChanged(controller, fencingNumber)
+        val number = fencingNumber
+        daemons.values.forEach { daemon ->
+            send(daemon.id) {
+                feed(daemon, changed)
+                if (daemon.ledgerState.control?.let { it < number } == true) feed(daemon, LedgerEvent.ControlLost)
+            }
+        }
+    }
+
+    private fun passOn(target: SmallTarget) {
+        val seen = ReportSeen(target.report(), target.turns)
+        daemons.values.forEach { daemon -> send(daemon.id) { feed(daemon, seen) } }
+    }
+
+    private fun feed(
+        daemon: SmallDaemon,
+        event: Any,
+    ) = daemon.feed(event, scenario.now)
+
+    private fun send(
+        vararg ends: DaemonId,
+        action: () -> Unit,
+    ) {
+        if (ends.none { it in cut }) link.send(action)
+    }
+
+    private fun carryOut(
+        daemon: SmallDaemon,
+        decision: Any,
+    ) {
+        when (decision) {
+            is LedgerDecision.Send -> deliverToHolder(daemon, decision)
+            is AccountDecision.Send -> deliverToOwner(daemon, decision)
+            is LedgerDecision.AskReport -> ask(daemon, decision.host, decision.question, forLedger = true)
+            is AccountDecision.AskReport -> ask(daemon, decision.host, decision.question, forLedger = false)
+            is LedgerDecision.OrderFence -> link.send { targets.getValue(decision.host).fence(decision.fencingNumber) }
+            is LedgerDecision.ControlSuperseded -> scenario.note("${daemon.id} superseded")
+            is AccountDecision.Admit -> sendRequest(daemon, decision)
+        }
+    }
+
+    private fun deliverToHolder(
+        from: SmallDaemon,
+        decision: LedgerDecision.Send,
+    ) {
+        val message = decision.message
+        if (message is MessageToHolder.Grant) {
+            grantedTurn.putIfAbsent(
+                message.loan,
+                from.turnsKnown[message.target] ?: 0,
+            )
+        }
+        send(from.id, decision.holder.daemon) {
+            val daemon = daemon(decision.holder.daemon)
+            if (daemon.holder == decision.holder) feed(daemon, AccountEvent.MessageReceived(message))
+        }
+    }
+
+    private fun deliverToOwner(
+        from: SmallDaemon,
+        decision: AccountDecision.Send,
+    ) = send(from.id, decision.owner) { feed(daemon(decision.owner), LedgerEvent.MessageReceived(decision.message)) }
+
+    private fun ask(
+        daemon: SmallDaemon,
+        host: HostId,
+        question: Long,
+        forLedger: Boolean,
+    ) = link.send {
+        val target = targets.getValue(host)
+        val seen = ReportSeen(target.report(), target.turns, question, forLedger)
+        link.send { feed(daemon, seen) }
+    }
+
+    private fun sendRequest(
+        daemon: SmallDaemon,
+        admitted: AccountDecision.Admit,
+    ) {
+        val loans =
+            daemon.accountState.targets
+                .getValue(admitted.target)
+                .loans
+        val loan = loans.entries.first { admitted.attempt in it.value.inUse }.key
+        val turnKnown = maxOf(daemon.turnsShown[admitted.target] ?: 0, grantedTurn[loan] ?: 0)
+        openRequests[admitted.attempt] = daemon.holder
+        scenario.after(delay()) { arrive(daemon, admitted, turnKnown) }
+        scenario.after(GIVE_UP) { giveUp(daemon, admitted) }
+    }
+
+    private fun delay(): Duration = Duration.ofMillis(random.nextLong(1, LONGEST_REQUEST_DELAY_MILLISECONDS))
+
+    private fun arrive(
+        daemon: SmallDaemon,
+        admitted: AccountDecision.Admit,
+        turnKnown: Int,
+    ) {
+        if (admitted.attempt !in openRequests) return
+        val target = targets.getValue(admitted.target)
+        if (target.refuses(admitted)) return finish(daemon, admitted, EndEvidence.REFUSED_BY_TARGET)
+        target.running.add(admitted.attempt)
+        started++
+        startedAt.merge(target.host, 1, Int::plus)
+        checkLoad(daemon, target, admitted, turnKnown)
+        scenario.after(Duration.ofMillis(workMilliseconds.random(random))) {
+            if (target.end(admitted.attempt) && random.nextDouble() > ANSWER_LOSS) {
+                finish(daemon, admitted, EndEvidence.WHOLE_ANSWER)
+            }
+        }
+    }
+
+    private fun checkLoad(
+        daemon: SmallDaemon,
+        target: SmallTarget,
+        admitted: AccountDecision.Admit,
+        turnKnown: Int,
+    ) {
+        if (!target.cold || target.running.size <= target.bound) return countLoad(target)
+        if (turnKnown < target.turns) {
+            excused++
+            return
+        }
+        scenario.check(false) {
+            "${target.host} of bound ${target.bound} runs ${target.running.size} after $admitted of ${daemon.holder}"
+        }
+    }
+
+    private fun countLoad(target: SmallTarget) {
+        if (target.cold) greatestLoad = maxOf(greatestLoad, target.running.size.toDouble() / target.bound)
+    }
+
+    private fun finish(
+        daemon: SmallDaemon,
+        admitted: AccountDecision.Admit,
+        evidence: EndEvidence,
+    ) {
+        if (openRequests.remove(admitted.attempt) == null) return
+        feed(daemon, AccountEvent.AttemptEnded(admitted.attempt, admitted.target, evidence))
+    }
+
+    /** Closes the connection, so that a request which hasn't arrived never will. */
+    private fun giveUp(
+        daemon: SmallDaemon,
+        admitted: AccountDecision.Admit,
+    ) {
+        if (daemon.paused) {
+            scenario.after(GIVE_UP) { giveUp(daemon, admitted) }
+            return
+        }
+        if (daemon.dead || openRequests.remove(admitted.attempt) == null) return
+        feed(daemon, AccountEvent.AttemptLost(admitted.attempt, admitted.target))
+    }
+
+    companion object {
+        val TICK: Duration = Duration.ofMillis(50)
+        private val REPORT = Duration.ofMillis(150)
+        private val SCAN = Duration.ofMillis(400)
+        private val GIVE_UP = Duration.ofMillis(1_200)
+        private const val LONGEST_REQUEST_DELAY_MILLISECONDS = 400L
+        private const val ANSWER_LOSS = 0.1
+        val ROUGH =
+            LinkBehaviour(
+                Duration.ofMillis(1),
+                Duration.ofMillis(300),
+                lossProbability = 0.15,
+                duplicateProbability = 0.15,
+            )
+        val SMOOTH = LinkBehaviour(Duration.ofMillis(1), Duration.ofMillis(3))
+    }
+}
