--- a/admission/src/main/kotlin/org/vanillalink/admission/AccountState.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AccountState.kt
@@ -55,10 +55,10 @@
 
 /**
  * The units of one target. [wanted] attempts found none since the last loan; none is asked for before [askAfter].
- * [lost] are attempts whose end only an answer to the question of that number can show. [boot], [sequence], [cold] and
- * [bearableRequests] are those of the latest report; [turnSequence] is the latest in which the target was seen to bear
- * less than before. While [bootInDoubt] some report named another boot, and only an answer to question
- * [doubtQuestion] or a later one tells which is the present one.
+ * [lost] are attempts whose end only an answer to the question of that number can show; [answered] is the latest that
+ * was answered. [boot], [sequence], [cold] and [bearableRequests] are those of the latest report; [turnSequence] is the
+ * latest in which the target was seen to bear less than before. While [bootInDoubt] some report named another boot, and
+ * only an answer to question [doubtQuestion] or a later one tells which is the present one.
  */
 data class TargetAccount(
     val pending: PendingLoan? = null,
@@ -67,6 +67,7 @@
     val askAfter: Instant = Instant.EPOCH,
     val lost: Map<AttemptId, Long> = emptyMap(),
     val question: Long = 0,
+    val answered: Long = 0,
     val boot: BootId? = null,
     val sequence: Long = -1,
     val cold: Boolean = false,
@@ -74,7 +75,13 @@
     val turnSequence: Long = -1,
     val bootInDoubt: Boolean = false,
     val doubtQuestion: Long = 0,
-)
+) {
+    /** Whether a connection broke and the target hasn't answered since; it may have restarted. */
+    val suspect: Boolean get() = lost.values.any { it > answered }
+
+    /** Units that an attempt may use now. */
+    val free: Int get() = if (suspect) 0 else loans.values.sumOf { it.free }
+}
 
 /** The state with [target] as what it knows of [host]. */
 internal fun AccountState.with(
--- a/admission/src/main/kotlin/org/vanillalink/admission/AdmissionAccount.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionAccount.kt
@@ -35,10 +35,7 @@
     fun freeUnits(
         state: AccountState,
         target: HostId,
-    ): Int = state.targets[target]
-        ?.loans
-        ?.values
-        ?.sumOf { it.free } ?: 0
+    ): Int = state.targets[target]?.free ?: 0
 
     private fun apply(
         state: AccountState,
@@ -88,7 +85,7 @@
                 listOf(AccountDecision.Defer(event.attempt, event.target)),
             )
         val admit = AccountDecision.Admit(event.attempt, event.target, loan.boot, loan.fencingNumber)
-        val wanted = if (used.loans.values.sumOf { it.free } == 0) maxOf(used.wanted, 1) else used.wanted
+        val wanted = if (used.free == 0) maxOf(used.wanted, 1) else used.wanted
         return Transition(state.with(event.target, used.copy(wanted = wanted)), listOf(admit))
     }
 
--- a/admission/src/main/kotlin/org/vanillalink/admission/HeldLoans.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/HeldLoans.kt
@@ -16,6 +16,7 @@
 
 /** Uses a free unit for [attempt], of the loan that ends first, or null where none is free. */
 internal fun TargetAccount.use(attempt: AttemptId): Pair<TargetAccount, HeldLoan>? {
+    if (suspect) return null
     val (id, loan) = loans.entries.filter { it.value.free > 0 }.minByOrNull { it.value.end } ?: return null
     val used = loan.copy(inUse = loan.inUse + attempt)
     return copy(loans = loans + (id to used)) to used
@@ -78,7 +79,7 @@
     question: Long,
 ): TargetAccount {
     val ended = lost.filter { (attempt, asked) -> asked <= question && attempt !in report.runningAttempts }.keys
-    return ended.fold(this) { account, attempt -> account.free(attempt) }
+    return ended.fold(copy(answered = maxOf(answered, question))) { account, attempt -> account.free(attempt) }
 }
 
 /** Forgets loans of which the owner knows that nothing is left. */
