Let work in the admission tests outlive its connection

Cause: freeing a lost attempt's unit at once survived all tests, since the model's work (at most 900 ms) ended before a connection was given up.

Change: work takes up to 2500 ms, which is stricter.

--- a/admission/src/test/kotlin/org/vanillalink/admission/SmallDomain.kt
+++ b/admission/src/test/kotlin/org/vanillalink/admission/SmallDomain.kt
@@ -21,7 +21,7 @@
     daemonCount: Int = 3,
     targets: List<SmallTarget>,
     private val requestProbability: Double = 0.5,
-    private val workMilliseconds: LongRange = 50L..900L,
+    private val workMilliseconds: LongRange = 50L..2_500L,
 ) {
     private val settings = AdmissionSettings(coldRequests = SmallTarget.COLD)
     private val random get() = scenario.random
