Write the log on a thread of its own, and split events by whole lines

Cause: a flight recording of the daemon under load showed 60 of 773 samples in the decoder's byte-by-byte copying, and the control thread writing three log lines and the request's JSON for each request. Ruled out: the router, which takes microseconds (its own measurement), and reflection, which stood only at the start. Change: the decoder copies up to the next line end; the log has its own thread and loses nothing at the end; a request's JSON is written on the traffic thread that read it.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -3,8 +3,10 @@
  */
 package org.vanillalink.daemon
 
+import ch.qos.logback.classic.LoggerContext
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.slf4j.LoggerFactory
 import org.vanillalink.control.DaemonControl
 import org.vanillalink.control.DaemonDecision
 import org.vanillalink.control.DaemonEvent
@@ -175,6 +177,8 @@
         operators.close()
         thread.close()
         loops.close()
+        // The log is written by a thread of its own; what is queued must not be lost.
+        (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
         ended.countDown()
     }
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/ModelCall.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/ModelCall.kt
@@ -37,7 +37,7 @@
 /** A model call of [request] with the JSON [body] that came with [headers]; [answer] leads to the caller. */
 class ModelCall(
     override val request: RequestId,
-    private val body: ObjectNode,
+    body: ObjectNode,
     private val headers: HeaderFields,
     private val answer: AnswerWriter,
     private val client: HttpClient,
@@ -46,6 +46,7 @@
 ) : ActiveCall {
     private val output =
         CompletionOutput(request, body.path("stream").asBoolean(false), answer, tokensBefore(headers))
+    private val content = Json.write(body.deepCopy().put("stream", true))
     private var running: RunningAttempt? = null
 
     @Synchronized
@@ -107,8 +108,7 @@
         fields: HeaderFields,
     ) {
         running = attempt
-        val content = body.deepCopy().put("stream", true)
-        val message = HttpRequestMessage("POST", path, fields, Json.write(content))
+        val message = HttpRequestMessage("POST", path, fields, content)
         attempt.startedAt = clock.instant()
         attempt.exchange = client.send(endpoint, message, SendOptions(answerTimeout = HEAD_TIMEOUT), Listener(attempt))
         answer.onWritable { attempt.exchange?.setReading(true) }
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerSentEventDecoder.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerSentEventDecoder.kt
@@ -20,16 +20,37 @@
     /** The data of the events that [bytes] complete. */
     fun decode(bytes: ByteArray): List<String> {
         val events = mutableListOf<String>()
-        for (byte in bytes) {
-            if (overflowed) return events
-            if (byte == LINE_FEED) endLine(events) else add(byte)
+        var start = 0
+        while (start < bytes.size && !overflowed) {
+            val end = indexOfLineFeed(bytes, start)
+            add(bytes, start, end)
+            if (end < bytes.size && !overflowed) endLine(events)
+            start = end + 1
         }
         return events
     }
 
-    private fun add(byte: Byte) {
-        line.write(byte.toInt())
-        if (line.size() + data.length > eventBytes) overflowed = true
+    private fun indexOfLineFeed(
+        bytes: ByteArray,
+        start: Int,
+    ): Int {
+        var index = start
+        while (index < bytes.size && bytes[index] != LINE_FEED) index += 1
+        return index
+    }
+
+    private fun add(
+        bytes: ByteArray,
+        start: Int,
+        end: Int,
+    ) {
+        if (line.size() + data.length + end - start >
+            eventBytes
+        ) {
+            overflowed = true
+        } else {
+            line.write(bytes, start, end - start)
+        }
     }
 
     private fun endLine(events: MutableList<String>) {
