--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
@@ -115,7 +115,8 @@
         }
         val arrival = arrival(id, service, settings, caller, request, current.document)
         if (body != null) {
-            return AcceptedCall(ModelCall(id, body, request.headers, answer, client, events, clock), null, arrival)
+            val call = ModelCall(id, body, request.headers, answer, client, events, clock)
+            return AcceptedCall(call, null, withPrompt(arrival, body))
         }
         // The daemon that passes a keyed call on holds its record.
         val keyed = if (arrival.repeatable || arrival.forwarded) null else keyedCall(request, arrival)
@@ -141,6 +142,14 @@
         return name.takeIf { it.isNotEmpty() }?.let(::ServiceName)
     }
 
+    private fun withPrompt(
+        arrival: RouterEvent.RequestArrived,
+        body: ObjectNode,
+    ) = arrival.copy(
+        estimatedTokens = body.path("max_tokens").asInt(ESTIMATED_TOKENS).coerceAtLeast(1),
+        prefixFingerprints = PromptPrefixes.of(arrival.workspace, body.path("messages")),
+    )
+
     private fun plainCall(
         keyed: KeyedCall?,
         arrival: RouterEvent.RequestArrived,
@@ -201,6 +210,8 @@
     private fun unknownService(name: String) = refusal(RefusalReason.UNKNOWN_SERVICE, "No service is at '$name'.")
 
     private companion object {
+        /** What a model call is taken to cost where it doesn't bound its answer. */
+        const val ESTIMATED_TOKENS = 256
         val RETRY_WHEN_READY: Duration = Duration.ofSeconds(2)
         val NOT_READY =
             Refusal(
