Take the prefixes of a target's recent answers as cached there

Ruled out: carrying events between daemons, whose bytes would exceed the budget for control at the later size. Change: an answered request's fingerprints count as cached at its target for five minutes, unless the target gives events. Not measured: several daemons before the same targets.

--- a/routing/src/main/kotlin/org/vanillalink/routing/AttemptOutcomes.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/AttemptOutcomes.kt
@@ -17,6 +17,7 @@
         val request = state.requests[event.request]
         if (request?.current === record) {
             state.requests.remove(request.id)
+            record.candidate?.prefixes?.answered(request.arrival.prefixFingerprints, step.now)
             step.decisions.add(RouterDecision.AnswerRequest(request.id, record.number))
         }
         step.drain(record.service)
--- a/routing/src/main/kotlin/org/vanillalink/routing/PrefixSet.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/PrefixSet.kt
@@ -1,6 +1,7 @@
 /*
  * Which prompt prefixes a target has cached, as far as its events tell. Events come late and with gaps: after a gap an
- * unseen removal may have made any older entry untrue, so older entries count half and are soon forgotten.
+ * unseen removal may have made any older entry untrue, so older entries count half and are soon forgotten. Of a target
+ * without events, the prefixes of its own recent answers are taken as cached for a while.
  */
 package org.vanillalink.routing
 
@@ -29,6 +30,14 @@
         event.added.forEach { learn(it, now) }
     }
 
+    /** The target answered a request with [fingerprints]; its own events, where it gives any, tell more. */
+    fun answered(
+        fingerprints: List<Long>,
+        now: Instant,
+    ) {
+        if (lastSequence == null) fingerprints.forEach { learn(it, now) }
+    }
+
     private fun learn(
         fingerprint: Long,
         now: Instant,
@@ -51,16 +60,24 @@
         now: Instant,
         distrust: Duration,
     ) {
+        if (lastSequence == null) forgetAnsweredBefore(now.minus(ANSWERED_REMEMBERED))
         val gap = gapAt ?: return
         if (Duration.between(gap, now) < distrust) return
         learnedAt.values.removeIf { it < gap }
         gapAt = null
     }
 
+    /** The oldest come first, so this ends at the first one that is kept. */
+    private fun forgetAnsweredBefore(oldest: Instant) {
+        val entries = learnedAt.values.iterator()
+        while (entries.hasNext() && entries.next() < oldest) entries.remove()
+    }
+
     private fun trust(learned: Instant): Double = if (gapAt?.let { learned < it } == true) TRUST_AFTER_GAP else 1.0
 
     private companion object {
         const val PREFIXES_REMEMBERED = 4096
         const val TRUST_AFTER_GAP = 0.5
+        val ANSWERED_REMEMBERED: Duration = Duration.ofMinutes(5)
     }
 }
--- a/routing/src/test/kotlin/org/vanillalink/routing/RouterChoiceTest.kt
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterChoiceTest.kt
@@ -50,6 +50,28 @@
         assertTrue("a" in hosts)
     }
 
+    @Test
+    fun `a target without cache events is taken to have what it answered, for five minutes`() {
+        val set = PrefixSet(BootId("1"))
+
+        set.answered(prefix, Instant.EPOCH)
+        val fresh = set.match(prefix)
+        set.ageOut(Instant.EPOCH.plusSeconds(301), Duration.ofSeconds(10))
+
+        assertEquals(1.0, fresh)
+        assertEquals(0.0, set.match(prefix))
+    }
+
+    @Test
+    fun `a target's own events outweigh what it answered`() {
+        val set = PrefixSet(BootId("1"))
+        set.apply(cacheEvent(sequence = 1, removed = prefix), Instant.EPOCH)
+
+        set.answered(prefix, Instant.EPOCH)
+
+        assertEquals(0.0, set.match(prefix))
+    }
+
     @Test
     fun `after a gap older prefixes count half and are forgotten, newer ones count`() {
         val set = PrefixSet(BootId("1"))
