--- a/measure/src/main/kotlin/org/vanillalink/measure/Main.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/Main.kt
@@ -1,9 +1,13 @@
 /*
- * Entry point.
+ * Entry point of `bin/measure`.
  */
 package org.vanillalink.measure
 
-/** Starts the program. */
-fun main() {
-    println("not built yet")
+import picocli.CommandLine
+import kotlin.system.exitProcess
+
+/** Runs measurements and prints their figures. */
+@Suppress("SpreadOperator")
+fun main(arguments: Array<String>) {
+    exitProcess(CommandLine(MeasureCommand()).execute(*arguments))
 }
