--- a/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
@@ -68,8 +68,11 @@
     ) {
         handle(ControllerEvent.ReportReceived(received), step)
         handle(ServingEvent.ReportReceived(received), step)
-        val group = received.report.assignment?.group ?: return
-        val description = DescriptionFinder.find(group, servingState.reports.latest) ?: return
+        val assignment = received.report.assignment ?: return
+        val known = servingState.descriptions[assignment.group]
+        // A newer generation is found with the report that completes it.
+        if (known != null && known.generation >= assignment.generation) return
+        val description = DescriptionFinder.find(assignment.group, servingState.reports.latest) ?: return
         handle(ServingEvent.GroupDescribed(description), step)
     }
 
--- a/control/src/main/kotlin/org/vanillalink/control/TargetReports.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/TargetReports.kt
@@ -22,6 +22,9 @@
     self: DaemonId,
 ) {
     private var observation = TargetObservation(self)
+    private var assignedOf: List<HostId> = emptyList()
+    private var assignedAmong: List<DaemonId> = emptyList()
+    private var assigned: Set<HostId> = emptySet()
 
     /** The targets among [hosts] to ask now. */
     fun toAsk(
@@ -29,10 +32,22 @@
         membership: MembershipState,
         now: Instant,
     ): List<Host> {
-        val assigned = observation.targetsToAsk(hosts.map { it.id }, membership.heardDaemons)
+        val assigned = assigned(hosts.map { it.id }, membership.heardDaemons)
         return hosts.filter { it.id in assigned || isUnconfirmed(it.id, now) }
     }
 
+    /** Hashing every target again takes longer than all the rest, and the answer hardly ever changes. */
+    private fun assigned(
+        targets: List<HostId>,
+        heardDaemons: List<DaemonId>,
+    ): Set<HostId> {
+        if (targets == assignedOf && heardDaemons == assignedAmong) return assigned
+        assignedOf = targets
+        assignedAmong = heardDaemons
+        assigned = observation.targetsToAsk(targets, heardDaemons)
+        return assigned
+    }
+
     /** Takes a report that a target itself gave. */
     fun answered(
         report: TargetReport,
--- a/groups/src/main/kotlin/org/vanillalink/groups/ControllerState.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/ControllerState.kt
@@ -16,7 +16,6 @@
 import org.vanillalink.model.HostStatus
 import org.vanillalink.model.TargetPhase
 import org.vanillalink.model.TargetReport
-import org.vanillalink.platform.Row
 import org.vanillalink.platform.RowKey
 import java.time.Instant
 
@@ -50,7 +49,7 @@
     val reports: ReportBook = ReportBook(),
     val groups: Map<GroupId, WorkingGroup> = emptyMap(),
     val groupsScanned: Boolean = false,
-    val stored: Map<RowKey, Row?> = emptyMap(),
+    val stored: StoredRows = StoredRows(),
     val lostVersions: Set<RowKey> = emptySet(),
     val readAt: Instant = Instant.EPOCH,
     val writing: Map<RowKey, String>? = null,
@@ -60,7 +59,7 @@
     val reachable: Boolean = true,
 ) {
     /** The claim on [host] as the table holds it, or null where there is none or it isn't known. */
-    fun storedClaim(host: HostId): HostClaim? = stored[GroupRows.hostKey(host)]?.let { GroupRows.readClaim(it.value) }
+    fun storedClaim(host: HostId): HostClaim? = stored.claims[host]
 
     /** Whether the table says that this controller, and nobody else, may use [host]. */
     fun owns(host: HostId): Boolean = storedClaim(host)?.owner == number
--- a/groups/src/main/kotlin/org/vanillalink/groups/GroupController.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/GroupController.kt
@@ -118,7 +118,7 @@
     ): ControllerState {
         val rows = event.answer.getOrNull() ?: return state
         if (state.phase != ControllerPhase.READING_ROWS || state.groupsScanned) return state
-        return state.copy(stored = state.stored + rows, groupsScanned = true)
+        return state.copy(stored = state.stored.with(rows), groupsScanned = true)
     }
 
     /** Rows that this controller has written meanwhile are newer than what an older read shows. */
@@ -129,7 +129,7 @@
         val rows = event.answer.getOrNull() ?: return state
         if (state.phase == ControllerPhase.WITHOUT_CONTROL) return state
         val unknown = event.keys.filter { it !in state.stored && it !in state.writing.orEmpty() }
-        val stored = state.stored + unknown.associateWith { rows[it] }
+        val stored = state.stored.with(unknown.associateWith { rows[it] })
         return state.copy(stored = stored, lostVersions = state.lostVersions - unknown.toSet())
     }
 
@@ -239,7 +239,7 @@
         val known = rows.filterKeys { it in result.versions }
         val written = known.mapValues { (key, value) -> Row(result.versions.getValue(key), value) }
         val lost = state.lostVersions + (rows.keys - known.keys)
-        return state.copy(stored = state.stored - rows.keys + written, lostVersions = lost)
+        return state.copy(stored = state.stored.without(rows.keys).with(written), lostVersions = lost)
     }
 
     private fun concede() = InternalDecision.ToControl(ControlEvent.ConcedeRequested)
--- a/groups/src/main/kotlin/org/vanillalink/groups/RowJournal.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/RowJournal.kt
@@ -13,8 +13,7 @@
     private val settings: GroupSettings,
 ) {
     /** The rows that have to be written; all of them go into one transaction. */
-    fun difference(view: ControllerView): Map<RowKey, String> =
-        wanted(view).filter { (key, value) -> isKnown(view, key) && view.state.stored[key]?.value != value }
+    fun difference(view: ControllerView): Map<RowKey, String> = groupRows(view) + claimRows(view)
 
     /** [rows] as writes that lose to any other change of the same rows. */
     fun writes(
@@ -30,14 +29,27 @@
         key: RowKey,
     ): Boolean = key in view.state.stored || (GroupRows.groupOf(key) != null && key !in view.state.lostVersions)
 
-    private fun wanted(view: ControllerView): Map<RowKey, String> {
-        val groups =
+    private fun groupRows(view: ControllerView): Map<RowKey, String> {
+        val stored = view.state.stored.groups
+        val differing =
             view.state.groups.values
-                .associate { GroupRows.groupKey(it.group) to GroupRows.write(it.row) }
+                .filter { stored[it.group] != it.row }
+        return differing
+            .associate { GroupRows.groupKey(it.group) to it.row }
+            .filterKeys { isKnown(view, it) }
+            .mapValues { GroupRows.write(it.value) }
+    }
+
+    private fun claimRows(view: ControllerView): Map<RowKey, String> {
+        val stored = view.state.stored.claims
         val members = view.state.membersOfAll()
         val claims = members.mapValues { (_, group) -> HostClaim(view.state.number, group.group, group.row.generation) }
-        val spares = spareClaims(view, members.keys)
-        return groups + (claims + spares).map { (host, claim) -> GroupRows.hostKey(host) to GroupRows.write(claim) }
+        val wanted = claims + spareClaims(view, members.keys)
+        return wanted
+            .filter { (host, claim) -> stored[host] != claim }
+            .mapKeys { GroupRows.hostKey(it.key) }
+            .filterKeys { isKnown(view, it) }
+            .mapValues { GroupRows.write(it.value) }
     }
 
     private fun spareClaims(
@@ -50,6 +62,5 @@
         return (left + claimable).associateWith { spare }
     }
 
-    private fun storedHosts(view: ControllerView): List<HostId> = view.state.stored.keys
-        .mapNotNull { GroupRows.hostOf(it) }
+    private fun storedHosts(view: ControllerView): Set<HostId> = view.state.stored.claims.keys
 }
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityDaemon.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityDaemon.kt
@@ -41,6 +41,9 @@
     private val scenario = model.scenario
     private val control = DaemonControl(identity, seeds, scenario.now, GroupSettings(weightLoadsAtOnce = ALL_AT_ONCE))
     private var requests = 0
+
+    /** Nanoseconds of processor time that this daemon's decisions took. */
+    var deciding = 0L
     private var asker: CapacityDaemon? = null
 
     fun servingGroups(): Int = control.servingState.servingGroups(CapacityModel.SERVICE).size
@@ -57,7 +60,7 @@
     }
 
     private fun handle(event: DaemonEvent) {
-        model.deciding { control.handle(event, scenario.now) }.forEach { carryOut(it) }
+        model.deciding(this) { control.handle(event, scenario.now) }.forEach { carryOut(it) }
     }
 
     private fun carryOut(decision: DaemonDecision) {
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityMeasurement.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityMeasurement.kt
@@ -1,21 +1,20 @@
 /*
  * What control costs a daemon, by each size that it could follow, and what that gives at letter 1's size.
  *
- * Drives whole daemons' decisions (DaemonControl) on virtual time with fake targets, a table in memory and every message
- * coded as JSON. Assumes: paths of 1 ms within a failure domain and 15 ms between domains, table calls of 8 ms, nothing
- * lost, no fault while it counts, weights that load at once, the same shape in each failure domain, one service, three
- * sections of configuration. Bytes are those of the bodies plus an allowance for HTTP headers; a message between two
- * daemons counts at both. Processor time is the thread's own: DaemonControl.handle, and JSON apart; the network's and the
- * collector's part is not in it. Heap is what a whole model retains after a collection, the fake table and targets with
- * it. One whole failure domain is measured as
- * it is, beside the fits.
+ * Drives whole daemons' decisions (DaemonControl) on virtual time with fake targets, a table in memory and every
+ * message coded as JSON. Assumes: paths of 1 ms within a failure domain and 15 ms between domains, table calls of 8 ms,
+ * nothing lost, no fault while it counts, weights that load at once, failure domains of one shape, one service and
+ * three sections of configuration. Bytes are those of the bodies plus an allowance for HTTP headers; a message between
+ * two daemons counts at both. Processor time is the thread's own: DaemonControl.handle, and JSON apart; the network's
+ * and the collector's part is not in it. Heap is what a whole model retains after a collection, the fake table and
+ * targets with it. One whole failure domain is measured as it is, beside the fits.
  */
 package org.vanillalink.measure
 
 import org.vanillalink.testing.Scenario
 import java.time.Duration
 
-/** See the head of the file; name `capacity`. With [long], more virtual time and the whole failure domain under load. */
+/** Named `capacity`. With [long], more virtual time and the whole failure domain under load. */
 class CapacityMeasurement(
     private val long: Boolean = false,
 ) : Measurement {
@@ -27,24 +26,22 @@
     }
 
     private fun perDaemon(seed: Long): List<Figure> {
-        val sizes = listOf(2, 5, 9, 14)
-        val costs = sizes.map { costs(seed, CapacityShape(daemons = it)) }
-        val peers = sizes.map { it - 1.0 }
+        val costs = DAEMON_SIZES.map { costs(seed, CapacityShape(daemons = it)) }
+        val peers = DAEMON_SIZES.map { it - 1.0 }
         return CapacitySlopes("peer daemon", peers, DAEMONS - 1.0).figures(costs)
     }
 
     private fun perDomain(seed: Long): List<Figure> {
-        val sizes = listOf(1, 2, 4, 6)
-        val costs = sizes.map { costs(seed, CapacityShape(failureDomains = it, targets = 8, groups = 2)) }
-        return CapacitySlopes("failure domain", sizes.map { it.toDouble() }, DOMAINS).figures(costs)
+        val costs = DOMAIN_SIZES.map { costs(seed, CapacityShape(failureDomains = it, targets = 8, groups = 2)) }
+        return CapacitySlopes("failure domain", DOMAIN_SIZES.map { it.toDouble() }, DOMAINS).figures(costs)
     }
 
     private fun perTarget(seed: Long): List<Figure> {
-        val sizes = listOf(26, 91, 182, 364)
-        val costs = sizes.map { costs(seed, CapacityShape(targets = it, groups = 6)) }
-        val slopes = CapacitySlopes("target", sizes.map { it.toDouble() }, TARGETS)
+        val sizes = TARGET_SIZES.map { it.toDouble() }
+        val costs = TARGET_SIZES.map { costs(seed, CapacityShape(targets = it, groups = 6)) }
+        val slopes = CapacitySlopes("target", sizes, TARGETS)
         val hosts = costs.map { it.bytes.getValue(TrafficKind.HOST_LIST) }
-        return slopes.figures(costs) + hostList(LinearFit.of(sizes.map { it.toDouble() }, hosts))
+        return slopes.figures(costs) + hostList(LinearFit.of(sizes, hosts))
     }
 
     /** Each daemon reads the list of the whole fleet. */
@@ -54,22 +51,22 @@
     )
 
     private fun perGroup(seed: Long): List<Figure> {
-        val sizes = listOf(5, 11, 22, 45)
-        val costs = sizes.map { costs(seed, CapacityShape(targets = 182, groups = it)) }
-        return CapacitySlopes("group", sizes.map { it.toDouble() }, GROUPS).figures(costs)
+        val costs = GROUP_SIZES.map { costs(seed, CapacityShape(targets = 182, groups = it)) }
+        return CapacitySlopes("group", GROUP_SIZES.map { it.toDouble() }, GROUPS).figures(costs)
     }
 
     private fun perLoad(seed: Long): List<Figure> {
-        val running = listOf(0, 8, 24, 52)
-        val loaded = running.map { costs(seed, CapacityShape(runningAttempts = it)) }
-        val requests = listOf(0, 5, 10, 20)
-        val requested = requests.map { costs(seed, CapacityShape(requestsPerSecond = it)) }
-        val changes = listOf(0.0, 0.5, 1.0, 2.0)
-        val changed = changes.map { costs(seed, CapacityShape(changesPerSecond = it)) }
-        return CapacitySlopes("running attempt of a group, 13 groups", running.map { it.toDouble() }, RUNNING)
+        val loaded = RUNNING_SIZES.map { costs(seed, CapacityShape(runningAttempts = it)) }
+        val requested = REQUEST_SIZES.map { costs(seed, CapacityShape(requestsPerSecond = it)) }
+        val changed = CHANGE_SIZES.map { costs(seed, CapacityShape(changesPerSecond = it)) }
+        return CapacitySlopes("running attempt of a group, 13 groups", RUNNING_SIZES.map { it.toDouble() }, RUNNING)
             .figures(loaded) +
-            CapacitySlopes("request a second", requests.map { it.toDouble() }, REQUESTS_PER_DAEMON).figures(requested) +
-            CapacitySlopes("configuration change a second", changes, CHANGES).figures(changed)
+            CapacitySlopes(
+                "request a second",
+                REQUEST_SIZES.map { it.toDouble() },
+                REQUESTS_PER_DAEMON,
+            ).figures(requested) +
+            CapacitySlopes("configuration change a second", CHANGE_SIZES, CHANGES).figures(changed)
     }
 
     /** One whole failure domain of letter 1, idle and in the long form loaded too, measured and not fitted. */
@@ -90,6 +87,13 @@
         const val BYTES_BUDGET = "23000"
         const val MICROSECONDS_BUDGET = "12000"
         const val HEAP_BUDGET = "64000000"
+        private val DAEMON_SIZES = listOf(2, 5, 9, 14)
+        private val DOMAIN_SIZES = listOf(1, 2, 4, 6)
+        private val TARGET_SIZES = listOf(26, 91, 182, 364)
+        private val GROUP_SIZES = listOf(5, 11, 22, 45)
+        private val RUNNING_SIZES = listOf(0, 8, 24, 52)
+        private val REQUEST_SIZES = listOf(0, 5, 10, 20)
+        private val CHANGE_SIZES = listOf(0.0, 0.5, 1.0, 2.0)
         private const val DAEMONS = 14
         private const val DOMAINS = 33.0
         private const val TARGETS = 364.0
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityModel.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityModel.kt
@@ -57,6 +57,7 @@
         check(daemons.all { it.servingGroups() == shape.groups }) { "groups: ${daemons.map { it.servingGroups() }}" }
         if (shape.changesPerSecond > 0) scenario.every(interval(shape.changesPerSecond)) { edit() }
         val before = counters.copy()
+        daemons.forEach { it.deciding = 0 }
         scenario.run(duration)
         return difference(before, duration.toMillis() / MILLISECONDS)
     }
@@ -70,6 +71,7 @@
         val bytes = TrafficKind.entries.associateWith { (counters.bytes[it.ordinal] - before.bytes[it.ordinal]) * each }
         return CapacityCosts(
             decidingMicroseconds = (counters.deciding - before.deciding) * each / NANOSECONDS,
+            busiestMicroseconds = daemons.maxOf { it.deciding } / seconds / NANOSECONDS,
             codingMicroseconds = (counters.coding - before.coding) * each / NANOSECONDS,
             bytes = bytes,
             rowsRead = (counters.rowsRead - before.rowsRead) * eachDomain,
@@ -98,9 +100,16 @@
         counters.bytes[kind.ordinal] += bytes.toLong()
     }
 
-    fun <Result> deciding(action: () -> Result): Result {
+    fun <Result> deciding(
+        daemon: CapacityDaemon,
+        action: () -> Result,
+    ): Result {
         val begin = threads.currentThreadCpuTime
-        return action().also { counters.deciding += threads.currentThreadCpuTime - begin }
+        val result = action()
+        val spent = threads.currentThreadCpuTime - begin
+        counters.deciding += spent
+        daemon.deciding += spent
+        return result
     }
 
     fun <Result> coding(action: () -> Result): Result {
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityShape.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityShape.kt
@@ -52,9 +52,10 @@
     }
 }
 
-/** Costs of one size: of one daemon for each second, of rows for each failure domain and second, and its heap. */
+/** Costs of one size: of one daemon and of the busiest one, and of rows in a failure domain, a second; heap of one. */
 internal data class CapacityCosts(
     val decidingMicroseconds: Double,
+    val busiestMicroseconds: Double,
     val codingMicroseconds: Double,
     val bytes: Map<TrafficKind, Double>,
     val rowsRead: Double,
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacitySlopes.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacitySlopes.kt
@@ -16,6 +16,7 @@
         return fit("all bytes", "B/s", costs.map { it.controlBytes }, CapacityMeasurement.BYTES_BUDGET) +
             kinds.flatMap { kind -> fit(kind.text, "B/s", costs.map { it.bytes.getValue(kind) }, null) } +
             fit(DECIDING, "us/s", costs.map { it.decidingMicroseconds }, CapacityMeasurement.MICROSECONDS_BUDGET) +
+            fit(BUSIEST, "us/s", costs.map { it.busiestMicroseconds }, CapacityMeasurement.MICROSECONDS_BUDGET) +
             fit(CODING, "us/s", costs.map { it.codingMicroseconds }, CapacityMeasurement.MICROSECONDS_BUDGET) +
             fit("heap", "B", costs.map { it.heapBytes }, CapacityMeasurement.HEAP_BUDGET) +
             fit("known peers", "daemons", costs.map { it.knownPeers }, null) +
@@ -42,6 +43,7 @@
         /** A cost without a budget that doesn't follow the size isn't listed. */
         private const val LEAST_SLOPE = 1e-6
         private const val DECIDING = "processor, decisions"
+        private const val BUSIEST = "processor, decisions, busiest daemon"
         private const val CODING = "processor, JSON"
 
         /** The costs of one run as they are. */
@@ -51,26 +53,27 @@
         ): List<Figure> {
             val bytes = costs.bytes.map { (kind, value) -> Figure("${kind.text}, $label", value, "B/s") }
             return bytes +
-                listOf(
-                    Figure("all bytes, $label", costs.controlBytes, "B/s", null, CapacityMeasurement.BYTES_BUDGET),
-                    Figure(
-                        "$DECIDING, $label",
-                        costs.decidingMicroseconds,
-                        "us/s",
-                        null,
-                        CapacityMeasurement.MICROSECONDS_BUDGET,
-                    ),
-                    Figure(
-                        "$CODING, $label",
-                        costs.codingMicroseconds,
-                        "us/s",
-                        null,
-                        CapacityMeasurement.MICROSECONDS_BUDGET,
-                    ),
-                    Figure("heap, $label", costs.heapBytes, "B", null, CapacityMeasurement.HEAP_BUDGET),
-                    Figure("rows read, $label", costs.rowsRead, "rows/s"),
-                    Figure("rows written, $label", costs.rowsWritten, "rows/s"),
-                )
+                budgeted("all bytes", label, costs.controlBytes, "B/s", CapacityMeasurement.BYTES_BUDGET) +
+                processor(DECIDING, label, costs.decidingMicroseconds) +
+                processor(BUSIEST, label, costs.busiestMicroseconds) +
+                processor(CODING, label, costs.codingMicroseconds) +
+                budgeted("heap", label, costs.heapBytes, "B", CapacityMeasurement.HEAP_BUDGET) +
+                Figure("rows read, $label", costs.rowsRead, "rows/s") +
+                Figure("rows written, $label", costs.rowsWritten, "rows/s")
         }
+
+        private fun processor(
+            cost: String,
+            label: String,
+            value: Double,
+        ) = budgeted(cost, label, value, "us/s", CapacityMeasurement.MICROSECONDS_BUDGET)
+
+        private fun budgeted(
+            cost: String,
+            label: String,
+            value: Double,
+            unit: String,
+            budget: String,
+        ) = Figure("$cost, $label", value, unit, null, budget)
     }
 }
--- a/measure/src/main/kotlin/org/vanillalink/measure/FigureTable.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/FigureTable.kt
@@ -36,14 +36,8 @@
 
     private fun number(value: Double): String {
         val size = kotlin.math.abs(value)
-        val digits =
-            if (size < SMALL) {
-                3
-            } else if (size < LARGE) {
-                1
-            } else {
-                0
-            }
-        return String.format(Locale.ROOT, "%.${digits}f", value)
+        if (size < SMALL) return String.format(Locale.ROOT, "%.3f", value)
+        if (size < LARGE) return String.format(Locale.ROOT, "%.1f", value)
+        return String.format(Locale.ROOT, "%.0f", value)
     }
 }
--- a/membership/src/main/kotlin/org/vanillalink/membership/TargetObservation.kt
+++ b/membership/src/main/kotlin/org/vanillalink/membership/TargetObservation.kt
@@ -93,12 +93,10 @@
         delta: ReportDelta,
         now: Instant,
     ): TargetObservation {
-        val changed = delta.changed.fold(received) { reports, aged -> newer(reports, aged, now) }
-        val confirmed =
-            delta.stillFresh.entries.fold(
-                changed,
-            ) { reports, (host, age) -> touched(reports, host, age, now) }
-        return copy(received = confirmed)
+        val reports = LinkedHashMap(received)
+        delta.changed.forEach { takeNewer(reports, it, now) }
+        delta.stillFresh.forEach { (host, age) -> touch(reports, host, age, now) }
+        return copy(received = reports)
     }
 
     /** The newest report of [host] and its age; null where there is none. */
@@ -110,16 +108,16 @@
         return AgedReport(best.report, age(best, now))
     }
 
-    private fun newer(
-        reports: Map<HostId, ObservedReport>,
+    private fun takeNewer(
+        reports: MutableMap<HostId, ObservedReport>,
         aged: AgedReport,
         now: Instant,
-    ): Map<HostId, ObservedReport> {
+    ) {
         val host = aged.report.host
         val present = reports[host]
         val confirmedAt = now.minusMillis(aged.ageMilliseconds)
-        if (present != null && isOlder(aged.report, confirmedAt, present)) return reports
-        return reports + (host to ObservedReport(aged.report, confirmedAt, change = 0))
+        if (present != null && isOlder(aged.report, confirmedAt, present)) return
+        reports[host] = ObservedReport(aged.report, confirmedAt, change = 0)
     }
 
     private fun isOlder(
@@ -131,15 +129,14 @@
         return confirmedAt <= present.confirmedAt
     }
 
-    private fun touched(
-        reports: Map<HostId, ObservedReport>,
+    private fun touch(
+        reports: MutableMap<HostId, ObservedReport>,
         host: HostId,
         age: Long,
         now: Instant,
-    ): Map<HostId, ObservedReport> {
-        val present = reports[host] ?: return reports
-        val confirmedAt = maxOf(present.confirmedAt, now.minusMillis(age))
-        return reports + (host to present.copy(confirmedAt = confirmedAt))
+    ) {
+        val present = reports[host] ?: return
+        reports[host] = present.copy(confirmedAt = maxOf(present.confirmedAt, now.minusMillis(age)))
     }
 
     private fun age(
