Read the host list by failure domain, and only when it changed

Ruled out: reading it less often, which would let a leaving target get work for longer. Change: the list is asked for one failure domain with the last entity tag; an unchanged list is answered without a body.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -77,7 +77,7 @@
     private val control = DaemonControl(identity, settings.seeds, clock.instant())
     private val loop = ControlLoop(thread, control, clock)
     private val configuration = ConfigurationExecutor(loop, thread, table)
-    private val polling = TargetPolling(loop, targets, HttpHostList(client, platform), clock)
+    private val polling = TargetPolling(loop, targets, HttpHostList(client, platform), settings.failureDomain, clock)
     private val observer = CallObserver(log, metrics, clock)
     private val activeCalls = ActiveCalls()
     private val peerClient = PeerClient(client, settings.secret, PEER_TIMEOUT)
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/TargetPolling.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/TargetPolling.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.control.DaemonDecision
 import org.vanillalink.control.DaemonEvent
 import org.vanillalink.groups.ReceivedReport
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.platform.HostList
 import org.vanillalink.targets.TargetClient
 import java.time.Clock
@@ -15,6 +16,7 @@
     private val loop: ControlLoop,
     private val targets: TargetClient,
     private val hosts: HostList,
+    private val failureDomain: FailureDomainId,
     private val clock: Clock,
 ) : DecisionExecutor {
     override fun execute(decision: DaemonDecision) {
@@ -30,6 +32,6 @@
 
     /** Reads the host list. */
     fun readHosts() {
-        hosts.hosts().thenAccept { answer -> answer.onRight { loop.tell(DaemonEvent.HostsListed(it)) } }
+        hosts.hosts(failureDomain).thenAccept { answer -> answer.onRight { loop.tell(DaemonEvent.HostsListed(it)) } }
     }
 }
--- a/measure/src/main/kotlin/org/vanillalink/measure/Measurements.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/Measurements.kt
@@ -10,6 +10,7 @@
         GroupMeasurement(long),
         AdmissionMeasurement(),
         OverloadMeasurement(),
+        PrefixMeasurement(),
         FailureDomainMoveMeasurement(),
         DispatchMeasurement(),
         ConfigurationMeasurement(),
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/platform/PlatformHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/platform/PlatformHandler.kt
@@ -24,6 +24,7 @@
 import org.vanillalink.standins.answerJson
 import org.vanillalink.testing.StoreBehaviour
 import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.HttpRequestHandler
 import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.Json
@@ -40,7 +41,7 @@
             request.path == "/table/read" -> withBody<ReadRequest>(request, answer) { read(it, answer) }
             request.path == "/table/scan" -> withBody<ScanRequest>(request, answer) { scan(it, answer) }
             request.path == "/table/transact" -> withBody<TransactionRequest>(request, answer) { transact(it, answer) }
-            request.path == "/hosts" -> listHosts(answer)
+            request.path == "/hosts" -> listHosts(request, answer)
             request.path.startsWith(OBJECTS) -> handleObject(request, answer)
             request.path == "/stand-in/behaviour" -> setBehaviour(request, answer)
             request.path == "/stand-in/hosts" -> setHost(request, answer)
@@ -105,12 +106,23 @@
         StoreFailure.AnswerLost -> answer.abort()
     }
 
-    private fun listHosts(answer: AnswerWriter) {
+    private fun listHosts(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
         if (platform.behaviour == StoreBehaviour.UNAVAILABLE) {
             answer.answer(UNAVAILABLE)
             return
         }
-        answer.answerJson(HostsAnswer(platform.hosts()))
+        val wanted = request.queryParameter("failure-domain")
+        val hosts = platform.hosts().filter { wanted == null || it.failureDomain.value == wanted }
+        val entityTag = "\"${hosts.hashCode()}\""
+        if (request.headers["if-none-match"] == entityTag) {
+            answer.answer(NOT_MODIFIED)
+            return
+        }
+        val headers = HeaderFields.of("content-type" to "application/json", "etag" to entityTag)
+        answer.answer(OK, headers, Json.write(HostsAnswer(hosts)))
     }
 
     private fun handleObject(
@@ -150,6 +162,7 @@
 
     private companion object {
         const val OBJECTS = "/objects/"
+        const val NOT_MODIFIED = 304
         const val UNAVAILABLE = 503
     }
 }
