Let a peer's confirmation count after a target was asked directly

The observer's confirmations of an unchanged report repeated the sequence of its last change, so the report book took each for older than what it had. The target looked silent at that daemon until its report changed, which for an idle one is never.

A confirmation now carries the sequence of the answer that it is of, and counts for the report of the observer that gives it and for no other: before, it could also vouch for what another observer had told. An own answer that comes late no longer replaces a newer one.

The same message carries the generations that a daemon saw end, as docs/design/0001 asks: a controller that was started after a member's restart can't see it itself.

--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -21,6 +21,7 @@
 import org.vanillalink.membership.LocalState
 import org.vanillalink.membership.MembershipEvent
 import org.vanillalink.membership.MembershipState
+import org.vanillalink.membership.ReportDelta
 import org.vanillalink.membership.ServiceAggregate
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
@@ -103,7 +104,7 @@
             DaemonEvent.Tick -> tick(step)
             is DaemonEvent.HostsListed -> hostsListed(event.hosts, step)
             is DaemonEvent.ReportReceived -> peers.reportAnswered(event.received, step)
-            is DaemonEvent.ReportsShared -> peers.reportsShared(event.delta, step)
+            is DaemonEvent.ReportsShared -> reportsShared(event.delta, step)
             is DaemonEvent.ReportsAcknowledged -> peers.reportsAcknowledged(event.peer, event.change)
             is DaemonEvent.ForMembership -> peers.handle(event.event, step)
             is DaemonEvent.ForDomain -> groups.handle(event.event, step)
@@ -136,6 +137,14 @@
         }
     }
 
+    private fun reportsShared(
+        delta: ReportDelta,
+        step: ControlStep,
+    ) {
+        groups.generationsEnded(delta.endedGenerations, step)
+        peers.reportsShared(delta, step)
+    }
+
     private fun tick(step: ControlStep) {
         peers.handle(MembershipEvent.Tick, step)
         configurationPart.handle(ReplicaEvent.Tick, step)
@@ -143,7 +152,7 @@
         refreshCandidates(step)
         calls.tick(step)
         exchangeServices(step)
-        peers.exchangeReports(hosts.values, step)
+        peers.exchangeReports(hosts.values, servingState.endedGenerations, step)
     }
 
     private fun hostsListed(
--- a/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
@@ -21,6 +21,8 @@
 import org.vanillalink.groups.ServingState
 import org.vanillalink.groups.WholeGroupCheck
 import org.vanillalink.membership.DaemonIdentity
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.TargetReport
 
@@ -46,11 +48,15 @@
     fun tick(step: ControlStep) {
         handle(DomainEvent.Tick, step)
         handle(ServingEvent.Tick, step)
-        servingState.endedGenerations.forEach { (group, generation) ->
-            handle(ControllerEvent.GenerationEnded(group, generation), step)
-        }
+        generationsEnded(servingState.endedGenerations, step)
     }
 
+    /** Tells the controller of generations that a router, this daemon's or a peer's, saw end. */
+    fun generationsEnded(
+        ended: Map<GroupId, Generation>,
+        step: ControlStep,
+    ) = ended.forEach { (group, generation) -> handle(ControllerEvent.GenerationEnded(group, generation), step) }
+
     fun handle(
         event: DomainEvent,
         step: ControlStep,
--- a/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
@@ -17,6 +17,8 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
 import org.vanillalink.model.Host
 import java.time.Duration
 import java.time.Instant
@@ -70,15 +72,16 @@
         change: Long,
     ) = targetReports.acknowledged(peer, change)
 
-    /** Shares reports and asks targets for new ones, when it is time to. */
+    /** Shares reports and [ended] generations, and asks targets for new reports, when it is time to. */
     fun exchangeReports(
         hosts: Collection<Host>,
+        ended: Map<GroupId, Generation>,
         step: ControlStep,
     ) {
         if (step.now < nextReportsAt) return
         nextReportsAt = step.now.plus(REPORT_INTERVAL)
         state.contacts(identity.failureDomain).map { it.identity }.forEach { peer ->
-            val delta = targetReports.deltaFor(peer.daemon, step.now)
+            val delta = targetReports.deltaFor(peer.daemon, step.now).copy(endedGenerations = ended)
             step.decide(DaemonDecision.ShareReports(peer.daemon, peer.endpoints.peers, delta))
         }
         val own = hosts.filter { it.failureDomain == identity.failureDomain }
--- a/membership/src/main/kotlin/org/vanillalink/membership/TargetObservation.kt
+++ b/membership/src/main/kotlin/org/vanillalink/membership/TargetObservation.kt
@@ -7,6 +7,8 @@
 package org.vanillalink.membership
 
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.Generation
+import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.TargetReport
 import java.time.Duration
@@ -18,12 +20,25 @@
     val ageMilliseconds: Long,
 )
 
-/** What an observer tells one peer: reports that changed, and the age of those that the target confirmed unchanged. */
+/**
+ * That a target said the same again, [ageMilliseconds] ago. [sequence] is that answer's: without it a receiver that has
+ * asked the target itself would take the confirmation for older than what it has.
+ */
+data class Confirmation(
+    val ageMilliseconds: Long,
+    val sequence: Long,
+)
+
+/**
+ * What an observer tells one peer: reports that changed, and those that the target confirmed unchanged.
+ * [endedGenerations] are those that the observer saw end by a member's restart; the controller may not have seen it.
+ */
 data class ReportDelta(
     val observer: DaemonId,
     val change: Long,
     val changed: List<AgedReport>,
-    val stillFresh: Map<HostId, Long>,
+    val stillFresh: Map<HostId, Confirmation>,
+    val endedGenerations: Map<GroupId, Generation> = emptyMap(),
 )
 
 /** A report as this daemon keeps it; [confirmedAt] is when the target last said the same, by this daemon's clock. */
@@ -34,13 +49,14 @@
 )
 
 /**
- * The reports that one daemon has. [observed] come from targets that it asks itself, [received] from peers.
+ * The reports that one daemon has. [observed] come from targets that it asks itself, [received] from peers, each kept
+ * by who told it, as a confirmation is of that peer's report and of no other.
  * [acknowledged] is the change up to which each peer has all observed reports.
  */
 data class TargetObservation(
     val self: DaemonId,
     val observed: Map<HostId, ObservedReport> = emptyMap(),
-    val received: Map<HostId, ObservedReport> = emptyMap(),
+    val received: Map<HostId, Map<DaemonId, ObservedReport>> = emptyMap(),
     val change: Long = 0,
     val acknowledged: Map<DaemonId, Long> = emptyMap(),
 ) {
@@ -56,9 +72,10 @@
         now: Instant,
     ): TargetObservation {
         val present = observed[report.host]
+        if (present != null && isOlder(report, now, present)) return this
         val same = present != null && present.report.copy(sequence = report.sequence) == report
         val next = if (same) change else change + 1
-        val kept = if (same && present != null) present.copy(confirmedAt = now) else ObservedReport(report, now, next)
+        val kept = ObservedReport(report, now, if (same) present.change else next)
         return copy(observed = observed + (report.host to kept), change = next)
     }
 
@@ -75,7 +92,7 @@
             observer = self,
             change = change,
             changed = changed.map { AgedReport(it.report, age(it, now)) },
-            stillFresh = same.associate { it.report.host to age(it, now) },
+            stillFresh = same.associate { it.report.host to Confirmation(age(it, now), it.report.sequence) },
         )
     }
 
@@ -93,11 +110,11 @@
         delta: ReportDelta,
         now: Instant,
     ): TargetObservation {
-        val changed = delta.changed.fold(received) { reports, aged -> newer(reports, aged, now) }
+        val changed = delta.changed.fold(received) { reports, aged -> newer(reports, delta.observer, aged, now) }
         val confirmed =
-            delta.stillFresh.entries.fold(
-                changed,
-            ) { reports, (host, age) -> touched(reports, host, age, now) }
+            delta.stillFresh.entries.fold(changed) { reports, (host, confirmation) ->
+                confirmed(reports, delta.observer, host, confirmation, now)
+            }
         return copy(received = confirmed)
     }
 
@@ -106,20 +123,24 @@
         host: HostId,
         now: Instant,
     ): AgedReport? {
-        val best = listOfNotNull(observed[host], received[host]).maxByOrNull { it.confirmedAt } ?: return null
+        val told = received[host]?.values.orEmpty()
+        val best = (told + listOfNotNull(observed[host])).maxByOrNull { it.confirmedAt } ?: return null
         return AgedReport(best.report, age(best, now))
     }
 
     private fun newer(
-        reports: Map<HostId, ObservedReport>,
+        reports: Map<HostId, Map<DaemonId, ObservedReport>>,
+        observer: DaemonId,
         aged: AgedReport,
         now: Instant,
-    ): Map<HostId, ObservedReport> {
+    ): Map<HostId, Map<DaemonId, ObservedReport>> {
         val host = aged.report.host
-        val present = reports[host]
+        val told = reports[host].orEmpty()
+        val present = told[observer]
         val confirmedAt = now.minusMillis(aged.ageMilliseconds)
         if (present != null && isOlder(aged.report, confirmedAt, present)) return reports
-        return reports + (host to ObservedReport(aged.report, confirmedAt, change = 0))
+        val recent = told.filterValues { it.confirmedAt.plus(KEPT_FOR) > now }
+        return reports + (host to recent + (observer to ObservedReport(aged.report, confirmedAt, change = 0)))
     }
 
     private fun isOlder(
@@ -131,19 +152,28 @@
         return confirmedAt <= present.confirmedAt
     }
 
-    private fun touched(
-        reports: Map<HostId, ObservedReport>,
+    private fun confirmed(
+        reports: Map<HostId, Map<DaemonId, ObservedReport>>,
+        observer: DaemonId,
         host: HostId,
-        age: Long,
+        confirmation: Confirmation,
         now: Instant,
-    ): Map<HostId, ObservedReport> {
-        val present = reports[host] ?: return reports
-        val confirmedAt = maxOf(present.confirmedAt, now.minusMillis(age))
-        return reports + (host to present.copy(confirmedAt = confirmedAt))
+    ): Map<HostId, Map<DaemonId, ObservedReport>> {
+        val told = reports[host].orEmpty()
+        val present = told[observer] ?: return reports
+        if (confirmation.sequence <= present.report.sequence) return reports
+        val report = present.report.copy(sequence = confirmation.sequence)
+        val confirmedAt = maxOf(present.confirmedAt, now.minusMillis(confirmation.ageMilliseconds))
+        return reports + (host to told + (observer to present.copy(report = report, confirmedAt = confirmedAt)))
     }
 
     private fun age(
         report: ObservedReport,
         now: Instant,
     ): Long = Duration.between(report.confirmedAt, now).toMillis()
+
+    private companion object {
+        /** What a peer told is dropped when another one tells of the target and this much time has passed. */
+        val KEPT_FOR: Duration = Duration.ofSeconds(30)
+    }
 }
--- a/membership/src/test/kotlin/org/vanillalink/membership/TargetObservationTest.kt
+++ b/membership/src/test/kotlin/org/vanillalink/membership/TargetObservationTest.kt
@@ -52,10 +52,41 @@
             TargetObservation(peer).withDelta(first, peerNow).withDelta(second, peerNow.plusSeconds(5))
 
         assertEquals(emptyList(), second.changed)
-        assertEquals(mapOf(host to 300L), second.stillFresh)
+        assertEquals(mapOf(host to Confirmation(300L, sequence = 2)), second.stillFresh)
         assertEquals(300L, received.report(host, peerNow.plusSeconds(5))?.ageMilliseconds)
     }
 
+    @Test
+    fun `a peer's confirmation counts also where this daemon has asked the target itself meanwhile`() {
+        val first = TargetObservation(observer).withAnswer(report(1), observerNow)
+        val told = first.deltaFor(peer, freshness, observerNow)
+        val again = first.acknowledgedBy(peer, told.change).withAnswer(report(9), observerNow.plusSeconds(5))
+        val testSubject = TargetObservation(peer).withDelta(told, peerNow).withAnswer(report(7), peerNow.plusSeconds(3))
+
+        val delta = again.deltaFor(peer, freshness, observerNow.plusSeconds(5))
+        val confirmed = testSubject.withDelta(delta, peerNow.plusSeconds(5)).report(host, peerNow.plusSeconds(5))
+
+        assertEquals(9, confirmed?.report?.sequence)
+        assertEquals(0, confirmed?.ageMilliseconds)
+    }
+
+    @Test
+    fun `an observer's confirmation doesn't vouch for what another observer told`() {
+        val first = TargetObservation(observer).withAnswer(report(1, TargetPhase.LOADING), observerNow)
+        val told = first.deltaFor(peer, freshness, observerNow)
+        val again = first.acknowledgedBy(peer, told.change).withAnswer(report(3, TargetPhase.LOADING), observerNow)
+        val other = TargetObservation(DaemonId("other")).withAnswer(report(2), observerNow)
+        val testSubject =
+            TargetObservation(
+                peer,
+            ).withDelta(told, peerNow).withDelta(other.deltaFor(peer, freshness, observerNow), peerNow)
+
+        val later = peerNow.plusSeconds(1)
+        val confirmed = testSubject.withDelta(again.deltaFor(peer, freshness, observerNow), later).report(host, later)
+
+        assertEquals(TargetPhase.LOADING, confirmed?.report?.phase)
+    }
+
     @Test
     fun `a report whose delta was lost is sent again, and meanwhile nothing calls the old one fresh`() {
         val first = TargetObservation(observer).withAnswer(report(1), observerNow)
