Script scenarios over whole daemons

Several DaemonControls in several failure domains, fake targets, the table in memory and links that delay, lose, double, reorder and can be cut by pair.

--- /dev/null
+++ b/control/src/test/kotlin/org/vanillalink/control/joined/JoinedPlatform.kt
@@ -0,0 +1,82 @@
+/*
+ * The platform of a joined scenario: the table in memory, and the list of hosts.
+ */
+package org.vanillalink.control.joined
+
+import arrow.core.Either
+import arrow.core.left
+import org.vanillalink.model.Host
+import org.vanillalink.model.HostId
+import org.vanillalink.model.HostStatus
+import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import org.vanillalink.platform.StoreFailure
+import org.vanillalink.platform.TransactionResult
+import org.vanillalink.testing.InMemoryTableStore
+import org.vanillalink.testing.StoreBehaviour
+import java.time.Duration
+
+internal class JoinedPlatform(
+    private val network: Network,
+) {
+    val table = InMemoryTableStore()
+    private val hosts = LinkedHashMap<HostId, Host>()
+
+    fun goesDown() {
+        table.behaviour = StoreBehaviour.UNAVAILABLE
+    }
+
+    fun losesAnswers() {
+        table.behaviour = StoreBehaviour.LOSES_ANSWERS
+    }
+
+    fun returns() {
+        table.behaviour = StoreBehaviour.ANSWERS
+    }
+
+    fun list(host: Host) {
+        hosts[host.id] = host
+    }
+
+    fun listAsLeaving(host: HostId) = list(hosts.getValue(host).copy(status = HostStatus.LEAVING))
+
+    fun readHosts(
+        from: String,
+        answered: (List<Host>) -> Unit,
+    ) = network.ask<List<Host>>(
+        from,
+        Network.PLATFORM,
+        { answer -> if (table.behaviour != StoreBehaviour.UNAVAILABLE) answer(hosts.values.toList()) },
+    ) { it?.let(answered) }
+
+    fun read(
+        from: String,
+        keys: Set<RowKey>,
+        answered: (Either<StoreFailure, Map<RowKey, Row>>) -> Unit,
+    ) = call(from, { table.readNow(keys) }, answered)
+
+    fun scan(
+        from: String,
+        prefix: String,
+        answered: (Either<StoreFailure, Map<RowKey, Row>>) -> Unit,
+    ) = call(from, { table.scanNow(prefix) }, answered)
+
+    fun transact(
+        from: String,
+        writes: List<ConditionalWrite>,
+        answered: (Either<StoreFailure, TransactionResult>) -> Unit,
+    ) = call(from, { table.transactNow(writes) }, answered)
+
+    private fun <T : Any> call(
+        from: String,
+        act: () -> Either<StoreFailure, T>,
+        answered: (Either<StoreFailure, T>) -> Unit,
+    ) = network.ask<Either<StoreFailure, T>>(from, Network.PLATFORM, { it(act()) }, TIMEOUT) {
+        answered(it ?: StoreFailure.AnswerLost.left())
+    }
+
+    private companion object {
+        val TIMEOUT: Duration = Duration.ofSeconds(2)
+    }
+}
