Let requests wait for a load that the targets' reports show

Cause: with capacity nowhere the router refuses at once, also when a spare is loading and will serve within the request's deadline, as nobody fed CapacityExpected. The controller's plans weren't used for it: the domain's other daemons don't know them, and an order proves nothing. Every daemon has the reports, so ExpectedCapacity takes a group that all members report, some still loading, and expects it after the time that the last load took. Before the first load that it saw, and in a failure domain that is out, it expects nothing, and what waits is refused when the reports stop showing the load.

With it the request is answered whole; one sent before the spare loads is still refused at once.

--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -46,6 +46,7 @@
     private val groups = GroupsPart(identity, groupSettings)
     private val calls = CallsPart(identity, ::attemptTarget)
     private val peers = PeersPart(identity, seeds, startedAt)
+    private val expectedCapacity = ExpectedCapacity(identity.failureDomain)
     private val candidates = CandidateList(identity.failureDomain)
     private var hosts: Map<HostId, Host> = emptyMap()
     private var nextServicesAt = startedAt
@@ -190,6 +191,7 @@
     private fun exchangeServices(step: ControlStep) {
         if (step.now < nextServicesAt) return
         nextServicesAt = step.now.plus(SERVICES_INTERVAL)
+        expectedCapacity.events(servingState, configuration, step.now).forEach { calls.handle(it, step) }
         domainState.heldNumber?.let { step.tell(PartNews.ServicesCounted(countServices(), it)) }
         peers.tellRemoteCapacities(configuration.failureDomains.keys - identity.failureDomain, step)
     }
--- a/control/src/test/kotlin/org/vanillalink/control/joined/CallJoinedScenarios.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/joined/CallJoinedScenarios.kt
@@ -114,6 +114,27 @@
             }
         }
 
+    @Test
+    fun `a request waits for a repair that ends within its deadline, and for nothing else`() =
+        scenario("a repair is under way") {
+            sizes { failureDomains = listOf("ikeja") }
+            at(1.seconds) {
+                targets.values.forEach { it.loadTime = 3.seconds }
+                host(memberOf(group, 1)).kill()
+            }
+            at(4.seconds) { send("ikeja-a") }
+            at(4_100.milliseconds) {
+                scenario.check(requests.single().answer is FinalAnswer.Refused) { "it waits for nothing known" }
+                await(10.seconds, "a spare loads") { targets.values.any { it.isLoading } }
+                run(1_500.milliseconds)
+                send("ikeja-a")
+            }
+            expect {
+                run(5.seconds)
+                scenario.check(requests.last().answer == FinalAnswer.Whole) { "answer: ${requests.last().answer}" }
+            }
+        }
+
     @Test
     fun `a request goes to another failure domain once, and no further`() = scenario("groups of ikeja are lost") {
         sizes { failureDomains = listOf("ikeja", "apapa", "lekki") }
--- a/control/src/test/kotlin/org/vanillalink/control/joined/JoinedTarget.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/joined/JoinedTarget.kt
@@ -37,6 +37,8 @@
         private set
     var phase = TargetPhase.EMPTY
         private set
+    val isLoading get() = phase == TargetPhase.LOADING && !dead
+    var loadTime: Duration = LOAD_TIME
     var dead = false
         private set
     var paused = false
@@ -140,7 +142,7 @@
         if (hasWeights) return
         phase = TargetPhase.LOADING
         val boot = starts
-        scenario.after(LOAD_TIME) { if (starts == boot && assignment == next) phase = TargetPhase.READY }
+        scenario.after(loadTime) { if (starts == boot && assignment == next) phase = TargetPhase.READY }
     }
 
     companion object {
