--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -21,6 +21,7 @@
 import org.vanillalink.membership.LocalState
 import org.vanillalink.membership.MembershipEvent
 import org.vanillalink.membership.MembershipState
+import org.vanillalink.membership.ReportDelta
 import org.vanillalink.membership.ServiceAggregate
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
@@ -45,6 +46,7 @@
     private val groups = GroupsPart(identity, groupSettings)
     private val calls = CallsPart(identity, ::attemptTarget)
     private val peers = PeersPart(identity, seeds, startedAt)
+    private val expectedCapacity = ExpectedCapacity(identity.failureDomain)
     private val candidates = CandidateList(identity.failureDomain)
     private var hosts: Map<HostId, Host> = emptyMap()
     private var nextServicesAt = startedAt
@@ -103,7 +105,7 @@
             DaemonEvent.Tick -> tick(step)
             is DaemonEvent.HostsListed -> hostsListed(event.hosts, step)
             is DaemonEvent.ReportReceived -> peers.reportAnswered(event.received, step)
-            is DaemonEvent.ReportsShared -> peers.reportsShared(event.delta, step)
+            is DaemonEvent.ReportsShared -> reportsShared(event.delta, step)
             is DaemonEvent.ReportsAcknowledged -> peers.reportsAcknowledged(event.peer, event.change)
             is DaemonEvent.ForMembership -> peers.handle(event.event, step)
             is DaemonEvent.ForDomain -> groups.handle(event.event, step)
@@ -136,6 +138,14 @@
         }
     }
 
+    private fun reportsShared(
+        delta: ReportDelta,
+        step: ControlStep,
+    ) {
+        groups.generationsEnded(delta.endedGenerations, step)
+        peers.reportsShared(delta, step)
+    }
+
     private fun tick(step: ControlStep) {
         peers.handle(MembershipEvent.Tick, step)
         configurationPart.handle(ReplicaEvent.Tick, step)
@@ -143,7 +153,7 @@
         refreshCandidates(step)
         calls.tick(step)
         exchangeServices(step)
-        peers.exchangeReports(hosts.values, step)
+        peers.exchangeReports(hosts.values, servingState.endedGenerations, step)
     }
 
     private fun hostsListed(
@@ -181,6 +191,7 @@
     private fun exchangeServices(step: ControlStep) {
         if (step.now < nextServicesAt) return
         nextServicesAt = step.now.plus(SERVICES_INTERVAL)
+        expectedCapacity.events(servingState, configuration, step.now).forEach { calls.handle(it, step) }
         domainState.heldNumber?.let { step.tell(PartNews.ServicesCounted(countServices(), it)) }
         peers.tellRemoteCapacities(configuration.failureDomains.keys - identity.failureDomain, step)
     }
