Show operators groups, targets, daemons and checks, and count what they alert on

Cause: the operators' port had the configuration and events only, and the one counter of requests mixed results with reasons.

Change: pages /daemons, /groups, /targets (each with why something gets no work), /configuration/check, /configuration/history and POST /drain, which ends the process through the same shutdown hook as SIGTERM. Metrics for requests, refusals with seconds and minutes, first byte, groups, stranded accelerators, configuration, platform, peers, queues and the control thread. A request that another daemon passed on is counted where its caller called, and both daemons record the forwarding attempt, so that the tool can find it. CallObserver's map was read for leaks: every end of a request removes its entry; no change was needed there.

Ruled out: gauges that read control state at the scrape, because a scrape runs on a traffic thread; they are refreshed on the control thread.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -16,9 +16,13 @@
 import org.vanillalink.daemon.control.DispatchExecutor
 import org.vanillalink.daemon.control.DomainExecutor
 import org.vanillalink.daemon.control.TargetPolling
-import org.vanillalink.daemon.operators.ConfigurationPages
-import org.vanillalink.daemon.operators.HealthPages
+import org.vanillalink.daemon.metrics.CallMetrics
+import org.vanillalink.daemon.metrics.MeteredTableStore
+import org.vanillalink.daemon.metrics.ProcessMetrics
+import org.vanillalink.daemon.metrics.StateMetrics
+import org.vanillalink.daemon.operators.DrainPage
 import org.vanillalink.daemon.operators.OperatorsHandler
+import org.vanillalink.daemon.operators.OperatorsPages
 import org.vanillalink.daemon.peers.PeerClient
 import org.vanillalink.daemon.peers.PeerExecutor
 import org.vanillalink.daemon.peers.PeerHandler
@@ -51,6 +55,7 @@
 import java.util.UUID
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.system.exitProcess
 
 /** A daemon with [settings]. */
 class Daemon(
@@ -67,20 +72,23 @@
     private val loops = NettyEventLoops(settings.trafficThreads)
     private val client = NettyHttpClient(loops)
     private val platform = PlatformSettings(settings.platform)
-    private val table = HttpTableStore(client, platform)
     private val targets = HttpTargetClient(client, REPORT_TIMEOUT)
     private val log = EventLog(settings.daemon, clock)
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val table = MeteredTableStore(HttpTableStore(client, platform), metrics)
+    private val callMetrics = CallMetrics(metrics)
+    private val stateMetrics = StateMetrics(metrics) { table.reachable }
     private val thread = ControlThread()
     private val control = DaemonControl(identity, settings.seeds, clock.instant())
     private val loop = ControlLoop(thread, control, clock)
     private val configuration = ConfigurationExecutor(loop, thread, table)
     private val polling = TargetPolling(loop, targets, HttpHostList(client, platform), clock)
-    private val observer = CallObserver(log, metrics, clock)
+    private val observer = CallObserver(log, callMetrics, clock)
     private val activeCalls = ActiveCalls()
     private val peerClient = PeerClient(client, settings.secret, PEER_TIMEOUT)
     private val peers = PeerExecutor(loop, thread, peerClient) { control.peerEndpointOf(it) }
-    private val calls = CallExecutor(loop, thread, targets, activeCalls, observer, ::forwardTargetOf)
+    private val calls =
+        CallExecutor(loop, thread, targets, activeCalls, observer, callMetrics, clock, ::forwardTargetOf)
     private val objects = HttpObjectStore(client, platform)
     private val owners = PeerRecordOwners(peerClient) { control.peerEndpointOf(it) }
     private val dispatch = DispatchExecutor(loop, table, objects, owners, activeCalls, observer)
@@ -94,6 +102,7 @@
         val operators = NettyHttpServer(loops, settings.operatorsListen, ServerLimits(), operatorsHandler())
         val peerHandler = PeerHandler(settings.secret, loop, peers, callers.forwarded, clock)
         val peerServer = NettyHttpServer(loops, settings.peersListen, ServerLimits(), peerHandler)
+        ProcessMetrics.register(metrics, thread::busy) { inProgress(listOf(traffic, peerServer)) }
         val ended = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(Thread { shutDown(listOf(traffic, peerServer), operators, ended) })
         log.record(
@@ -137,22 +146,32 @@
     private fun subscribeToTime() {
         thread.every(TICK) { loop.handle(DaemonEvent.Tick) }
         thread.every(HOSTS_INTERVAL, polling::readHosts)
+        thread.every(METRICS_INTERVAL) { stateMetrics.refresh(control, clock.instant()) }
     }
 
     private fun operatorsHandler(): OperatorsHandler {
-        val health = HealthPages(loop) { callers.draining }
-        val pages = ConfigurationPages(settings.daemon.value, loop, configuration, clock)
-        return OperatorsHandler(
-            settings.secret,
+        val pages =
+            OperatorsPages(
+                settings = settings,
+                loop = loop,
+                editor = configuration,
+                table = table,
+                isReachable = { table.reachable },
+                isDraining = { callers.draining },
+                clock = clock,
+            )
+        val own =
             mapOf(
-                "/healthz" to health.health,
-                "/readyz" to health.readiness,
                 "/metrics" to OperatorsHandler.metrics(metrics),
                 "/events" to OperatorsHandler.events(log),
-                "/configuration" to pages.show,
-                "/configuration/edits" to pages.apply,
-            ),
-        )
+                "/drain" to DrainPage(settings.daemon.value, settings.drainTimeout, ::endProcess),
+            )
+        return OperatorsHandler(settings.secret, pages.byPath + own)
+    }
+
+    /** Has the JVM run its shutdown hooks, as SIGTERM does; [exitProcess] returns only at their end. */
+    private fun endProcess() {
+        Thread({ exitProcess(0) }, "end").start()
     }
 
     /** Runs on the JVM's shutdown thread: the process ends when it returns. */
@@ -188,6 +207,7 @@
     private companion object {
         val PEER_TIMEOUT: Duration = Duration.ofSeconds(1)
         val TICK: Duration = Duration.ofMillis(100)
+        val METRICS_INTERVAL: Duration = Duration.ofSeconds(1)
         val HOSTS_INTERVAL: Duration = Duration.ofSeconds(1)
         val REPORT_TIMEOUT: Duration = Duration.ofSeconds(1)
         const val DRAIN_POLL_MILLISECONDS = 50L
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -6,6 +6,8 @@
 import org.vanillalink.control.AttemptTarget
 import org.vanillalink.control.DaemonDecision
 import org.vanillalink.control.DaemonEvent
+import org.vanillalink.daemon.metrics.CallMetrics
+import org.vanillalink.daemon.metrics.TimedAnswerWriter
 import org.vanillalink.daemon.traffic.ActiveCall
 import org.vanillalink.daemon.traffic.ActiveCalls
 import org.vanillalink.daemon.traffic.CallEvents
@@ -15,10 +17,15 @@
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.Refusal
 import org.vanillalink.model.RequestId
+import org.vanillalink.model.ServiceName
 import org.vanillalink.routing.RouterDecision
 import org.vanillalink.routing.RouterEvent
 import org.vanillalink.targets.TargetClient
+import org.vanillalink.transport.AnswerWriter
+import java.time.Clock
+import java.time.Duration
 
 /** [forwardTargetOf] gives where a peer takes requests that are passed on. */
 class CallExecutor(
@@ -27,6 +34,8 @@
     private val targets: TargetClient,
     private val calls: ActiveCalls,
     private val observer: CallObserver,
+    private val metrics: CallMetrics,
+    private val clock: Clock,
     private val forwardTargetOf: (DaemonId) -> ForwardTarget?,
 ) : DecisionExecutor,
     CallEvents {
@@ -58,6 +67,25 @@
         if (event is RouterEvent.RequestCancelled) cancelled(event) else loop.handle(DaemonEvent.ForRouter(event))
     }
 
+    override fun refusedAtEntry(
+        request: RequestId,
+        refusal: Refusal,
+        forwarded: Boolean,
+    ) = observer.refusedAtEntry(request, refusal, forwarded)
+
+    override fun forwardedArrived(
+        request: RequestId,
+        forwardingAttempt: String,
+    ) = observer.forwardedArrived(request, forwardingAttempt)
+
+    override fun timed(
+        service: ServiceName,
+        answer: AnswerWriter,
+    ): AnswerWriter {
+        val startedAt = clock.instant()
+        return TimedAnswerWriter(answer) { metrics.firstByte(service, Duration.between(startedAt, clock.instant())) }
+    }
+
     override fun execute(decision: DaemonDecision) {
         when (decision) {
             is DaemonDecision.StartAttempt -> {
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/ControlThread.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 /** Runs actions one after the other. */
 class ControlThread :
@@ -18,6 +19,11 @@
     private val executor =
         Executors.newSingleThreadScheduledExecutor { task -> Thread(task, "control").apply { isDaemon = true } }
 
+    private val busyNanoseconds = AtomicLong()
+
+    /** How long actions have run since the start. */
+    val busy: Duration get() = Duration.ofNanos(busyNanoseconds.get())
+
     /** Runs [action] after those that were handed over before. */
     fun execute(action: () -> Unit) {
         try {
@@ -42,10 +48,13 @@
     /** A fault in one event must not end the thread: the next events still have to be handled. */
     @Suppress("TooGenericExceptionCaught")
     private fun guarded(action: () -> Unit) {
+        val startedAt = System.nanoTime()
         try {
             action()
         } catch (failure: Exception) {
             logger.error(failure) { KeyValueLine.of("event" to "control-fault", "fault" to failure) }
+        } finally {
+            busyNanoseconds.addAndGet(System.nanoTime() - startedAt)
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/ConfigurationCheckPage.kt
@@ -0,0 +1,60 @@
+/*
+ * Validates sections against the rest of the configuration without applying them.
+ */
+package org.vanillalink.daemon.operators
+
+import org.vanillalink.configuration.ConfigurationError
+import org.vanillalink.configuration.ConfigurationSection
+import org.vanillalink.configuration.ConfigurationValidation
+import org.vanillalink.configuration.ReplicaState
+import org.vanillalink.daemon.control.ControlLoop
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+
+/** Sections to check by name, each JSON text; those left out are taken as in force. */
+data class CheckMessage(
+    val sections: Map<String, String>,
+)
+
+/** [baseRevision] is the revision that the other sections were taken from, null where none is in force. */
+data class CheckAnswer(
+    val valid: Boolean,
+    val baseRevision: Long?,
+    val errors: List<ConfigurationError>,
+    val unknownSections: List<String>,
+)
+
+internal class ConfigurationCheckPage(
+    private val loop: ControlLoop,
+    private val validation: ConfigurationValidation = ConfigurationValidation(),
+) : OperatorsPage {
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val message = Json.read<CheckMessage>(request.body).getOrNull()
+        if (message == null) {
+            answer.answer(HttpStatus.BAD_REQUEST)
+            return
+        }
+        loop.ask { it.replicaState }.thenAccept { state -> answer.answerJson(check(message, state)) }
+    }
+
+    private fun check(
+        message: CheckMessage,
+        state: ReplicaState,
+    ): CheckAnswer {
+        val held =
+            state.inForce
+                ?.set
+                ?.sections
+                .orEmpty()
+        val given = message.sections.mapNotNull { (name, text) -> ConfigurationSection.of(name)?.let { it to text } }
+        val contents = held.mapValues { it.value.content } + given
+        val errors = validation.decode(contents).leftOrNull().orEmpty()
+        val unknown = message.sections.keys.filter { ConfigurationSection.of(it) == null }
+        return CheckAnswer(errors.isEmpty() && unknown.isEmpty(), state.revision, errors, unknown)
+    }
+}
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/ConfigurationPages.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/ConfigurationPages.kt
@@ -82,7 +82,7 @@
         val message = Json.read<EditMessage>(request.body).getOrNull()
         val section = message?.let { ConfigurationSection.of(it.section) }
         if (message == null || section == null) {
-            answer.answerJson(EditAnswer("malformed"), BAD_REQUEST)
+            answer.answerJson(EditAnswer("malformed"), HttpStatus.BAD_REQUEST)
             return
         }
         val edit =
@@ -140,7 +140,6 @@
     }
 
     private companion object {
-        const val BAD_REQUEST = 400
         const val CONFLICT = 409
         const val UNPROCESSABLE = 422
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/DrainPage.kt
@@ -0,0 +1,33 @@
+/*
+ * Lets operators ask a daemon to finish its requests and end, as SIGTERM does.
+ */
+package org.vanillalink.daemon.operators
+
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HttpRequestMessage
+import java.time.Duration
+
+/** The answer to `POST /drain`; after [drainSeconds] what is still in progress is cut off. */
+data class DrainAnswer(
+    val daemon: String,
+    val drainSeconds: Long,
+)
+
+/** [end] begins the end of the process and returns at once. */
+internal class DrainPage(
+    private val daemon: String,
+    private val drainTimeout: Duration,
+    private val end: () -> Unit,
+) : OperatorsPage {
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        if (request.method != "POST") {
+            answer.answer(HttpStatus.METHOD_NOT_ALLOWED)
+            return
+        }
+        answer.answerJson(DrainAnswer(daemon, drainTimeout.toSeconds()), HttpStatus.ACCEPTED)
+        end()
+    }
+}
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/HealthPages.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/HealthPages.kt
@@ -16,6 +16,9 @@
     private val loop: ControlLoop,
     private val isDraining: () -> Boolean,
 ) {
+    /** Whether the daemon is about to end. */
+    val draining: Boolean get() = isDraining()
+
     /** Answers as soon as the process handles requests. */
     val health = OperatorsPage { _, answer -> answer.answerJson(mapOf("alive" to true)) }
 
@@ -28,7 +31,8 @@
             }
         }
 
-    private fun readiness(configured: Boolean): Readiness = when {
+    /** Whether callers should be sent here, with [configured] telling whether a configuration is in force. */
+    fun readiness(configured: Boolean): Readiness = when {
         isDraining() -> Readiness(false, "shutting down")
         !configured -> Readiness(false, "no configuration from the platform or a peer yet")
         else -> Readiness(true, null)
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/OperatorsHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/OperatorsHandler.kt
@@ -20,8 +20,11 @@
 
 internal object HttpStatus {
     const val OK = 200
+    const val ACCEPTED = 202
+    const val BAD_REQUEST = 400
     const val UNAUTHORIZED = 401
     const val NOT_FOUND = 404
+    const val METHOD_NOT_ALLOWED = 405
     const val UNAVAILABLE = 503
 }
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
@@ -74,7 +74,15 @@
     ) {
         val id = RequestId(UUID.randomUUID().toString())
         val accepted = either { accept(id, request, answer) }
-        accepted.fold({ refusal -> answer.refuse(refusal, id.value) }, { begin(it, answer) })
+        val forwardingAttempt = request.headers[CallerProtocol.FORWARDED_HEADER]
+        forwardingAttempt?.let { events.forwardedArrived(id, it) }
+        accepted.fold(
+            { refusal ->
+                events.refusedAtEntry(id, refusal, forwardingAttempt != null)
+                answer.refuse(refusal, id.value)
+            },
+            { begin(it, answer) },
+        )
     }
 
     private class AcceptedCall(
@@ -114,12 +122,13 @@
             refusal(RefusalReason.FORBIDDEN, "Workspace '${caller.workspace}' may not use '$service'.")
         }
         val arrival = arrival(id, service, settings, caller, request, current.document)
+        val timed = if (arrival.forwarded) answer else events.timed(service, answer)
         if (body != null) {
-            return AcceptedCall(ModelCall(id, body, request.headers, answer, client, events, clock), null, arrival)
+            return AcceptedCall(ModelCall(id, body, request.headers, timed, client, events, clock), null, arrival)
         }
         // The daemon that passes a keyed call on holds its record.
         val keyed = if (arrival.repeatable || arrival.forwarded) null else keyedCall(request, arrival)
-        return AcceptedCall(plainCall(keyed, arrival, request, answer), keyed, arrival)
+        return AcceptedCall(plainCall(keyed, arrival, request, timed), keyed, arrival)
     }
 
     private fun Raise<Refusal>.completionBody(request: HttpRequestMessage): ObjectNode {
