Let the tool check, list, take domains out, drain and follow requests

The tool learns the daemons from a daemon's peers, and names those that it couldn't ask. An edit whose answer was lost goes to the next daemon with the same edit id, which is printed with how to repeat it. The time line follows a request to the daemon that it was passed to.

Ruled out: generating a new edit id for a second daemon, which could apply an edit twice.

--- a/tool/src/main/kotlin/org/vanillalink/tool/DaemonOptions.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/DaemonOptions.kt
@@ -32,6 +32,19 @@
     )
     private var secretText: String? = null
 
+    @Option(
+        names = ["--only"],
+        description = ["Ask only the daemons given, not those that they know of."],
+    )
+    var only: Boolean = false
+
+    @Option(
+        names = ["--output"],
+        description = ["\${COMPLETION-CANDIDATES}, in either case. Default: \${DEFAULT-VALUE}."],
+        defaultValue = "table",
+    )
+    var output: OutputFormat = OutputFormat.TABLE
+
     /** The secret, or null where none is set. */
     val secret: String? get() = secretText?.takeIf { it.isNotEmpty() }
 }
--- a/tool/src/main/kotlin/org/vanillalink/tool/Main.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/Main.kt
@@ -9,5 +9,8 @@
 /** Runs one command. */
 @Suppress("SpreadOperator")
 fun main(arguments: Array<String>) {
-    exitProcess(CommandLine(VanillalinkCommand()).execute(*arguments))
+    exitProcess(commandLine().execute(*arguments))
 }
+
+/** The command line as operators use it. */
+fun commandLine(): CommandLine = CommandLine(VanillalinkCommand()).setCaseInsensitiveEnumValuesAllowed(true)
--- a/tool/src/main/kotlin/org/vanillalink/tool/OperatorsClient.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/OperatorsClient.kt
@@ -21,11 +21,16 @@
     /** What to show. */
     val detail: String
 
+    /** What that means for a call that was to change something. */
+    val consequence: String get() = "not sent"
+
     /** No answer. [mayHaveArrived] tells whether the daemon may have got the call. */
     data class Unreachable(
         override val detail: String,
         val mayHaveArrived: Boolean,
-    ) : OperatorsFailure
+    ) : OperatorsFailure {
+        override val consequence: String get() = if (mayHaveArrived) "it may have arrived" else "not sent"
+    }
 
     /** The secret is missing or wrong. */
     data object Unauthorized : OperatorsFailure {
@@ -35,7 +40,9 @@
     /** An answer that this tool can't read. */
     data class Malformed(
         override val detail: String,
-    ) : OperatorsFailure
+    ) : OperatorsFailure {
+        override val consequence: String get() = "it may have taken effect"
+    }
 }
 
 /** Calls daemons with [secret]. */
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/Output.kt
@@ -0,0 +1,32 @@
+/*
+ * Prints answers as JSON or as tables.
+ */
+package org.vanillalink.tool
+
+import org.vanillalink.transport.Json
+
+/** How answers are printed. */
+enum class OutputFormat { TABLE, JSON }
+
+/** Prints to the standard output. */
+object Output {
+    private const val GAP = "  "
+
+    /** Prints [value] on one line as JSON. */
+    fun json(value: Any) = println(Json.write(value).decodeToString())
+
+    /** Prints [rows] under [headings], each column as wide as its widest cell. */
+    fun table(
+        headings: List<String>,
+        rows: List<List<Any?>>,
+    ) {
+        val cells = listOf(headings) + rows.map { row -> row.map { it?.toString() ?: "-" } }
+        val widths = headings.indices.map { column -> cells.maxOf { it[column].length } }
+        cells.forEach { row -> println(line(row, widths)) }
+    }
+
+    private fun line(
+        row: List<String>,
+        widths: List<Int>,
+    ): String = row.mapIndexed { column, cell -> cell.padEnd(widths[column]) }.joinToString(GAP).trimEnd()
+}
--- a/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationApplyCommand.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationApplyCommand.kt
@@ -6,7 +6,10 @@
 
 import org.vanillalink.tool.DaemonOptions
 import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.Fleet
 import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
@@ -42,8 +45,11 @@
     private var author: String = System.getProperty("user.name").orEmpty()
 
     override fun call(): Int {
+        if (!Files.isReadable(file)) {
+            System.err.println("$file can't be read")
+            return ExitCode.USAGE.number
+        }
         val message = EditMessage(edit, section, expectedVersion, Files.readString(file), author)
-        System.err.println("edit $edit")
         return OperatorsClient(options.secret).use { client -> send(client, message).number }
     }
 
@@ -51,21 +57,8 @@
         client: OperatorsClient,
         message: EditMessage,
     ): ExitCode {
-        for (daemon in options.daemons) {
-            val answer = client.post(daemon, "/configuration/edits", message, EditMessageAnswer::class.java)
-            answer.onLeft { System.err.println("$daemon: ${it.detail}") }
-            answer.onRight { return report(it) }
-        }
-        return ExitCode.UNREACHABLE
-    }
-
-    private fun report(answer: EditMessageAnswer): ExitCode {
-        when (answer.result) {
-            "accepted" -> println("accepted: version ${answer.version}, revision ${answer.revision}")
-            else -> println("${answer.result}: ${answer.outcome ?: "not-applied"}")
-        }
-        answer.presentVersion?.let { println("the section has version $it") }
-        answer.errors.forEach { println("${it.section}${it.path}: ${it.value}; allowed: ${it.allowed}") }
-        return if (answer.result == "accepted") ExitCode.DONE else ExitCode.REFUSED
+        val sent = EditSender(Fleet(options, client).known().keys, client).send(message)
+        if (options.output == OutputFormat.JSON) Output.json(sent) else sent.answer?.print()
+        return sent.exitCode
     }
 }
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationCheckCommand.kt
@@ -0,0 +1,78 @@
+/*
+ * Validates a whole document, or one section against the rest that is in force, without applying it.
+ */
+package org.vanillalink.tool.configuration
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+/** `configuration check`. */
+@Command(
+    name = "check",
+    description = ["Validates a whole document, or with --section one section against the rest; applies nothing."],
+    mixinStandardHelpOptions = true,
+)
+class ConfigurationCheckCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    @Parameters(index = "0", description = ["A file with an object of sections by name, or one section's content."])
+    private lateinit var file: Path
+
+    @Option(names = ["--section"], description = ["The file holds this section alone."])
+    private var section: String? = null
+
+    override fun call(): Int {
+        val sections = readSections()
+        if (sections == null) {
+            System.err.println("$file isn't a readable JSON object of sections by name")
+            return ExitCode.USAGE.number
+        }
+        return OperatorsClient(options.secret).use { client -> check(client, CheckMessage(sections)).number }
+    }
+
+    private fun readSections(): Map<String, String>? {
+        if (!Files.isReadable(file)) return null
+        section?.let { return mapOf(it to Files.readString(file)) }
+        val document = Json.read<JsonNode>(Files.readAllBytes(file)).getOrNull() as? ObjectNode ?: return null
+        return document.properties().associate { (name, node) -> name to node.toString() }
+    }
+
+    private fun check(
+        client: OperatorsClient,
+        message: CheckMessage,
+    ): ExitCode {
+        for (daemon in options.daemons) {
+            val answer = client.post(daemon, "/configuration/check", message, CheckMessageAnswer::class.java)
+            answer.onLeft { System.err.println("$daemon: ${it.detail}") }
+            answer.onRight { return report(it) }
+        }
+        return ExitCode.UNREACHABLE
+    }
+
+    private fun report(answer: CheckMessageAnswer): ExitCode {
+        if (options.output == OutputFormat.JSON) Output.json(answer) else print(answer)
+        return if (answer.valid) ExitCode.DONE else ExitCode.REFUSED
+    }
+
+    private fun print(answer: CheckMessageAnswer) {
+        val base = answer.baseRevision?.let { "revision $it" } ?: "an empty configuration"
+        println(if (answer.valid) "valid with $base" else "not valid with $base")
+        answer.unknownSections.forEach { println("$it: no such section") }
+        answer.errors.forEach { println(it) }
+    }
+}
--- a/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationCommand.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationCommand.kt
@@ -3,13 +3,20 @@
  */
 package org.vanillalink.tool.configuration
 
+import org.vanillalink.tool.status.DaemonsCommand
 import picocli.CommandLine.Command
 
 /** Groups the commands on the configuration. */
 @Command(
     name = "configuration",
     description = ["Shows and edits the configuration, section by section."],
-    subcommands = [ConfigurationShowCommand::class, ConfigurationApplyCommand::class],
+    subcommands = [
+        ConfigurationShowCommand::class,
+        ConfigurationCheckCommand::class,
+        ConfigurationApplyCommand::class,
+        DaemonsCommand::class,
+        ConfigurationHistoryCommand::class,
+    ],
     mixinStandardHelpOptions = true,
 )
 class ConfigurationCommand
--- a/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationMessages.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationMessages.kt
@@ -32,9 +32,16 @@
 data class EditError(
     val section: String = "",
     val path: String = "",
-    val value: String = "",
+    val problem: String = "",
+    val value: String? = null,
     val allowed: String = "",
-)
+) {
+    override fun toString(): String {
+        val place = listOf(section, path).filter { it.isNotEmpty() }.joinToString(": ")
+        val found = value?.let { " $it" }.orEmpty()
+        return "$place: ${problem.lowercase().replace('_', ' ')}$found; allowed: $allowed"
+    }
+}
 
 /** How an edit ended. */
 data class EditMessageAnswer(
@@ -46,3 +53,32 @@
     val outcome: String? = null,
     val errors: List<EditError> = emptyList(),
 )
+
+/** Sections to check by name, each as JSON text. */
+data class CheckMessage(
+    val sections: Map<String, String>,
+)
+
+/** What the check found; [baseRevision] is the revision of the sections that weren't given. */
+data class CheckMessageAnswer(
+    val valid: Boolean,
+    val baseRevision: Long?,
+    val errors: List<EditError>,
+    val unknownSections: List<String>,
+)
+
+/** An accepted edit. */
+data class HistoryEntryMessage(
+    val revision: Long,
+    val section: String,
+    val version: Long,
+    val edit: String?,
+    val author: String?,
+)
+
+/** Accepted edits; [fromPlatform] is false where only what is in force at [daemon] is known. */
+data class HistoryMessage(
+    val daemon: String,
+    val fromPlatform: Boolean,
+    val edits: List<HistoryEntryMessage>,
+)
--- a/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationShowCommand.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/ConfigurationShowCommand.kt
@@ -6,6 +6,8 @@
 import org.vanillalink.tool.DaemonOptions
 import org.vanillalink.tool.ExitCode
 import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
@@ -36,14 +38,26 @@
     private fun print(configuration: ConfigurationMessage): ExitCode {
         val wanted = section
         if (wanted != null) {
-            val content = configuration.sections[wanted]?.content ?: return ExitCode.FAILED
+            val content = configuration.sections[wanted]?.content ?: return missing(wanted, configuration)
             println(content)
             return ExitCode.DONE
         }
+        if (options.output == OutputFormat.JSON) {
+            Output.json(configuration)
+            return ExitCode.DONE
+        }
         println("daemon ${configuration.daemon}, revision ${configuration.revision}")
         configuration.sections.forEach { (name, section) ->
             println("$name, version ${section.version}: ${section.content}")
         }
         return ExitCode.DONE
     }
+
+    private fun missing(
+        section: String,
+        configuration: ConfigurationMessage,
+    ): ExitCode {
+        System.err.println("${configuration.daemon} has no section '$section' in force")
+        return ExitCode.FAILED
+    }
 }
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/configuration/EditSender.kt
@@ -0,0 +1,62 @@
+/*
+ * Sends an edit to one daemon after the other until one answers. An edit whose answer was lost may have taken effect,
+ * so the next daemon gets it with the same edit id: the platform then recognises it and applies it once.
+ */
+package org.vanillalink.tool.configuration
+
+import org.vanillalink.model.Endpoint
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.OperatorsClient
+
+/** An edit's end: the daemon's [answer], or null where none gave any. */
+data class SentEdit(
+    val edit: String,
+    val answer: EditMessageAnswer?,
+) {
+    /** What the process's exit code is to tell. */
+    val exitCode: ExitCode
+        get() =
+            when (answer?.result) {
+                "accepted" -> ExitCode.DONE
+                null, "platform-unavailable", "unreadable-rows" -> ExitCode.UNREACHABLE
+                else -> ExitCode.REFUSED
+            }
+}
+
+/** Sends edits to [daemons] through [client]. */
+class EditSender(
+    private val daemons: Collection<Endpoint>,
+    private val client: OperatorsClient,
+) {
+    /** Sends [message] and prints to the error stream what the operator needs to send it again. */
+    fun send(message: EditMessage): SentEdit {
+        System.err.println("edit ${message.edit}")
+        val answer = daemons.firstNotNullOfOrNull { sendTo(it, message) }
+        val sent = SentEdit(message.edit, answer)
+        if (sent.exitCode == ExitCode.UNREACHABLE) {
+            System.err.println("to send the same edit again, which never applies it twice: --edit ${message.edit}")
+        }
+        return sent
+    }
+
+    private fun sendTo(
+        daemon: Endpoint,
+        message: EditMessage,
+    ): EditMessageAnswer? = client
+        .post(daemon, "/configuration/edits", message, EditMessageAnswer::class.java)
+        .onLeft { System.err.println("$daemon: ${it.detail}; ${it.consequence}") }
+        .getOrNull()
+}
+
+/** Prints an edit's end. */
+internal fun EditMessageAnswer.print() {
+    when (result) {
+        "accepted" -> println("accepted: version $version, revision $revision" + repeatedText())
+        else -> println("$result: ${outcome ?: "not-applied"}")
+    }
+    presentVersion?.let { println("the section has version $it") }
+    errors.forEach { println(it) }
+}
+
+private fun EditMessageAnswer.repeatedText(): String =
+    if (repeated == true) " (an earlier try had taken effect)" else ""
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/domain/DomainCommand.kt
@@ -0,0 +1,94 @@
+/*
+ * Takes a failure domain out of service and lets it in again, by a conditional edit of the section failure-domains.
+ */
+package org.vanillalink.tool.domain
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.Fleet
+import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.configuration.ConfigurationMessage
+import org.vanillalink.tool.configuration.EditMessage
+import org.vanillalink.tool.configuration.EditSender
+import org.vanillalink.tool.configuration.print
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import java.time.Duration
+import java.util.UUID
+import java.util.concurrent.Callable
+
+/** Where a failure domain is to be. */
+enum class WantedState { OUT, IN }
+
+/** `domain`. */
+@Command(
+    name = "domain",
+    description = ["Takes a failure domain out (no new work; work in progress finishes) or lets it in again."],
+    mixinStandardHelpOptions = true,
+)
+class DomainCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    @Parameters(index = "0", description = ["\${COMPLETION-CANDIDATES}, in either case."])
+    private lateinit var state: WantedState
+
+    @Parameters(index = "1", description = ["The failure domain."])
+    private lateinit var failureDomain: String
+
+    @Option(names = ["--watch"], description = ["Wait until it is in force at every daemon."])
+    private var watch: Boolean = false
+
+    @Option(
+        names = ["--timeout-seconds"],
+        description = ["How long --watch waits. Default: \${DEFAULT-VALUE}."],
+        defaultValue = "30",
+    )
+    private var timeoutSeconds: Long = 0
+
+    @Option(names = ["--edit"], description = ["The edit's id; give the same to repeat an edit after a lost answer."])
+    private var edit: String = UUID.randomUUID().toString()
+
+    @Option(names = ["--author"], description = ["Who makes the edit."])
+    private var author: String = System.getProperty("user.name").orEmpty()
+
+    override fun call(): Int = OperatorsClient(options.secret).use { client -> change(client).number }
+
+    private fun change(client: OperatorsClient): ExitCode {
+        val fleet = Fleet(options, client)
+        val daemons = fleet.known().keys
+        val present =
+            daemons.firstNotNullOfOrNull { daemon ->
+                val answer = client.get(daemon, "/configuration", ConfigurationMessage::class.java)
+                answer.onLeft { System.err.println("$daemon: ${it.detail}") }.getOrNull()
+            } ?: return ExitCode.UNREACHABLE
+        val section = present.sections[SECTION]
+        val content = section?.let { changed(it.content) }
+        if (section == null || content == null) {
+            System.err.println("${present.daemon} has no failure domain '$failureDomain' in force")
+            return ExitCode.FAILED
+        }
+        val sent = EditSender(daemons, client).send(EditMessage(edit, SECTION, section.version, content, author))
+        sent.answer?.print()
+        val revision = sent.answer?.revision
+        if (!watch || revision == null) return sent.exitCode
+        return RevisionWatch(fleet, Duration.ofSeconds(timeoutSeconds)).await(revision)
+    }
+
+    private fun changed(content: String): String? {
+        val document = Json.read<JsonNode>(content.encodeToByteArray()).getOrNull() as? ObjectNode
+        val domain = document?.get(failureDomain) as? ObjectNode ?: return null
+        domain.put("state", state.name)
+        return document.toString()
+    }
+
+    private companion object {
+        const val SECTION = "failure-domains"
+    }
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/drain/DrainCommand.kt
@@ -0,0 +1,64 @@
+/*
+ * Asks one daemon to finish its requests and end.
+ */
+package org.vanillalink.tool.drain
+
+import org.vanillalink.model.Endpoint
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.DrainMessage
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.Fleet
+import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import picocli.CommandLine.Parameters
+import java.util.concurrent.Callable
+
+/** `drain`. */
+@Command(
+    name = "drain",
+    description = ["Asks a daemon to take no new requests, finish those in progress and end, as SIGTERM does."],
+    mixinStandardHelpOptions = true,
+)
+class DrainCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    @Parameters(index = "0", description = ["The daemon's id."])
+    private lateinit var daemon: String
+
+    override fun call(): Int = OperatorsClient(options.secret).use { client ->
+        val endpoint = find(client)
+        if (endpoint == null) {
+            System.err.println("no daemon that could be asked knows '$daemon'")
+            ExitCode.FAILED.number
+        } else {
+            drain(client, endpoint).number
+        }
+    }
+
+    private fun find(client: OperatorsClient): Endpoint? = Fleet(options, client)
+        .known()
+        .entries
+        .firstOrNull { it.value == daemon }
+        ?.key
+
+    private fun drain(
+        client: OperatorsClient,
+        endpoint: Endpoint,
+    ): ExitCode = client.post(endpoint, "/drain", emptyMap<String, String>(), DrainMessage::class.java).fold(
+        { failure ->
+            System.err.println("$daemon at $endpoint: ${failure.detail}; look with 'vanillalink daemons'")
+            ExitCode.UNREACHABLE
+        },
+        { answer ->
+            if (options.output == OutputFormat.JSON) Output.json(answer) else print(answer)
+            ExitCode.DONE
+        },
+    )
+
+    private fun print(answer: DrainMessage) =
+        println("${answer.daemon} drains; what isn't finished after ${answer.drainSeconds} s is cut off")
+}
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/status/DaemonsCommand.kt
@@ -0,0 +1,77 @@
+/*
+ * Lists all daemons with what each has in force, and those that couldn't be asked.
+ */
+package org.vanillalink.tool.status
+
+import org.vanillalink.tool.Asked
+import org.vanillalink.tool.DaemonMessage
+import org.vanillalink.tool.DaemonOptions
+import org.vanillalink.tool.Fleet
+import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import java.util.concurrent.Callable
+
+/** One daemon's line; [problem] says why it couldn't be asked, and all but its place is unknown then. */
+data class DaemonLine(
+    val daemon: String?,
+    val endpoint: String,
+    val problem: String?,
+    val state: DaemonMessage?,
+)
+
+/** `daemons` and `configuration status`. */
+@Command(
+    name = "daemons",
+    aliases = ["status"],
+    description = [
+        "Lists each daemon with the revision in force there, how long ago the platform last confirmed it, whether it " +
+            "is ready, who controls its failure domain, and the daemons that couldn't be asked.",
+    ],
+    mixinStandardHelpOptions = true,
+)
+class DaemonsCommand : Callable<Int> {
+    @Mixin
+    private lateinit var options: DaemonOptions
+
+    override fun call(): Int {
+        val asked =
+            OperatorsClient(options.secret).use { client ->
+                Fleet(options, client).askAll(Fleet.DAEMONS_PATH, DaemonMessage::class.java)
+            }
+        val lines = asked.map(::lineOf)
+        if (options.output == OutputFormat.JSON) Output.json(lines) else print(lines)
+        return Fleet.exitCodeOf(asked).number
+    }
+
+    private fun lineOf(asked: Asked<DaemonMessage>): DaemonLine {
+        val state = asked.answer.getOrNull()
+        val problem = asked.answer.leftOrNull()?.detail
+        return DaemonLine(state?.daemon ?: asked.daemon, asked.endpoint.toString(), problem, state)
+    }
+
+    private fun print(lines: List<DaemonLine>) = Output.table(
+        listOf("DAEMON", "OPERATORS", "DOMAIN", "READY", "REVISION", "AGE", "PLATFORM", "CONTROL", "FENCING"),
+        lines.map { line -> line.state?.let { cells(line, it) } ?: notAsked(line) },
+    )
+
+    private fun cells(
+        line: DaemonLine,
+        state: DaemonMessage,
+    ): List<Any?> = listOf(
+        line.daemon,
+        line.endpoint,
+        state.failureDomain,
+        if (state.ready) "yes" else "no: ${state.notReadyReason}",
+        state.revision ?: "none",
+        state.ageMilliseconds?.let { "$it ms" } ?: "never confirmed",
+        if (state.platformReachable) "answers" else "no answer",
+        if (state.control.heldHere) "held here" else state.control.holder ?: "unknown",
+        state.control.fencingNumber,
+    )
+
+    private fun notAsked(line: DaemonLine): List<Any?> =
+        listOf(line.daemon ?: "unknown", line.endpoint, "unknown", "not asked", "unknown", null, null, null, null)
+}
--- a/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineCommand.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineCommand.kt
@@ -6,55 +6,89 @@
 import org.vanillalink.model.TimelineEvent
 import org.vanillalink.tool.DaemonOptions
 import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.Fleet
 import org.vanillalink.tool.OperatorsClient
+import org.vanillalink.tool.Output
+import org.vanillalink.tool.OutputFormat
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
+import java.time.Instant
 import java.util.concurrent.Callable
 
 /** `timeline`. */
 @Command(
     name = "timeline",
-    description = ["Prints the events of all daemons in one order."],
+    description = [
+        "Prints the events of all daemons in one order, by the daemons' own clocks.",
+        "Names the daemons whose events lack.",
+    ],
     mixinStandardHelpOptions = true,
 )
 class TimelineCommand : Callable<Int> {
     @Mixin
     private lateinit var options: DaemonOptions
 
-    @Option(names = ["--request"], description = ["Only events of this request."])
+    @Option(names = ["--request"], description = ["Only this request, also where a daemon passed it on to another."])
     private var request: String? = null
 
     @Option(names = ["--group"], description = ["Only events of this group."])
     private var group: String? = null
 
+    @Option(names = ["--target"], description = ["Only events that name this host."])
+    private var target: String? = null
+
+    @Option(names = ["--since"], description = ["Only events from then on, as 2026-01-31T08:00:00Z."])
+    private var since: Instant? = null
+
+    @Option(names = ["--until"], description = ["Only events up to then."])
+    private var until: Instant? = null
+
     @Option(names = ["--last"], description = ["Only the last N events."])
     private var last: Int = Int.MAX_VALUE
 
-    override fun call(): Int {
-        val answers =
-            OperatorsClient(options.secret).use { client ->
-                options.daemons.map { it to client.get(it, "/events", Array<TimelineEvent>::class.java) }
-            }
-        answers.forEach { (daemon, answer) ->
-            answer.onLeft { System.err.println("no events from $daemon: ${it.detail}") }
+    @Option(names = ["--follow"], description = ["Go on with new events until interrupted."])
+    private var follow: Boolean = false
+
+    override fun call(): Int = OperatorsClient(options.secret).use { client ->
+        val fleet = Fleet(options, client)
+        val seen = mutableSetOf<Pair<String, Long>>()
+        var code = show(fleet, last, seen)
+        while (follow) {
+            Thread.sleep(FOLLOW_MILLISECONDS)
+            code = show(fleet, Int.MAX_VALUE, seen)
         }
-        val events = answers.flatMap { (_, answer) -> answer.getOrNull()?.toList().orEmpty() }
-        events
-            .filter(::isWanted)
-            .sortedWith(compareBy({ it.at }, { it.daemon }, { it.sequence }))
-            .takeLast(last)
-            .forEach(::print)
-        return if (answers.all { it.second.isRight() }) ExitCode.DONE.number else ExitCode.PARTIAL.number
+        code.number
     }
 
-    private fun isWanted(event: TimelineEvent): Boolean {
-        if (request != null && event.fields["request"] != request) return false
-        return group == null || event.fields["group"] == group
+    /** Prints events that [seen] lacks. A late answer's events come after later ones of other daemons. */
+    private fun show(
+        fleet: Fleet,
+        most: Int,
+        seen: MutableSet<Pair<String, Long>>,
+    ): ExitCode {
+        val asked = fleet.askAll("/events", Array<TimelineEvent>::class.java)
+        val events =
+            asked.flatMap {
+                it.answer
+                    .getOrNull()
+                    ?.toList()
+                    .orEmpty()
+            }
+        val wanted = TimelineFilter(request, group, target, since, until).apply(events)
+        val fresh = wanted.filter { it.daemon.value to it.sequence !in seen }.takeLast(most)
+        wanted.forEach { seen.add(it.daemon.value to it.sequence) }
+        fresh.forEach(::print)
+        return Fleet.exitCodeOf(asked)
     }
 
     private fun print(event: TimelineEvent) {
+        if (options.output == OutputFormat.JSON) return Output.json(event)
         val fields = event.fields.entries.joinToString(" ") { (key, value) -> "$key=$value" }
         println("${event.at} ${event.daemon} ${event.name} $fields")
     }
+
+    private companion object {
+        const val FOLLOW_MILLISECONDS = 1_000L
+    }
 }
--- /dev/null
+++ b/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineFilter.kt
@@ -0,0 +1,35 @@
+/*
+ * Chooses and orders events of the time line.
+ */
+package org.vanillalink.tool.timeline
+
+import org.vanillalink.model.TimelineEvent
+import java.time.Instant
+
+/** What to show; null shows all. [target] is a host, also where it is named inside another field. */
+data class TimelineFilter(
+    val request: String? = null,
+    val group: String? = null,
+    val target: String? = null,
+    val since: Instant? = null,
+    val until: Instant? = null,
+) {
+    /** The wanted ones of [events], by time, then daemon, then the daemon's own order. */
+    fun apply(events: List<TimelineEvent>): List<TimelineEvent> {
+        val requests = request?.let { RequestFamily.of(it, events) }
+        return events
+            .filter { requests == null || it.fields["request"] in requests }
+            .filter { group == null || it.fields["group"] == group }
+            .filter { target == null || names(it, target) }
+            .filter { (since == null || it.at >= since) && (until == null || it.at <= until) }
+            .sortedWith(compareBy({ it.at }, { it.daemon }, { it.sequence }))
+    }
+
+    private fun names(
+        event: TimelineEvent,
+        host: String,
+    ): Boolean {
+        val whole = Regex("(?<![\\w.-])" + Regex.escape(host) + "(?![\\w.-])")
+        return event.fields.values.any { whole.containsMatchIn(it) }
+    }
+}
