--- /dev/null
+++ b/tool/src/test/kotlin/org/vanillalink/tool/ConfigurationEditTest.kt
@@ -0,0 +1,73 @@
+/*
+ * Edits through daemons that don't answer, lose answers or refuse.
+ */
+package org.vanillalink.tool
+
+import org.vanillalink.tool.configuration.EditMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+class ConfigurationEditTest {
+    private val accepted = """{"result":"accepted","version":3,"revision":9,"repeated":true}"""
+
+    @Test
+    fun `an edit whose answer was lost goes to the next daemon with the same id`() {
+        ScriptedDaemon { null }.use { losing ->
+            ScriptedDaemon { accepted }.use { answering ->
+                val run = apply("${losing.endpoint},${answering.endpoint}")
+
+                val ids = (losing.requests + answering.requests).map { editOf(it.body) }
+                assertEquals(0, run.exitCode)
+                assertEquals(listOf("edit-7", "edit-7"), ids)
+                assertContains(run.errors, "it may have arrived")
+                assertContains(run.output, "an earlier try had taken effect")
+            }
+        }
+    }
+
+    @Test
+    fun `without any answer the edit's id is given for another try`() {
+        val run = apply(unreachableEndpoint().toString())
+
+        assertEquals(ExitCode.UNREACHABLE.number, run.exitCode)
+        assertContains(run.errors, "--edit edit-7")
+    }
+
+    @Test
+    fun `a conflicting edit has its own exit code and tells the present version`() {
+        val conflict = """{"result":"version-conflict","presentVersion":5,"outcome":"not-applied"}"""
+        ScriptedDaemon { conflict }.use { daemon ->
+            val run = apply(daemon.endpoint.toString())
+
+            assertEquals(ExitCode.REFUSED.number, run.exitCode)
+            assertContains(run.output, "the section has version 5")
+        }
+    }
+
+    @Test
+    fun `an invalid edit names section, key, reason and what is allowed`() {
+        val invalid =
+            """{"result":"invalid","outcome":"not-applied","errors":[{"section":"limits","path":"queuedRequests",
+            "problem":"OUT_OF_RANGE","value":"-1","allowed":"0 to 100000"}]}"""
+        ScriptedDaemon { invalid }.use { daemon ->
+            val run = apply(daemon.endpoint.toString())
+
+            assertEquals(ExitCode.REFUSED.number, run.exitCode)
+            assertContains(run.output, "limits: queuedRequests: out of range -1; allowed: 0 to 100000")
+        }
+    }
+
+    private fun apply(daemons: String): ToolRun {
+        val file: Path = Files.createTempFile("section", ".json")
+        Files.writeString(file, "{}")
+        val arguments = listOf("--expected-version", "2", "--edit", "edit-7", "--daemons", daemons, "--only")
+        return runTool("configuration", "apply", "limits", file.toString(), *arguments.toTypedArray())
+    }
+
+    private fun editOf(body: ByteArray): String? = Json.read<EditMessage>(body).getOrNull()?.edit
+}
--- /dev/null
+++ b/tool/src/test/kotlin/org/vanillalink/tool/ScriptedDaemon.kt
@@ -0,0 +1,46 @@
+/*
+ * An operators' port that gives scripted answers and keeps what it was sent.
+ */
+package org.vanillalink.tool
+
+import org.vanillalink.model.Endpoint
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpServer
+import org.vanillalink.transport.ServerLimits
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** [script] gives the JSON answer to a request, or null to close the connection without one. */
+class ScriptedDaemon(
+    private val script: (HttpRequestMessage) -> String?,
+) : AutoCloseable {
+    private val loops = NettyEventLoops(1)
+    private val server =
+        NettyHttpServer(loops, Endpoint("127.0.0.1", 0), ServerLimits()) { request, answer -> handle(request, answer) }
+
+    /** The requests in the order in which they came. */
+    val requests = CopyOnWriteArrayList<HttpRequestMessage>()
+
+    /** Where it listens. */
+    val endpoint: Endpoint get() = server.endpoint
+
+    override fun close() {
+        server.close()
+        loops.close()
+    }
+
+    private fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        requests.add(request)
+        val text = script(request)
+        if (text == null) return answer.abort()
+        answer.answer(200, HeaderFields.of("content-type" to "application/json"), text.encodeToByteArray())
+    }
+}
+
+/** A closed port of this machine. */
+fun unreachableEndpoint(): Endpoint = ScriptedDaemon { null }.use { it.endpoint }
--- /dev/null
+++ b/tool/src/test/kotlin/org/vanillalink/tool/ToolRun.kt
@@ -0,0 +1,29 @@
+/*
+ * Runs the tool's command line and keeps what it printed.
+ */
+package org.vanillalink.tool
+
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+
+/** What a run of the tool gave. */
+data class ToolRun(
+    val exitCode: Int,
+    val output: String,
+    val errors: String,
+)
+
+/** Runs the tool with [arguments]. */
+fun runTool(vararg arguments: String): ToolRun {
+    val output = ByteArrayOutputStream()
+    val errors = ByteArrayOutputStream()
+    val before = System.out to System.err
+    System.setOut(PrintStream(output))
+    System.setErr(PrintStream(errors))
+    try {
+        return ToolRun(commandLine().execute(*arguments), output.toString(), errors.toString())
+    } finally {
+        System.setOut(before.first)
+        System.setErr(before.second)
+    }
+}
