Keep two metrics alive and say what a host without a group reports

Cause: in a run of bin/quickstart vanillalink_requests_in_progress was NaN and vanillalink_control_busy_seconds_total 0: the registry held the objects behind them weakly, and they were collected. `targets` showed a host as without-group beside a group's name.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -102,7 +102,7 @@
         val operators = NettyHttpServer(loops, settings.operatorsListen, ServerLimits(), operatorsHandler())
         val peerHandler = PeerHandler(settings.secret, loop, peers, callers.forwarded, clock)
         val peerServer = NettyHttpServer(loops, settings.peersListen, ServerLimits(), peerHandler)
-        ProcessMetrics.register(metrics, thread::busy) { inProgress(listOf(traffic, peerServer)) }
+        ProcessMetrics.register(metrics, thread) { inProgress(listOf(traffic, peerServer)) }
         val ended = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(Thread { shutDown(listOf(traffic, peerServer), operators, ended) })
         log.record(
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/TargetsPage.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/TargetsPage.kt
@@ -7,6 +7,7 @@
 import org.vanillalink.control.DaemonControl
 import org.vanillalink.groups.GroupDescription
 import org.vanillalink.groups.ReceivedReport
+import org.vanillalink.model.Assignment
 import org.vanillalink.model.Host
 import org.vanillalink.model.HostRole
 import org.vanillalink.model.HostStatus
@@ -78,15 +79,16 @@
             host.status == HostStatus.LEAVING -> NotServingAnswer("leaving")
             phase == TargetPhase.LOADING -> NotServingAnswer("loading")
             host.role == HostRole.PLAIN_SERVICE -> plainNotServing(phase, control)
-            else -> engineNotServing(host, control)
+            else -> engineNotServing(host, received?.report?.assignment, control)
         }
     }
 
     private fun engineNotServing(
         host: Host,
+        reported: Assignment?,
         control: DaemonControl,
     ): NotServingAnswer? {
-        val group = groupOf(host, control) ?: return NotServingAnswer("without-group")
+        val group = groupOf(host, control) ?: return withoutGroup(reported)
         return GroupsPage.notServing(group, control)
     }
 
@@ -99,6 +101,9 @@
         else -> null
     }
 
+    private fun withoutGroup(reported: Assignment?) =
+        NotServingAnswer("without-group", detail = reported?.let { "still reports ${it.group} ${it.generation}" })
+
     private fun groupOf(
         host: Host,
         control: DaemonControl,
