Bring admission into force in the daemon

Cause: the joined system let each router limit by itself, so a cold target could get the bound from every daemon at once; the ledger and the account were only driven by tests.

Change: control gets an AdmissionPart (ledger and account of each daemon), fed with targets, reports, control, ticks and messages. Runs of daemons stand in the table; a scan counts only if the control row read after it still names this daemon and no later scan was begun, and a row that is gone means an ended run. The router's limit for a target that isn't warm is always its attempts there plus the free units, told as one with what an attempt's end frees, so nothing is started that would be deferred; queued requests make the account borrow. A warm target, by its own report, needs no unit; after a turn to cold within one boot the ledger lends nothing until no daemon's older report is fresh, and then counts what the target lists. The daemon carries messages as POST /peer/admission (eight types), asks targets on fresh connections, and writes the rows. A cancelled request now cancels at the target and frees its slot in the router, local or forwarded: before, the call was dropped first and the slot stayed in use.

Ruled out: units for warm targets too (about 50 messages for each target and second under full demand, and no service without a controller); membership as evidence of an ended run (reordered heartbeats may name an earlier run last).

Not shown: fairness between daemons (the controller's own daemon often gets scarce units first), processes that restart or are cut off, slowness as a sign of cold.

--- a/admission/src/main/kotlin/org/vanillalink/admission/AccountEvent.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AccountEvent.kt
@@ -24,6 +24,21 @@
         val target: HostId,
     ) : AccountEvent
 
+    /**
+     * As many as [units] requests wait for a unit of [target]; zero if none does. Asks for them before an attempt is
+     * chosen, so that none has to be deferred.
+     */
+    data class UnitsWanted(
+        val target: HostId,
+        val units: Int,
+    ) : AccountEvent
+
+    /** [attempt] is sent without a unit to [target], which is warm by [AdmissionAccount.isWarm]. */
+    data class WarmAttemptStarted(
+        val attempt: AttemptId,
+        val target: HostId,
+    ) : AccountEvent
+
     /** The work of [attempt] has certainly ended, or never reached the target. */
     data class AttemptEnded(
         val attempt: AttemptId,
--- a/admission/src/main/kotlin/org/vanillalink/admission/AccountState.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AccountState.kt
@@ -55,6 +55,7 @@
 
 /**
  * The units of one target. [wanted] attempts found none since the last loan; none is asked for before [askAfter].
+ * [unlent] are attempts that were sent without a unit while the target was warm.
  * [lost] are attempts whose end only an answer to the question of that number can show; [answered] is the latest that
  * was answered. [boot], [sequence], [cold] and [bearableRequests] are those of the latest report; [turnSequence] is the
  * latest in which the target was seen to bear less than before. While [bootInDoubt] some report named another boot, and
@@ -65,6 +66,7 @@
     val loans: Map<LoanId, HeldLoan> = emptyMap(),
     val wanted: Int = 0,
     val askAfter: Instant = Instant.EPOCH,
+    val unlent: Set<AttemptId> = emptySet(),
     val lost: Map<AttemptId, Long> = emptyMap(),
     val question: Long = 0,
     val answered: Long = 0,
@@ -79,6 +81,12 @@
     /** Whether a connection broke and the target hasn't answered since; it may have restarted. */
     val suspect: Boolean get() = lost.values.any { it > answered }
 
+    /** Whether the target's own reports show it warm, and nothing since makes that doubtful. */
+    val warm: Boolean get() = boot != null && !cold && !bootInDoubt && !suspect
+
+    /** All attempts whose work may not have ended. */
+    val running: Set<AttemptId> get() = loans.values.flatMapTo(HashSet(unlent)) { it.inUse }
+
     /** Units that an attempt may use now. */
     val free: Int get() = if (suspect) 0 else loans.values.sumOf { it.free }
 }
--- a/admission/src/main/kotlin/org/vanillalink/admission/AdmissionAccount.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionAccount.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.HostId
 import org.vanillalink.model.Transition
+import java.time.Duration
 import java.time.Instant
 
 /** Decides whether this daemon may send a request to a target. */
@@ -37,6 +38,31 @@
         target: HostId,
     ): Int = state.targets[target]?.free ?: 0
 
+    /**
+     * Whether attempts may be sent to [target] without a unit: its reports show it warm. Requests that were sent in
+     * this way before a turn to cold was heard of are the ones that no bound holds back.
+     */
+    fun isWarm(
+        state: AccountState,
+        target: HostId,
+    ): Boolean = state.targets[target]?.warm == true
+
+    /** Attempts at [target] whose work may not have ended. */
+    fun runningAttempts(
+        state: AccountState,
+        target: HostId,
+    ): Set<AttemptId> = state.targets[target]?.running.orEmpty()
+
+    /** How long this holder expects to wait for a unit of [target] that it can't use now. */
+    fun timeToCapacity(
+        state: AccountState,
+        target: HostId,
+        now: Instant,
+    ): Duration {
+        val askAfter = state.targets[target]?.askAfter ?: now
+        return Duration.between(now, askAfter).coerceAtLeast(settings.resendAfter)
+    }
+
     private fun apply(
         state: AccountState,
         event: AccountEvent,
@@ -44,6 +70,8 @@
     ): Transition<AccountState, AccountDecision> = when (event) {
         is AccountEvent.ControlChanged -> Transition(follow(state, event.owner, event.fencingNumber, now))
         is AccountEvent.AttemptRequested -> admit(state, event)
+        is AccountEvent.UnitsWanted -> Transition(change(state, event.target) { it.copy(wanted = event.units) })
+        is AccountEvent.WarmAttemptStarted -> Transition(change(state, event.target) { it.withUnlent(event.attempt) })
         is AccountEvent.AttemptEnded -> Transition(change(state, event.target) { it.free(event.attempt) })
         is AccountEvent.AttemptLost -> lose(state, event)
         is AccountEvent.ReportReceived -> report(state, event, now)
@@ -94,7 +122,7 @@
         event: AccountEvent.AttemptLost,
     ): Transition<AccountState, AccountDecision> {
         val target = state.targets[event.target] ?: return Transition(state)
-        if (target.loans.values.none { event.attempt in it.inUse }) return Transition(state)
+        if (event.attempt !in target.running) return Transition(state)
         val question = target.question + 1
         val next = target.copy(question = question, lost = target.lost + (event.attempt to question))
         return Transition(state.with(event.target, next), listOf(AccountDecision.AskReport(event.target, question)))
--- a/admission/src/main/kotlin/org/vanillalink/admission/AdmissionLedger.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/AdmissionLedger.kt
@@ -100,7 +100,7 @@
         val target = state.targets[event.report.host] ?: return Transition(state)
         val control = state.control
         if (control != null && event.report.highestFencingNumber > control) return superseded(state, event.report)
-        val next = rules.reported(target, event.report, event.question, control)
+        val next = rules.turned(target, rules.reported(target, event.report, event.question, control), now)
         val asks = if (next.question != target.question || fenceMissing(next)) questions(state, next) else emptyList()
         val told = asks + boundChange(target, next)
         if (!shrank(target, next)) return Transition(state.with(next), told)
@@ -113,7 +113,7 @@
         now: Instant,
     ): Transition<LedgerState, LedgerDecision> {
         val target = state.targets[event.host]?.takeIf { it.boot == event.boot } ?: return Transition(state)
-        val next = rules.slow(target)
+        val next = rules.turned(target, rules.slow(target), now)
         if (next == target) return Transition(state)
         return recall(state.with(next), next, now, next.loans.keys, boundChange(target, next))
     }
@@ -178,7 +178,8 @@
     ): Transition<LedgerState, LedgerDecision> {
         if (state.control == null) return Transition(state)
         val start: Transition<LedgerState, LedgerDecision> = Transition(state)
-        return state.targets.values.fold(start) { before, target ->
+        return state.targets.values.fold(start) { before, known ->
+            val target = rules.countUnlent(known, now)
             val due = target.loans.filterValues { it.recallAt <= now }.keys
             recall(before.state, target, now, due, before.decisions + questions(state, target))
         }
--- a/admission/src/main/kotlin/org/vanillalink/admission/HeldLoans.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/HeldLoans.kt
@@ -22,9 +22,13 @@
     return copy(loans = loans + (id to used)) to used
 }
 
+/** Takes note of [attempt], which is sent without a unit. */
+internal fun TargetAccount.withUnlent(attempt: AttemptId): TargetAccount = copy(unlent = unlent + attempt)
+
 /** Frees the unit of [attempt]; a retired loan loses it. */
 internal fun TargetAccount.free(attempt: AttemptId): TargetAccount = copy(
     loans = loans.mapValues { (_, loan) -> if (attempt in loan.inUse) loan.without(attempt) else loan },
+    unlent = unlent - attempt,
     lost = lost - attempt,
 )
 
--- a/admission/src/main/kotlin/org/vanillalink/admission/LedgerState.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/LedgerState.kt
@@ -61,6 +61,7 @@
 /**
  * The units of one target. [question] numbers the latest question for a report; [bootQuestion] is the latest one asked
  * before [boot] was believed. While [bootInDoubt] some report named another boot.
+ * Until [unlentUntil] daemons that haven't heard of a turn to cold may send requests without units.
  * A [removed] target is kept until its loans are back.
  */
 data class TargetLedger(
@@ -79,6 +80,7 @@
     val question: Long = 1,
     val bootQuestion: Long = 0,
     val removed: Boolean = false,
+    val unlentUntil: Instant? = null,
 )
 
 /** The state with [target] in place of what it knew of it; a removed target goes once all its loans are back. */
--- a/admission/src/main/kotlin/org/vanillalink/admission/TargetRules.kt
+++ b/admission/src/main/kotlin/org/vanillalink/admission/TargetRules.kt
@@ -7,6 +7,7 @@
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.TargetPhase
 import org.vanillalink.model.TargetReport
+import java.time.Instant
 
 /** Rules of one target under a controller with a given fencing number. */
 internal class TargetRules(
@@ -43,7 +44,8 @@
     ): Int {
         if (target.removed || target.bootInDoubt || target.phase != TargetPhase.READY) return 0
         if (target.checksFencing && !target.fenced) return 0
-        val unknown = target.ended.any { it.limit == null } || (declared == null && !target.checksFencing)
+        val unlent = target.unlentUntil != null
+        val unknown = unlent || target.ended.any { it.limit == null } || (declared == null && !target.checksFencing)
         if (unknown && target.ramp.cold) return 0
         val earlier = if (target.checksFencing) emptySet() else declared.orEmpty()
         return maxOf(0, target.ramp.bound - earlier.size - outstanding(target, earlier))
@@ -79,6 +81,29 @@
         return target.copy(ramp = Ramp(settings.coldRequests, cold = true, suspected = true))
     }
 
+    /** Waits, after a turn to cold, for the requests that daemons send without units because they don't know of it. */
+    fun turned(
+        before: TargetLedger,
+        after: TargetLedger,
+        now: Instant,
+    ): TargetLedger {
+        val refuses = after.checksFencing && before.boot != after.boot
+        val turns = after.ramp.cold && !before.ramp.cold
+        if (!turns || refuses || settings.unawareFor.isZero) return after
+        return after.copy(unlentUntil = now.plus(settings.unawareFor))
+    }
+
+    /** Counts what the target runs, once no daemon sends requests without units any more. */
+    fun countUnlent(
+        target: TargetLedger,
+        now: Instant,
+    ): TargetLedger {
+        if (target.unlentUntil?.let { it <= now } != true) return target
+        val question = target.question + 1
+        val unknown = EndedUnits(limit = null, question = question)
+        return target.copy(unlentUntil = null, ended = target.ended + unknown, question = question)
+    }
+
     /** Whether only an answer from the target itself can free units. */
     fun needsAnswer(target: TargetLedger): Boolean =
         target.boot == null || target.bootInDoubt || target.ended.isNotEmpty() || target.orphaned.isNotEmpty()
--- a/control/src/main/kotlin/org/vanillalink/control/CallsPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/CallsPart.kt
@@ -15,10 +15,14 @@
 import org.vanillalink.routing.RouterEvent
 import org.vanillalink.routing.RouterState
 
-/** [describe] completes the router's choice with what an attempt's target has to be told. */
+/**
+ * [prepare] gives what the router has to be told before an event. [describe] completes the router's choice with what an
+ * attempt's target has to be told, or gives null where the attempt may not be sent.
+ */
 internal class CallsPart(
     identity: DaemonIdentity,
-    private val describe: (RouterDecision.StartAttempt) -> AttemptTarget?,
+    private val prepare: (RouterEvent?, ControlStep) -> List<RouterEvent>,
+    private val describe: (RouterDecision.StartAttempt, ControlStep) -> AttemptTarget?,
 ) {
     private val router = Router()
     private val dispatch = IdempotentDispatch()
@@ -38,7 +42,21 @@
         event: RouterEvent,
         step: ControlStep,
     ) {
-        router.handle(routerState, event, step.now).decisions.forEach { follow(it, step) }
+        prepare(event, step).forEach { route(it, step) }
+        route(event, step)
+    }
+
+    /** Tells the router what has changed since it was last told. */
+    fun refresh(step: ControlStep) = prepare(null, step).forEach { route(it, step) }
+
+    /** All attempts that the router starts are admitted before anything else happens: its choices rest on the units. */
+    private fun route(
+        event: RouterEvent,
+        step: ControlStep,
+    ) {
+        val decisions = router.handle(routerState, event, step.now).decisions
+        val targets = decisions.map { (it as? RouterDecision.StartAttempt)?.let { start -> describe(start, step) } }
+        decisions.zip(targets).forEach { (decision, target) -> follow(decision, target, step) }
     }
 
     fun handle(
@@ -68,11 +86,12 @@
 
     private fun follow(
         decision: RouterDecision,
+        target: AttemptTarget?,
         step: ControlStep,
     ) {
         when (decision) {
             is RouterDecision.StartAttempt -> {
-                startAttempt(decision, step)
+                startAttempt(decision, target, step)
             }
 
             is RouterDecision.AnswerRequest -> {
@@ -99,9 +118,9 @@
 
     private fun startAttempt(
         decision: RouterDecision.StartAttempt,
+        target: AttemptTarget?,
         step: ControlStep,
     ) {
-        val target = describe(decision)
         if (target != null) {
             step.decide(DaemonDecision.StartAttempt(decision.request, decision.attempt, target))
             return
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -11,6 +11,9 @@
 import org.vanillalink.configuration.ReplicaEvent
 import org.vanillalink.configuration.ReplicaState
 import org.vanillalink.configuration.RevisionSource
+import org.vanillalink.control.admission.AdmissionPart
+import org.vanillalink.control.admission.AdmissionTargets
+import org.vanillalink.control.admission.CandidateUnits
 import org.vanillalink.dispatch.record.DispatchState
 import org.vanillalink.groups.ControlEvent
 import org.vanillalink.groups.ControllerEvent
@@ -43,7 +46,9 @@
 ) {
     private val configurationPart = ConfigurationPart(startedAt)
     private val groups = GroupsPart(identity, groupSettings)
-    private val calls = CallsPart(identity, ::attemptTarget)
+    private val admission = AdmissionPart(identity)
+    private val calls: CallsPart = CallsPart(identity, ::beforeRouting, ::attemptTarget)
+    private val units = CandidateUnits(admission) { calls.routerState }
     private val peers = PeersPart(identity, seeds, startedAt)
     private val candidates = CandidateList(identity.failureDomain)
     private var hosts: Map<HostId, Host> = emptyMap()
@@ -114,7 +119,9 @@
             is DaemonEvent.KeyedCallAnswered -> calls.keyedCallAnswered(event, step)
             is DaemonEvent.ForDispatch -> calls.handle(event.event, step)
             DaemonEvent.DrainingStarted -> peers.handle(MembershipEvent.LeavingStarted, step)
-            DaemonEvent.ShuttingDown -> groups.handle(ControlEvent.ShuttingDown, step)
+            is DaemonEvent.AttemptClosed -> attemptClosed(event, step)
+            is DaemonEvent.ForAdmission -> admission.handle(event.news, step)
+            DaemonEvent.ShuttingDown -> shutDown(step)
         }
     }
 
@@ -124,12 +131,13 @@
     ) {
         when (news) {
             is PartNews.ConfigurationInForce -> configurationInForce(news, step)
-            is PartNews.LocalStateChanged -> peers.localStateChanged(localState(), news.urgent, step)
+            is PartNews.LocalStateChanged -> localStateChanged(news, step)
             is PartNews.ControlGained -> peers.handle(fencingNumberSeen(news), step)
             is PartNews.FencingNumberHeard -> groups.handle(ControlEvent.FencingNumberSeen(news.fencingNumber), step)
             is PartNews.ForReplica -> configurationPart.handle(news.event, step)
             is PartNews.HostsListed -> groups.handle(ControllerEvent.HostsListed(news.hosts.values.toList()), step)
-            is PartNews.ReportKnown -> groups.reportKnown(news.received, step)
+            is PartNews.ReportKnown -> reportKnown(news, step)
+            PartNews.UnitsChanged -> calls.refresh(step)
             PartNews.ServingChanged -> refreshCandidates(step)
             is PartNews.ForRouter -> calls.handle(news.event, step)
             is PartNews.ServicesCounted -> peers.handle(servicesCounted(news), step)
@@ -140,8 +148,16 @@
         peers.handle(MembershipEvent.Tick, step)
         configurationPart.handle(ReplicaEvent.Tick, step)
         groups.tick(step)
+        tellControl(step)
+        admission.tick(step)
         refreshCandidates(step)
         calls.tick(step)
+        units
+            .demand(
+                configuration.services.keys,
+                membershipState.heardDaemons.size,
+                step,
+            ).forEach { calls.handle(it, step) }
         exchangeServices(step)
         peers.exchangeReports(hosts.values, step)
     }
@@ -165,18 +181,63 @@
         document.failureDomains.forEach { (domain, settings) ->
             calls.handle(RouterEvent.FailureDomainStateChanged(domain, settings.state), step)
         }
+        admission.configurationInForce(document)
         groups.configurationInForce(document, step)
         refreshCandidates(step)
         step.tell(PartNews.LocalStateChanged(urgent = news.source == RevisionSource.PLATFORM))
     }
 
     private fun refreshCandidates(step: ControlStep) {
+        val targets = AdmissionTargets.of(configuration, hosts, servingState, identity.failureDomain)
+        admission.targetsKnown(targets, { it in hosts }, groups::reportOf, step)
         configuration.services.keys.forEach { service ->
+            calls.refresh(step)
             val usable = candidates.of(service, configuration, hosts, servingState, step.now)
-            calls.handle(RouterEvent.CandidatesChanged(service, usable), step)
+            calls.handle(RouterEvent.CandidatesChanged(service, units.ofAll(service, usable)), step)
         }
     }
 
+    /** What the router has to know of units before [event]: its choices must not go beyond them. */
+    private fun beforeRouting(
+        event: RouterEvent?,
+        step: ControlStep,
+    ): List<RouterEvent> = units.before(event, step)
+
+    private fun attemptClosed(
+        event: DaemonEvent.AttemptClosed,
+        step: ControlStep,
+    ) {
+        admission.attemptClosed(event.request, event.attempt, step)
+        calls.refresh(step)
+    }
+
+    private fun reportKnown(
+        news: PartNews.ReportKnown,
+        step: ControlStep,
+    ) {
+        admission.reportKnown(news.received.report, step)
+        groups.reportKnown(news.received, step)
+        calls.refresh(step)
+    }
+
+    private fun localStateChanged(
+        news: PartNews.LocalStateChanged,
+        step: ControlStep,
+    ) {
+        tellControl(step)
+        peers.localStateChanged(localState(), news.urgent, step)
+    }
+
+    private fun tellControl(step: ControlStep) {
+        val held = domainState.heldNumber
+        admission.controlKnown(peers.domainController(held), held, step)
+    }
+
+    private fun shutDown(step: ControlStep) {
+        admission.end(step)
+        groups.handle(ControlEvent.ShuttingDown, step)
+    }
+
     /** The holder of control speaks for the failure domain; every daemon takes note of what others offer. */
     private fun exchangeServices(step: ControlStep) {
         if (step.now < nextServicesAt) return
@@ -194,16 +255,21 @@
             )
         }
 
-    private fun attemptTarget(decision: RouterDecision.StartAttempt): AttemptTarget? {
+    private fun attemptTarget(
+        decision: RouterDecision.StartAttempt,
+        step: ControlStep,
+    ): AttemptTarget? {
         val host = hosts[decision.host] ?: return null
+        val admitted =
+            admission.admit(decision.request, decision.attempt, host.id, decision.boot, step) ?: return null
         val group = groups.groupAt(host.id)
         return AttemptTarget(
             host = host.id,
             endpoint = host.endpoint,
-            boot = decision.boot,
+            boot = admitted.boot,
             group = group?.group,
             generation = group?.generation,
-            fencingNumber = groups.reportOf(host.id)?.highestFencingNumber,
+            fencingNumber = admitted.fencingNumber,
         )
     }
 
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.configuration.ConfigurationDocument
 import org.vanillalink.configuration.EditorDecision
 import org.vanillalink.configuration.ReplicaDecision
+import org.vanillalink.control.admission.AdmissionWork
 import org.vanillalink.dispatch.record.DispatchDecision
 import org.vanillalink.groups.DomainDecision
 import org.vanillalink.groups.NotServingReason
@@ -83,6 +84,11 @@
         val decision: RouterDecision,
     ) : DaemonDecision
 
+    /** Carry out what admission wants done and feed its answer back with [DaemonEvent.ForAdmission]. */
+    data class ForAdmission(
+        val work: AdmissionWork,
+    ) : DaemonDecision
+
     /** End all attempts at [host] as failed: its group serves no more because of [reason]. */
     data class EndAttempts(
         val host: HostId,
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.configuration.EditorEvent
 import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.control.admission.AdmissionNews
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.DispatchEvent
 import org.vanillalink.dispatch.record.KeyedCall
@@ -14,6 +15,7 @@
 import org.vanillalink.membership.ReportDelta
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Host
+import org.vanillalink.model.RequestId
 import org.vanillalink.routing.RouterEvent
 
 /** An event for [DaemonControl]. */
@@ -84,6 +86,17 @@
         val event: DispatchEvent,
     ) : DaemonEvent
 
+    /** This daemon closed the connection of an attempt that has no outcome yet. */
+    data class AttemptClosed(
+        val request: RequestId,
+        val attempt: Int,
+    ) : DaemonEvent
+
+    /** News for admission. */
+    data class ForAdmission(
+        val news: AdmissionNews,
+    ) : DaemonEvent
+
     /** The daemon takes no new requests and finishes those in progress. */
     data object DrainingStarted : DaemonEvent
 
--- a/control/src/main/kotlin/org/vanillalink/control/PartNews.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PartNews.kt
@@ -59,7 +59,10 @@
     /** Which targets may be used, or what they bear, may have changed. */
     data object ServingChanged : PartNews
 
-    /** What other failure domains offer. */
+    /** The units that this daemon may use have changed. */
+    data object UnitsChanged : PartNews
+
+    /** What other failure domains offer, or what a target showed of an attempt. */
     data class ForRouter(
         val event: RouterEvent,
     ) : PartNews
--- a/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.configuration.ConfigurationReplica
 import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.control.admission.DomainController
 import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.membership.DaemonIdentity
 import org.vanillalink.membership.LocalState
@@ -17,6 +18,7 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.Host
 import java.time.Duration
 import java.time.Instant
@@ -51,6 +53,17 @@
         if (local != state.local) handle(MembershipEvent.LocalStateChanged(local, urgent), step)
     }
 
+    /** Who controls the own failure domain: this daemon where [held] is set and greatest, or the peer that says so. */
+    fun domainController(held: FencingNumber?): DomainController? {
+        val near = state.peers.values.filter { it.identity.failureDomain == identity.failureDomain }
+        val told =
+            near.mapNotNull { peer ->
+                peer.heldFencingNumber?.let { DomainController(peer.identity.daemon, it) }
+            }
+        val own = listOfNotNull(held?.let { DomainController(identity.daemon, it) })
+        return (told + own).maxByOrNull { it.fencingNumber }
+    }
+
     /** Takes a report that a target itself gave. */
     fun reportAnswered(
         received: ReceivedReport,
--- a/control/src/main/kotlin/org/vanillalink/control/TimelineNotes.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/TimelineNotes.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.control
 
+import org.vanillalink.admission.LedgerDecision
 import org.vanillalink.configuration.ReplicaTimelineEntry
 import org.vanillalink.groups.DomainDecision
 import org.vanillalink.groups.ServingDecision
@@ -89,6 +90,13 @@
     fun of(decision: RouterDecision.OverloadEnded) =
         record("overload-ended", "service" to decision.service, "refused" to decision.refused)
 
+    fun of(decision: LedgerDecision.BoundChanged) = record(
+        "admission-bound-changed",
+        "host" to decision.host,
+        "bound" to decision.bound,
+        "cold" to decision.cold,
+    )
+
     private fun record(
         name: String,
         vararg fields: Pair<String, Any?>,
--- /dev/null
+++ b/control/src/main/kotlin/org/vanillalink/control/admission/RunRegister.kt
@@ -0,0 +1,85 @@
+/*
+ * Keeps this run's row in the table, and removes those of runs that it succeeds.
+ *
+ * A run that listens where an earlier run of the same daemon did has taken the earlier one's place: that process has
+ * ended. Only such a successor, or the run itself at its end, removes a run's row.
+ */
+package org.vanillalink.control.admission
+
+import org.vanillalink.groups.GroupRows
+import org.vanillalink.membership.DaemonIdentity
+import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.platform.Row
+import org.vanillalink.platform.RowKey
+import org.vanillalink.platform.TransactionResult
+import java.time.Duration
+import java.time.Instant
+
+/** Confined to the control thread. */
+internal class RunRegister(
+    private val identity: DaemonIdentity,
+) {
+    private val ownKey = RunRows.key(identity)
+    private var ownVersion: Long? = null
+    private var succeeded = false
+    private var ended = false
+    private var nextAt = Instant.EPOCH
+
+    /** What to ask of the table now, or null. */
+    fun due(now: Instant): AdmissionWork? {
+        if (ended || succeeded || now < nextAt) return null
+        nextAt = now.plus(RETRY)
+        if (ownVersion == null) return AdmissionWork.WriteRuns(listOf(registration()))
+        return AdmissionWork.ScanRuns(OWN_SCAN, RunRows.prefix(identity), GroupRows.controlKey(identity.failureDomain))
+    }
+
+    /** Takes note of what became of [writes]. */
+    fun written(
+        writes: List<ConditionalWrite>,
+        result: TransactionResult,
+    ) {
+        if (writes.none { it.key == ownKey && it.value != null }) return
+        ownVersion =
+            when (result) {
+                is TransactionResult.Committed -> result.versions[ownKey]
+
+                // Nobody else writes this key: an earlier write of this run took effect and its answer was lost.
+                is TransactionResult.Conflict -> result.actual[ownKey]?.version
+            }
+        nextAt = Instant.EPOCH
+    }
+
+    /** Removes the rows of runs among [rows] that this run succeeds; null where there are none. */
+    fun scanned(rows: Map<RowKey, Row>): AdmissionWork? {
+        if (ownVersion == null) return null
+        succeeded = true
+        val earlier = rows.filter { (key, row) -> isEarlierRun(key, row) }
+        if (earlier.isEmpty()) return null
+        return AdmissionWork.WriteRuns(earlier.map { (key, row) -> ConditionalWrite(key, row.version, value = null) })
+    }
+
+    /** The run ends and uses no unit any more: its row goes. */
+    fun end(): AdmissionWork? {
+        ended = true
+        val version = ownVersion ?: return null
+        return AdmissionWork.WriteRuns(listOf(ConditionalWrite(ownKey, version, value = null)))
+    }
+
+    private fun registration() =
+        ConditionalWrite(ownKey, ConditionalWrite.ABSENT, RunRows.write(RunRow(identity.endpoints.peers)))
+
+    private fun isEarlierRun(
+        key: RowKey,
+        row: Row,
+    ): Boolean {
+        val holder = RunRows.holderOf(key) ?: return false
+        val same = holder.daemon == identity.daemon && holder.boot != identity.boot
+        return same && RunRows.read(row)?.peers == identity.endpoints.peers
+    }
+
+    companion object {
+        /** The number of each scan for runs that this one succeeds. */
+        const val OWN_SCAN = 0L
+        private val RETRY: Duration = Duration.ofSeconds(1)
+    }
+}
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -8,6 +8,7 @@
 import org.vanillalink.control.DaemonControl
 import org.vanillalink.control.DaemonDecision
 import org.vanillalink.control.DaemonEvent
+import org.vanillalink.daemon.control.AdmissionExecutor
 import org.vanillalink.daemon.control.CallExecutor
 import org.vanillalink.daemon.control.CallObserver
 import org.vanillalink.daemon.control.ConfigurationExecutor
@@ -15,6 +16,7 @@
 import org.vanillalink.daemon.control.ControlThread
 import org.vanillalink.daemon.control.DispatchExecutor
 import org.vanillalink.daemon.control.DomainExecutor
+import org.vanillalink.daemon.control.EndpointDirectory
 import org.vanillalink.daemon.control.TargetPolling
 import org.vanillalink.daemon.operators.ConfigurationPages
 import org.vanillalink.daemon.operators.HealthPages
@@ -111,6 +113,8 @@
 
     private fun addExecutors() {
         loop.add(DomainExecutor(loop, table, targets) { host -> control.endpointOf(host) })
+        val endpoints = EndpointDirectory(control::peerEndpointOf, control::endpointOf)
+        loop.add(AdmissionExecutor(loop, table, targets, peerClient, endpoints))
         loop.add(configuration)
         loop.add(polling)
         loop.add(calls)
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -105,8 +105,7 @@
             }
 
             is RouterDecision.CancelAttempt -> {
-                val target = calls[decision.request]?.stopAttempt() ?: return
-                cancel(decision.request, decision.attempt, target)
+                stop(decision)
             }
 
             else -> {
@@ -126,14 +125,21 @@
         calls[decision.request]?.forward(decision.attempt, target)
     }
 
+    /** A keyed call runs to its end also when nobody waits for it. */
+    private fun stop(decision: RouterDecision.CancelAttempt) {
+        val call = calls[decision.request]?.takeIf { it !is KeyedPlainCall } ?: return
+        val target = call.stopAttempt()
+        loop.tell(DaemonEvent.AttemptClosed(decision.request, decision.attempt))
+        target?.let { cancel(decision.request, decision.attempt, it) }
+    }
+
     /** The attempt's connection closes. A keyed call goes on: its outcome is kept for the caller's resend. */
     private fun cancelled(event: RouterEvent.RequestCancelled) {
         val call = calls[event.request] ?: return
         if (call is KeyedPlainCall) return
         observer.cancelled(event.request)
-        calls.remove(event.request)
-        call.stopAttempt()
         loop.handle(DaemonEvent.ForRouter(event))
+        calls.remove(event.request)?.stopAttempt()
     }
 
     private fun cancel(
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.daemon.peers
 
+import arrow.core.flatMap
 import org.vanillalink.control.DaemonControl
 import org.vanillalink.control.DaemonEvent
 import org.vanillalink.daemon.control.ControlLoop
@@ -35,6 +36,7 @@
             !isAllowed(request) -> answer.answer(UNAUTHORIZED)
             request.path == PeerProtocol.HEARTBEAT_PATH -> heartbeat(request, answer)
             request.path == PeerProtocol.REPORTS_PATH -> reports(request, answer)
+            request.path == PeerProtocol.ADMISSION_PATH -> admission(request, answer)
             request.path == PeerProtocol.CONFIGURATION_PATH -> configuration(request, answer)
             request.path.startsWith(PeerProtocol.DISPATCH_PREFIX) -> dispatchStatus(request, answer)
             request.path.startsWith(PeerProtocol.FORWARD_PREFIX) -> forwarded.handle(unwrap(request), answer)
@@ -67,6 +69,17 @@
         },
     )
 
+    private fun admission(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = Json.read<AdmissionEnvelope>(request.body).flatMap { it.open() }.fold(
+        { answer.answer(BAD_REQUEST) },
+        { news ->
+            loop.tell(DaemonEvent.ForAdmission(news))
+            answer.answerJson(AdmissionReceipt(taken = true))
+        },
+    )
+
     private fun configuration(
         request: HttpRequestMessage,
         answer: AnswerWriter,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
@@ -17,6 +17,9 @@
     /** Sections of the configuration that changed after a revision. */
     const val CONFIGURATION_PATH = "/peer/configuration"
 
+    /** Units of admission. */
+    const val ADMISSION_PATH = "/peer/admission"
+
     /** Whether a keyed call is in progress. */
     const val DISPATCH_PREFIX = "/peer/dispatch/"
 
--- a/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
+++ b/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
@@ -7,6 +7,7 @@
 import org.vanillalink.model.AttemptId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.TargetReport
+import org.vanillalink.transport.ConnectionChoice
 import java.util.concurrent.CompletableFuture
 
 /** Why a target gave no usable answer. */
@@ -24,8 +25,11 @@
 
 /** Access to one target's control interface. */
 interface TargetClient {
-    /** Asks for the report. */
-    fun report(target: Endpoint): CompletableFuture<Either<TargetFailure, TargetReport>>
+    /** Asks for the report over [connection]. */
+    fun report(
+        target: Endpoint,
+        connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
+    ): CompletableFuture<Either<TargetFailure, TargetReport>>
 
     /** Gives an order. */
     fun order(
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
@@ -64,6 +64,7 @@
         endpoint: Endpoint,
         request: HttpRequestMessage,
         timeout: Duration,
+        connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
     ): CompletableFuture<Either<TransportFailure, HttpAnswer>>
 
     companion object {
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -44,9 +44,10 @@
         endpoint: Endpoint,
         request: HttpRequestMessage,
         timeout: Duration,
+        connection: ConnectionChoice,
     ): CompletableFuture<Either<TransportFailure, HttpAnswer>> {
         val collector = AnswerCollector()
-        val exchange = send(endpoint, request, SendOptions(answerTimeout = timeout), collector)
+        val exchange = send(endpoint, request, SendOptions(connection, answerTimeout = timeout), collector)
         collector.whenTooLarge { exchange.close() }
         loops.group.schedule(
             { collector.giveUp(exchange) },
