Judge every call's answer by one tracker, and leave retries to the router

Cause: ModelCall, PlainCall and KeyedPlainCall each judged by themselves whether an answer was their attempt's and whole, beside AttemptTracker, which nobody used and which also decided on retries, as the router does.

Ruled out: letting AttemptTracker keep the retries. It knows neither the retry budget nor the queue, so two parties would have decided.

Change: AttemptTracker only says what is the attempt's and whole, and how it failed; its retry limit, refusals and RetryDenied are gone. AttemptProgress joins it to all three calls. A daemon that takes a forwarded request repeats the sender's attempt in every answer, so crossed answers between daemons are seen too, and a not-run from another daemon counts only with that echo. A target's own 400 or 422 is final. After tokens, a failure is told as answer-incomplete. A failed attempt whose work may go on is cancelled at its target. Connections that time out take the endpoint's idle ones with them, and a plain answer may be silent for 30 s at most. Too large header fields get 431.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -58,6 +58,15 @@
         if (event is RouterEvent.RequestCancelled) cancelled(event) else loop.handle(DaemonEvent.ForRouter(event))
     }
 
+    /** Where the work may go on, the target is told to end it, so that its admission unit comes free. */
+    override fun attemptFailed(
+        event: RouterEvent.AttemptFailed,
+        target: AttemptTarget?,
+    ) {
+        happened(event)
+        if (!event.workEnded && target != null) cancel(event.request, event.attempt, target)
+    }
+
     override fun execute(decision: DaemonDecision) {
         when (decision) {
             is DaemonDecision.StartAttempt -> {
@@ -65,12 +74,7 @@
             }
 
             is DaemonDecision.EndAttempts -> {
-                calls.all.forEach {
-                    it.endAttemptAt(
-                        decision.host,
-                        decision.reason.toString(),
-                    )
-                }
+                calls.all.forEach { it.endAttemptAt(decision.host) }
             }
 
             is DaemonDecision.ForRouter -> {
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/ActiveCall.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/ActiveCall.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.daemon.traffic
 
 import org.vanillalink.control.AttemptTarget
+import org.vanillalink.model.AttemptId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RequestId
@@ -25,11 +26,14 @@
         target: ForwardTarget,
     )
 
-    /** Ends the attempt that runs at [host], if any, as failed: [detail]. */
-    fun endAttemptAt(
-        host: HostId,
-        detail: String,
-    )
+    /** The attempt that runs, where its progress is watched. */
+    val watched: RunningAttempt?
+
+    /** Ends the attempt that runs at [host], if any, as failed. */
+    fun endAttemptAt(host: HostId)
+
+    /** Ends [attempt] as failed, if it still runs. */
+    fun endAttempt(attempt: AttemptId)
 
     /** The running attempt's answer is final. */
     fun complete()
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.daemon.traffic
 
+import org.vanillalink.control.AttemptTarget
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.routing.RouterEvent
@@ -28,6 +29,12 @@
         outcome: CallOutcome,
     )
 
-    /** Something happened to a call's attempt. */
+    /** An attempt failed that ran at [target], or at another failure domain's daemon where that is null. */
+    fun attemptFailed(
+        event: RouterEvent.AttemptFailed,
+        target: AttemptTarget?,
+    )
+
+    /** Something else happened to a call. */
     fun happened(event: RouterEvent)
 }
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
@@ -57,7 +57,11 @@
     var draining: Boolean = false
 
     /** Takes requests that a daemon of another failure domain passes on; they aren't passed on again. */
-    val forwarded: HttpRequestHandler = HttpRequestHandler(::take)
+    val forwarded: HttpRequestHandler =
+        HttpRequestHandler { request, answer ->
+            val attempt = request.headers[CallerProtocol.FORWARDED_HEADER]
+            take(request, if (attempt == null) answer else EchoingAnswer(answer, attempt))
+        }
 
     /** A caller's own word that its request was passed on counts for nothing. */
     override fun handle(
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CompletionOutput.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CompletionOutput.kt
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode
 import org.vanillalink.model.Refusal
+import org.vanillalink.model.RefusalReason
 import org.vanillalink.model.RequestId
 import org.vanillalink.targets.TargetProtocol
 import org.vanillalink.transport.AnswerWriter
@@ -17,29 +18,21 @@
     private val request: RequestId,
     private val streamed: Boolean,
     private val answer: AnswerWriter,
-    tokensBefore: Int,
+    private val chunkId: String,
 ) {
     private val text = StringBuilder()
     private var started = false
 
-    /** How many tokens the caller, or the collected answer, has. */
-    var tokens = tokensBefore
-        private set
-
-    /** Takes a chunk; false where a token before it is missing. A token that was given already is dropped. */
-    fun take(chunk: ObjectNode): Boolean {
-        val index = chunk.path("token_index").asInt(tokens)
-        if (index < tokens) return true
-        if (index > tokens) return false
-        tokens += 1
+    /** Gives the next token. */
+    fun give(chunk: ObjectNode) {
         if (streamed) write(chunk) else text.append(content(chunk))
-        return true
     }
 
-    fun complete() {
+    /** Ends the answer of [tokens] tokens as whole. */
+    fun complete(tokens: Long) {
         if (!streamed) {
             val headers = HeaderFields.of("content-type" to "application/json", requestField())
-            answer.answer(OK, headers, Json.write(wholeAnswer()))
+            answer.answer(OK, headers, Json.write(wholeAnswer(tokens)))
             return
         }
         start()
@@ -47,20 +40,28 @@
         answer.finish()
     }
 
+    /** Gives the target's own final answer. */
+    fun completeWith(final: CollectedAnswer) {
+        val headers = final.headers.without(ForwardTarget.HOP_HEADERS + TargetProtocol.ATTEMPT_HEADER)
+        answer.answer(final.status, headers.with(CallerProtocol.REQUEST_HEADER, request.value), final.body)
+    }
+
     /** A stream that has begun is told of the refusal as its last event, and cut without its end marker. */
     fun refuse(refusal: Refusal) {
         if (!started) {
             answer.refuse(refusal, request.value)
             return
         }
-        val event = mapOf("error" to ProblemDetails.of(refusal, request.value))
+        val failed = refusal.reason == RefusalReason.TARGET_FAILED
+        val told = if (failed) refusal.copy(reason = RefusalReason.ANSWER_INCOMPLETE) else refusal
+        val event = mapOf("error" to ProblemDetails.of(told, request.value))
         answer.write("data: ".encodeToByteArray() + Json.write(event) + EVENT_END)
         answer.abort()
     }
 
     private fun write(chunk: ObjectNode) {
         start()
-        chunk.put("id", request.value)
+        chunk.put("id", chunkId)
         answer.write("data: ".encodeToByteArray() + Json.write(chunk) + EVENT_END)
     }
 
@@ -79,7 +80,7 @@
         .path("content")
         .asText("")
 
-    private fun wholeAnswer() = mapOf(
+    private fun wholeAnswer(tokens: Long) = mapOf(
         "id" to request.value,
         "object" to "chat.completion",
         "choices" to listOf(choice()),
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptMessages.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/attempt/AttemptMessages.kt
@@ -1,19 +1,26 @@
 /*
- * What happens to the attempts of one model request, and what has to be done about it.
+ * What happens to the attempts of one request, and what has to be done about it.
  */
 package org.vanillalink.dispatch.attempt
 
 import org.vanillalink.model.AttemptId
-import org.vanillalink.model.HostId
-import org.vanillalink.model.Refusal
-import java.time.Duration
 
 /** What happened. The attempt in each event is the one that was sent on the connection that the event comes from. */
 sealed interface AttemptEvent {
-    /** The request goes to [target] as [attempt]; the answer to [AttemptDecision.StartAttempt] and to the first try. */
+    /** The request is sent as [attempt]. */
     data class AttemptStarted(
         val attempt: AttemptId,
-        val target: HostId,
+    ) : AttemptEvent
+
+    /**
+     * The answer's head came. [echoed] is the attempt in its header and [provedNotRun] the one that it says never ran;
+     * [usable] tells whether the status is one that can come with an answer.
+     */
+    data class HeadReceived(
+        val attempt: AttemptId,
+        val echoed: AttemptId?,
+        val provedNotRun: AttemptId?,
+        val usable: Boolean,
     ) : AttemptEvent
 
     /** One token; [echoed] is the id in the chunk and [tokenIndex] counts from 0 over the whole answer. */
@@ -21,7 +28,11 @@
         val attempt: AttemptId,
         val echoed: AttemptId?,
         val tokenIndex: Long,
-        val text: String,
+    ) : AttemptEvent
+
+    /** What came is no part of any answer, or more than is taken. */
+    data class GarbageReceived(
+        val attempt: AttemptId,
     ) : AttemptEvent
 
     /** The stream ended; [markerSeen] tells whether `[DONE]` came. */
@@ -30,10 +41,9 @@
         val markerSeen: Boolean,
     ) : AttemptEvent
 
-    /** An answer that isn't streamed came whole; [echoed] is the attempt in its header. */
+    /** An answer that isn't streamed in tokens came whole. */
     data class WholeAnswer(
         val attempt: AttemptId,
-        val echoed: AttemptId?,
     ) : AttemptEvent
 
     /** The connection couldn't be made, broke, or was given up as silent. */
@@ -42,47 +52,42 @@
         val bytesMayHaveLeft: Boolean,
     ) : AttemptEvent
 
-    /** The target answered 409 or 503; [provedNotRun] is its `vanillalink-not-run` header. */
-    data class TargetRefused(
+    /** Nobody waits for the attempt any more. */
+    data class AttemptWithdrawn(
         val attempt: AttemptId,
-        val provedNotRun: AttemptId?,
-    ) : AttemptEvent
-
-    /** No other attempt may be made: no target, no retry budget, no permit, or the deadline. */
-    data class RetryDenied(
-        val retryAfter: Duration?,
     ) : AttemptEvent
 }
 
 /** What has to be done. */
 sealed interface AttemptDecision {
-    /** Give the caller [text], which is token [tokenIndex]. */
+    /** The head is the attempt's own: what follows may be given to the caller. */
+    data class AcceptHead(
+        val attempt: AttemptId,
+    ) : AttemptDecision
+
+    /** Give the caller token [tokenIndex]. */
     data class ForwardToken(
         val tokenIndex: Long,
-        val text: String,
     ) : AttemptDecision
 
-    /** Give the caller the whole answer of [attempt]. */
-    data class ForwardAnswer(
+    /** The caller has, or can be given, the whole answer of [attempt]. */
+    data class FinishAnswer(
         val attempt: AttemptId,
     ) : AttemptDecision
 
-    /** The caller has the whole answer: end its stream with the marker. */
-    data object FinishStream : AttemptDecision
-
     /** Close the connection of [attempt] and never use it again. */
     data class CloseConnection(
         val attempt: AttemptId,
     ) : AttemptDecision
 
-    /** Try again at a target outside [avoid], if the retry budget allows; else feed RetryDenied. */
-    data class StartAttempt(
-        val resumeFrom: Long,
-        val avoid: Set<HostId>,
-    ) : AttemptDecision
-
-    /** Give the caller its final answer at once. */
-    data class FailRequest(
-        val refusal: Refusal,
+    /**
+     * Tell the router, which decides on another try, that [attempt] failed. [mayHaveRun] is false only where that is
+     * certain; [workEnded] tells whether the target certainly no longer works on it; the caller has [tokensGiven].
+     */
+    data class FailAttempt(
+        val attempt: AttemptId,
+        val mayHaveRun: Boolean,
+        val workEnded: Boolean,
+        val tokensGiven: Long,
     ) : AttemptDecision
 }
--- a/model/src/main/kotlin/org/vanillalink/model/Refusal.kt
+++ b/model/src/main/kotlin/org/vanillalink/model/Refusal.kt
@@ -29,6 +29,7 @@
     DUPLICATE_IN_PROGRESS(409, "in-progress", "A request with the same idempotency key is in progress"),
     KEY_REUSED(422, "idempotency-key-reused", "The idempotency key belongs to another request"),
     REQUEST_TOO_LARGE(413, "request-too-large", "The request is larger than allowed"),
+    HEADERS_TOO_LARGE(431, "headers-too-large", "The request's header fields are larger than allowed"),
     POISON_REQUEST(422, "poison-request", "Targets failed each time they ran this request"),
     OVERLOADED(503, "overloaded", "No capacity within the request's deadline"),
     NO_SERVING_TARGET(503, "no-serving-target", "No target serves this service now"),
--- a/transport/src/main/kotlin/org/vanillalink/transport/AnswerCollector.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/AnswerCollector.kt
@@ -23,8 +23,11 @@
         closeExchange = action
     }
 
-    fun giveUp(exchange: OutgoingExchange) {
-        if (answer.complete(TransportFailure.TimedOut("no whole answer in time").left())) exchange.close()
+    /** Gives whether the answer wasn't there in time. */
+    fun giveUp(exchange: OutgoingExchange): Boolean {
+        val late = answer.complete(TransportFailure.TimedOut("no whole answer in time").left())
+        if (late) exchange.close()
+        return late
     }
 
     override fun head(
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
@@ -13,10 +13,14 @@
 /** Whether a request may travel on a connection that was used before. */
 enum class ConnectionChoice { REUSED_OR_FRESH, FRESH }
 
-/** How a request is sent. [answerTimeout] bounds the time until the answer's head arrives. */
+/**
+ * How a request is sent. [answerTimeout] bounds the time until the answer's head arrives, and [silenceTimeout] the time
+ * without any byte after that while the answer is read; without it nothing bounds that.
+ */
 data class SendOptions(
     val connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
     val answerTimeout: Duration = ANSWER_TIMEOUT,
+    val silenceTimeout: Duration? = null,
 )
 
 /** Receives an answer in pieces, on a traffic thread. After [whole] or [failed] no more calls come. */
@@ -64,8 +68,12 @@
         endpoint: Endpoint,
         request: HttpRequestMessage,
         timeout: Duration,
+        connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
     ): CompletableFuture<Either<TransportFailure, HttpAnswer>>
 
+    /** Closes the idle connections to [endpoint]: one of its connections went silent, and so may have these. */
+    fun closeIdle(endpoint: Endpoint)
+
     companion object {
         /** Greatest body that [call] collects, in bytes. */
         const val ANSWER_BYTES_COLLECTED = 16_777_216
--- a/transport/src/main/kotlin/org/vanillalink/transport/IdleConnections.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/IdleConnections.kt
@@ -39,6 +39,15 @@
         connections.addFirst(IdleConnection(channel, nanoTime()))
     }
 
+    /** Closes all that wait for [endpoint]. */
+    fun close(endpoint: Endpoint) {
+        val connections = byEndpoint[endpoint] ?: return
+        while (true) {
+            val connection = connections.pollFirst() ?: return
+            connection.channel.close()
+        }
+    }
+
     /** Closes what has waited too long. */
     fun sweep() {
         val oldest = nanoTime() - IDLE_NANOSECONDS
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -34,7 +34,13 @@
         options: SendOptions,
         listener: AnswerListener,
     ): OutgoingExchange {
-        val exchange = NettyExchange(request, options, listener) { channel -> idle.add(endpoint, channel) }
+        val pool =
+            object : ConnectionPool {
+                override fun release(channel: Channel) = idle.add(endpoint, channel)
+
+                override fun wentSilent() = closeIdle(endpoint)
+            }
+        val exchange = NettyExchange(request, options, listener, pool)
         val reused = if (options.connection == ConnectionChoice.FRESH) null else idle.take(endpoint)
         if (reused == null) connect(endpoint, exchange) else exchange.begin(reused)
         return exchange
@@ -44,18 +50,21 @@
         endpoint: Endpoint,
         request: HttpRequestMessage,
         timeout: Duration,
+        connection: ConnectionChoice,
     ): CompletableFuture<Either<TransportFailure, HttpAnswer>> {
         val collector = AnswerCollector()
-        val exchange = send(endpoint, request, SendOptions(answerTimeout = timeout), collector)
+        val exchange = send(endpoint, request, SendOptions(connection, timeout), collector)
         collector.whenTooLarge { exchange.close() }
         loops.group.schedule(
-            { collector.giveUp(exchange) },
+            { if (collector.giveUp(exchange)) closeIdle(endpoint) },
             timeout.toMillis(),
-            java.util.concurrent.TimeUnit.MILLISECONDS,
+            TimeUnit.MILLISECONDS,
         )
         return collector.answer
     }
 
+    override fun closeIdle(endpoint: Endpoint) = idle.close(endpoint)
+
     private fun connect(
         endpoint: Endpoint,
         exchange: NettyExchange,
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.timeout.IdleStateEvent
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
@@ -99,7 +100,9 @@
 
     private fun refuseMalformed(cause: Throwable) {
         val detail = cause.message ?: cause.javaClass.simpleName
-        val refusal = Refusal(RefusalReason.MALFORMED_REQUEST, RefusalOutcome.NOT_RUN, detail)
+        val tooLarge = cause is TooLongHttpHeaderException
+        val reason = if (tooLarge) RefusalReason.HEADERS_TOO_LARGE else RefusalReason.MALFORMED_REQUEST
+        val refusal = Refusal(reason, RefusalOutcome.NOT_RUN, detail)
         context.writeAndFlush(problemResponse(refusal)).addListener(ChannelFutureListener.CLOSE)
     }
 
