Bring the bound on poison requests into force over all daemons

Cause: PoisonRegister stood unused; a request that crashes its target was sent to the next one until the router's retry budget ended, and again with each resend.

Ruled out: failing a postponed attempt towards the router (it counts against attempts and the retry budget), and sending to a copy's target behind the router's back (it breaks the count of units).

Change: PoisonPart stands between the router's choice and the send. A request that may not go there now waits with its unit in use and is asked for again each tick. Strikes travel by gossip, permits by /peer/permits; a permit whose return got lost is given back again. A group that loses another member strikes with that member's loss, a new boot with the old one. Copies wait for the one that runs elsewhere only until the request has once been answered whole. The scenario in dispatch gained a branch for the new decision, which it never sees.

--- a/control/src/main/kotlin/org/vanillalink/control/CallsPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/CallsPart.kt
@@ -3,12 +3,17 @@
  */
 package org.vanillalink.control
 
+import org.vanillalink.dispatch.poison.PoisonEvent
+import org.vanillalink.dispatch.poison.PoisonState
+import org.vanillalink.dispatch.poison.TargetLoss
 import org.vanillalink.dispatch.record.DispatchDecision
 import org.vanillalink.dispatch.record.DispatchEvent
 import org.vanillalink.dispatch.record.DispatchState
 import org.vanillalink.dispatch.record.IdempotentDispatch
 import org.vanillalink.dispatch.record.RecordOwner
+import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.membership.DaemonIdentity
+import org.vanillalink.model.Refusal
 import org.vanillalink.model.RequestId
 import org.vanillalink.routing.Router
 import org.vanillalink.routing.RouterDecision
@@ -19,25 +24,49 @@
 internal class CallsPart(
     identity: DaemonIdentity,
     private val describe: (RouterDecision.StartAttempt) -> AttemptTarget?,
-) {
+) : PlacedCalls {
     private val router = Router()
+    private val poison = PoisonPart(identity.daemon, this)
     private val dispatch = IdempotentDispatch()
     private val keyedCalls = KeyedCalls()
 
     val routerState = RouterState()
 
+    /** What is known of requests that crash their targets. */
+    val poisonState: PoisonState get() = poison.state
+
     var dispatchState = DispatchState(RecordOwner(identity.daemon, identity.boot))
         private set
 
     fun tick(step: ControlStep) {
         handle(RouterEvent.Tick, step)
         handle(DispatchEvent.Tick, step)
+        poison.tick(step)
     }
 
+    fun modelCallArrived(
+        event: DaemonEvent.ModelCallArrived,
+        step: ControlStep,
+    ) {
+        poison.arrived(event.arrival.request, event.fingerprint)
+        handle(event.arrival, step)
+    }
+
+    fun handle(
+        event: PoisonEvent,
+        step: ControlStep,
+    ) = poison.handle(event, step)
+
+    fun reportKnown(
+        received: ReceivedReport,
+        step: ControlStep,
+    ) = poison.reportKnown(received, step)
+
     fun handle(
         event: RouterEvent,
         step: ControlStep,
     ) {
+        poison.happened(event, step)
         router.handle(routerState, event, step.now).decisions.forEach { follow(it, step) }
     }
 
@@ -72,14 +101,16 @@
     ) {
         when (decision) {
             is RouterDecision.StartAttempt -> {
-                startAttempt(decision, step)
+                poison.place(decision, step)
             }
 
             is RouterDecision.AnswerRequest -> {
+                poison.ended(decision.request)
                 finish(decision, keyedCalls.finish(decision.request), step)
             }
 
             is RouterDecision.RefuseRequest -> {
+                poison.ended(decision.request)
                 finish(decision, keyedCalls.fail(decision.request, decision.refusal), step)
             }
 
@@ -91,22 +122,52 @@
                 step.decide(TimelineNotes.of(decision))
             }
 
-            is RouterDecision.ForwardRequest, is RouterDecision.CancelAttempt -> {
-                step.decide(DaemonDecision.ForRouter(decision))
+            is RouterDecision.ForwardRequest -> {
+                poison.forward(decision, step)
+            }
+
+            is RouterDecision.CancelAttempt -> {
+                cancel(decision, step)
             }
         }
     }
 
-    private fun startAttempt(
-        decision: RouterDecision.StartAttempt,
+    private fun cancel(
+        decision: RouterDecision.CancelAttempt,
         step: ControlStep,
     ) {
+        if (!poison.cancelled(decision.request, decision.attempt, step)) {
+            step.decide(DaemonDecision.ForRouter(decision))
+            return
+        }
+        step.tell(PartNews.ForRouter(RouterEvent.AttemptWorkEnded(decision.request, decision.attempt)))
+    }
+
+    override fun send(
+        decision: RouterDecision.StartAttempt,
+        step: ControlStep,
+    ): TargetLoss? {
         val target = describe(decision)
         if (target != null) {
             step.decide(DaemonDecision.StartAttempt(decision.request, decision.attempt, target))
-            return
+            return TargetLoss(target.host, target.boot)
         }
         handle(RouterEvent.AttemptFailed(decision.request, decision.attempt, mayHaveRun = false), step)
+        return null
+    }
+
+    override fun forward(
+        decision: RouterDecision.ForwardRequest,
+        step: ControlStep,
+    ) = step.decide(DaemonDecision.ForRouter(decision))
+
+    override fun refuse(
+        request: RequestId,
+        refusal: Refusal,
+        step: ControlStep,
+    ) {
+        handle(RouterEvent.RequestCancelled(request), step)
+        step.decide(DaemonDecision.ForRouter(RouterDecision.RefuseRequest(request, refusal)))
     }
 
     /** A keyed call's end goes to its record first, which then gives the caller its answer. */
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -11,11 +11,14 @@
 import org.vanillalink.configuration.ReplicaEvent
 import org.vanillalink.configuration.ReplicaState
 import org.vanillalink.configuration.RevisionSource
+import org.vanillalink.dispatch.poison.PoisonEvent
+import org.vanillalink.dispatch.poison.PoisonState
 import org.vanillalink.dispatch.record.DispatchState
 import org.vanillalink.groups.ControlEvent
 import org.vanillalink.groups.ControllerEvent
 import org.vanillalink.groups.DomainState
 import org.vanillalink.groups.GroupSettings
+import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.groups.ServingState
 import org.vanillalink.membership.DaemonIdentity
 import org.vanillalink.membership.LocalState
@@ -64,6 +67,9 @@
     /** What is known of calls with idempotency keys. */
     val dispatchState: DispatchState get() = calls.dispatchState
 
+    /** What is known of requests that crash their targets. */
+    val poisonState: PoisonState get() = calls.poisonState
+
     /** What is known of requests. */
     val routerState: RouterState get() = calls.routerState
 
@@ -110,6 +116,8 @@
             is DaemonEvent.ForReplica -> configurationPart.handle(event.event, step)
             is DaemonEvent.ForEditor -> configurationPart.handle(event.event, step)
             is DaemonEvent.ForRouter -> calls.handle(event.event, step)
+            is DaemonEvent.ModelCallArrived -> calls.modelCallArrived(event, step)
+            is DaemonEvent.ForPoison -> calls.handle(event.event, step)
             is DaemonEvent.KeyedCallArrived -> calls.keyedCallArrived(event, step)
             is DaemonEvent.KeyedCallAnswered -> calls.keyedCallAnswered(event, step)
             is DaemonEvent.ForDispatch -> calls.handle(event.event, step)
@@ -129,7 +137,11 @@
             is PartNews.FencingNumberHeard -> groups.handle(ControlEvent.FencingNumberSeen(news.fencingNumber), step)
             is PartNews.ForReplica -> configurationPart.handle(news.event, step)
             is PartNews.HostsListed -> groups.handle(ControllerEvent.HostsListed(news.hosts.values.toList()), step)
-            is PartNews.ReportKnown -> groups.reportKnown(news.received, step)
+            is PartNews.ReportKnown -> reportKnown(news.received, step)
+            is PartNews.StrikeMade -> peers.handle(MembershipEvent.StrikeSeen(StrikeText.of(news.strike)), step)
+            is PartNews.StrikeHeard -> calls.handle(PoisonEvent.StrikesHeard(setOf(news.strike)), step)
+            is PartNews.DaemonsHeard -> calls.handle(PoisonEvent.DaemonsHeard(news.daemons), step)
+            is PartNews.MemberLost -> calls.handle(PoisonEvent.TargetLost(news.loss, news.ranAt), step)
             PartNews.ServingChanged -> refreshCandidates(step)
             is PartNews.ForRouter -> calls.handle(news.event, step)
             is PartNews.ServicesCounted -> peers.handle(servicesCounted(news), step)
@@ -146,6 +158,14 @@
         peers.exchangeReports(hosts.values, step)
     }
 
+    private fun reportKnown(
+        received: ReceivedReport,
+        step: ControlStep,
+    ) {
+        groups.reportKnown(received, step)
+        calls.reportKnown(received, step)
+    }
+
     private fun hostsListed(
         listed: List<Host>,
         step: ControlStep,
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.configuration.ConfigurationDocument
 import org.vanillalink.configuration.EditorDecision
 import org.vanillalink.configuration.ReplicaDecision
+import org.vanillalink.dispatch.poison.PoisonDecision
 import org.vanillalink.dispatch.record.DispatchDecision
 import org.vanillalink.groups.DomainDecision
 import org.vanillalink.groups.NotServingReason
@@ -78,6 +79,11 @@
         val decision: DispatchDecision,
     ) : DaemonDecision
 
+    /** Send or answer a message about permits to run a suspect request. */
+    data class ForPoison(
+        val decision: PoisonDecision,
+    ) : DaemonDecision
+
     /** Carry out another decision of the router. */
     data class ForRouter(
         val decision: RouterDecision,
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
@@ -5,6 +5,8 @@
 
 import org.vanillalink.configuration.EditorEvent
 import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.dispatch.poison.PoisonEvent
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.DispatchEvent
 import org.vanillalink.dispatch.record.KeyedCall
@@ -67,6 +69,17 @@
         val event: RouterEvent,
     ) : DaemonEvent
 
+    /** A model request arrived; [fingerprint] is the same for each of its resends. */
+    data class ModelCallArrived(
+        val fingerprint: CallFingerprint,
+        val arrival: RouterEvent.RequestArrived,
+    ) : DaemonEvent
+
+    /** A message about permits to run a suspect request. */
+    data class ForPoison(
+        val event: PoisonEvent,
+    ) : DaemonEvent
+
     /** A call with an idempotency key arrived; [arrival] is for the router once the call may be sent. */
     data class KeyedCallArrived(
         val call: KeyedCall,
--- a/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/GroupsPart.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.configuration.ConfigurationDocument
 import org.vanillalink.configuration.ServiceKind
+import org.vanillalink.dispatch.poison.TargetLoss
 import org.vanillalink.groups.ControlHolder
 import org.vanillalink.groups.ControllerEvent
 import org.vanillalink.groups.DesiredService
@@ -15,6 +16,7 @@
 import org.vanillalink.groups.GroupDescription
 import org.vanillalink.groups.GroupSettings
 import org.vanillalink.groups.GroupStatus
+import org.vanillalink.groups.NotServingReason
 import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.groups.ServingDecision
 import org.vanillalink.groups.ServingEvent
@@ -125,6 +127,28 @@
         step: ControlStep,
     ) {
         val entry = before.descriptions[stopped.group]?.members?.first() ?: return
+        memberLost(before, entry, stopped.reason)?.let(step::tell)
         step.decide(DaemonDecision.EndAttempts(entry, stopped.group, stopped.reason))
     }
+
+    /** The boots are those that were known while the group served. */
+    private fun memberLost(
+        before: ServingState,
+        entry: HostId,
+        reason: NotServingReason,
+    ): PartNews.MemberLost? {
+        val member =
+            when (reason) {
+                is NotServingReason.MemberSilent -> reason.host
+                is NotServingReason.MemberRestarted -> reason.host
+                else -> return null
+            }
+        val loss = lossOf(before, member) ?: return null
+        return lossOf(before, entry)?.let { PartNews.MemberLost(loss, ranAt = it) }
+    }
+
+    private fun lossOf(
+        before: ServingState,
+        host: HostId,
+    ): TargetLoss? = before.reports.latest[host]?.let { TargetLoss(host, it.report.boot) }
 }
--- a/control/src/main/kotlin/org/vanillalink/control/PartNews.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PartNews.kt
@@ -9,8 +9,11 @@
 import org.vanillalink.configuration.ConfigurationDocument
 import org.vanillalink.configuration.ReplicaEvent
 import org.vanillalink.configuration.RevisionSource
+import org.vanillalink.dispatch.poison.Strike
+import org.vanillalink.dispatch.poison.TargetLoss
 import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.membership.ServiceAggregate
+import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.Host
 import org.vanillalink.model.HostId
@@ -56,6 +59,27 @@
         val received: ReceivedReport,
     ) : PartNews
 
+    /** A request ran on a target that was lost here. */
+    data class StrikeMade(
+        val strike: Strike,
+    ) : PartNews
+
+    /** Another daemon made [strike]. */
+    data class StrikeHeard(
+        val strike: Strike,
+    ) : PartNews
+
+    /** The failure domain's daemons that are heard of. */
+    data class DaemonsHeard(
+        val daemons: Set<DaemonId>,
+    ) : PartNews
+
+    /** A group stopped serving because of a process that is lost or silent; its attempts ran at [ranAt]. */
+    data class MemberLost(
+        val loss: TargetLoss,
+        val ranAt: TargetLoss,
+    ) : PartNews
+
     /** Which targets may be used, or what they bear, may have changed. */
     data object ServingChanged : PartNews
 
--- a/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PeersPart.kt
@@ -111,6 +111,7 @@
             is MembershipDecision.HeardDaemonsChanged -> {
                 val polls = state.isPoller(ConfigurationReplica.POLLERS_PER_FAILURE_DOMAIN)
                 step.tell(PartNews.ForReplica(ReplicaEvent.PollingRoleChanged(polls)))
+                step.tell(PartNews.DaemonsHeard(decision.daemons.toSet()))
             }
 
             is MembershipDecision.RecordPeerChange -> {
@@ -118,7 +119,7 @@
             }
 
             is MembershipDecision.StrikeHeard -> {
-                Unit
+                StrikeText.parse(decision.strike)?.let { step.tell(PartNews.StrikeHeard(it)) }
             }
 
             is MembershipDecision.SendHeartbeat, is MembershipDecision.AnswerHeartbeat -> {
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -24,6 +24,7 @@
 import org.vanillalink.daemon.peers.PeerHandler
 import org.vanillalink.daemon.peers.PeerProtocol
 import org.vanillalink.daemon.peers.PeerRecordOwners
+import org.vanillalink.daemon.peers.PermitExecutor
 import org.vanillalink.daemon.settings.DaemonSettings
 import org.vanillalink.daemon.settings.SettingsCheck
 import org.vanillalink.daemon.timeline.EventLog
@@ -80,6 +81,10 @@
     private val activeCalls = ActiveCalls()
     private val peerClient = PeerClient(client, settings.secret, PEER_TIMEOUT)
     private val peers = PeerExecutor(loop, thread, peerClient) { control.peerEndpointOf(it) }
+    private val permits =
+        PermitExecutor(loop, thread, peerClient, control::peerEndpointOf) { permit ->
+            permit in control.poisonState.held || permit in control.poisonState.asked.values
+        }
     private val calls = CallExecutor(loop, thread, targets, activeCalls, observer, ::forwardTargetOf)
     private val objects = HttpObjectStore(client, platform)
     private val owners = PeerRecordOwners(peerClient) { control.peerEndpointOf(it) }
@@ -92,7 +97,7 @@
         addExecutors()
         val traffic = NettyHttpServer(loops, settings.listen, ServerLimits(), callers)
         val operators = NettyHttpServer(loops, settings.operatorsListen, ServerLimits(), operatorsHandler())
-        val peerHandler = PeerHandler(settings.secret, loop, peers, callers.forwarded, clock)
+        val peerHandler = PeerHandler(settings.secret, loop, peers, permits, callers.forwarded, clock)
         val peerServer = NettyHttpServer(loops, settings.peersListen, ServerLimits(), peerHandler)
         val ended = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(Thread { shutDown(listOf(traffic, peerServer), operators, ended) })
@@ -116,6 +121,7 @@
         loop.add(calls)
         loop.add(dispatch)
         loop.add(peers)
+        loop.add(permits)
         loop.add { decision ->
             when (decision) {
                 is DaemonDecision.Record -> log.record(decision.name, decision.fields)
@@ -137,6 +143,7 @@
     private fun subscribeToTime() {
         thread.every(TICK) { loop.handle(DaemonEvent.Tick) }
         thread.every(HOSTS_INTERVAL, polling::readHosts)
+        thread.every(PERMITS_INTERVAL, permits::giveBackAgain)
     }
 
     private fun operatorsHandler(): OperatorsHandler {
@@ -189,6 +196,7 @@
         val PEER_TIMEOUT: Duration = Duration.ofSeconds(1)
         val TICK: Duration = Duration.ofMillis(100)
         val HOSTS_INTERVAL: Duration = Duration.ofSeconds(1)
+        val PERMITS_INTERVAL: Duration = Duration.ofSeconds(1)
         val REPORT_TIMEOUT: Duration = Duration.ofSeconds(1)
         const val DRAIN_POLL_MILLISECONDS = 50L
         const val GIVE_UP_CONTROL_MILLISECONDS = 200L
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.daemon.traffic.ForwardTarget
 import org.vanillalink.daemon.traffic.KeyedPlainCall
 import org.vanillalink.daemon.traffic.attemptId
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.model.DaemonId
@@ -39,6 +40,16 @@
         loop.handle(DaemonEvent.ForRouter(event))
     }
 
+    override fun modelCallArrived(
+        call: ActiveCall,
+        fingerprint: CallFingerprint,
+        event: RouterEvent.RequestArrived,
+    ) = thread.execute {
+        calls.add(call)
+        observer.arrived(event)
+        loop.handle(DaemonEvent.ModelCallArrived(fingerprint, event))
+    }
+
     override fun keyedCallArrived(
         call: ActiveCall,
         keyed: KeyedCall,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
@@ -24,6 +24,7 @@
     private val secret: String?,
     private val loop: ControlLoop,
     private val executor: PeerExecutor,
+    private val permits: PermitExecutor,
     private val forwarded: HttpRequestHandler,
     private val clock: Clock,
 ) : HttpRequestHandler {
@@ -35,6 +36,7 @@
             !isAllowed(request) -> answer.answer(UNAUTHORIZED)
             request.path == PeerProtocol.HEARTBEAT_PATH -> heartbeat(request, answer)
             request.path == PeerProtocol.REPORTS_PATH -> reports(request, answer)
+            request.path == PeerProtocol.PERMITS_PATH -> permits(request, answer)
             request.path == PeerProtocol.CONFIGURATION_PATH -> configuration(request, answer)
             request.path.startsWith(PeerProtocol.DISPATCH_PREFIX) -> dispatchStatus(request, answer)
             request.path.startsWith(PeerProtocol.FORWARD_PREFIX) -> forwarded.handle(unwrap(request), answer)
@@ -67,6 +69,14 @@
         },
     )
 
+    private fun permits(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = Json.read<PermitMessage>(request.body).fold(
+        { answer.answer(BAD_REQUEST) },
+        { permits.receive(it, answer) },
+    )
+
     private fun configuration(
         request: HttpRequestMessage,
         answer: AnswerWriter,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
@@ -17,6 +17,9 @@
     /** Sections of the configuration that changed after a revision. */
     const val CONFIGURATION_PATH = "/peer/configuration"
 
+    /** Permits to run requests that may crash their targets. */
+    const val PERMITS_PATH = "/peer/permits"
+
     /** Whether a keyed call is in progress. */
     const val DISPATCH_PREFIX = "/peer/dispatch/"
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.daemon.traffic
 
 import org.vanillalink.control.AttemptTarget
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.routing.RouterEvent
@@ -16,6 +17,13 @@
         event: RouterEvent.RequestArrived,
     )
 
+    /** [call] of a model arrived; [fingerprint] is the same for each of its resends. */
+    fun modelCallArrived(
+        call: ActiveCall,
+        fingerprint: CallFingerprint,
+        event: RouterEvent.RequestArrived,
+    )
+
     /** [call], which has an idempotency key, arrived. */
     fun keyedCallArrived(
         call: ActiveCall,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
@@ -83,8 +83,9 @@
 
     private class AcceptedCall(
         val call: ActiveCall,
-        val keyed: KeyedCall?,
         val arrival: RouterEvent.RequestArrived,
+        val keyed: KeyedCall? = null,
+        val fingerprint: CallFingerprint? = null,
     )
 
     private fun begin(
@@ -93,10 +94,11 @@
     ) {
         answer.onCallerGone { events.happened(RouterEvent.RequestCancelled(accepted.call.request)) }
         val keyed = accepted.keyed
-        if (keyed == null) {
-            events.arrived(accepted.call, accepted.arrival)
-        } else {
-            events.keyedCallArrived(accepted.call, keyed, accepted.arrival)
+        val fingerprint = accepted.fingerprint
+        when {
+            keyed != null -> events.keyedCallArrived(accepted.call, keyed, accepted.arrival)
+            fingerprint != null -> events.modelCallArrived(accepted.call, fingerprint, accepted.arrival)
+            else -> events.arrived(accepted.call, accepted.arrival)
         }
     }
 
@@ -119,11 +121,12 @@
         }
         val arrival = arrival(id, service, settings, caller, request, current.document)
         if (body != null) {
-            return AcceptedCall(ModelCall(id, body, request.headers, answer, client, events, clock), null, arrival)
+            val call = ModelCall(id, body, request.headers, answer, client, events, clock)
+            return AcceptedCall(call, arrival, fingerprint = fingerprintOf(body, arrival))
         }
         // The daemon that passes a keyed call on holds its record.
         val keyed = if (arrival.repeatable || arrival.forwarded) null else keyedCall(request, arrival)
-        return AcceptedCall(plainCall(keyed, arrival, request, answer), keyed, arrival)
+        return AcceptedCall(plainCall(keyed, arrival, request, answer), arrival, keyed)
     }
 
     private fun Raise<Refusal>.completionBody(request: HttpRequestMessage): ObjectNode {
@@ -137,6 +140,15 @@
         return node
     }
 
+    /** A resend is the same request whether it asks for a stream or not, and wherever it was passed on. */
+    private fun fingerprintOf(
+        body: ObjectNode,
+        arrival: RouterEvent.RequestArrived,
+    ): CallFingerprint {
+        val asked = body.deepCopy().without<ObjectNode>("stream")
+        return CallFingerprint.ofModelRequest(arrival.workspace, arrival.service, Json.write(asked))
+    }
+
     private fun modelOf(body: ObjectNode) = ServiceName(body.path("model").asText())
 
     private fun serviceOf(request: HttpRequestMessage): ServiceName? {
--- a/daemon/src/test/kotlin/org/vanillalink/daemon/traffic/RoutedCalls.kt
+++ b/daemon/src/test/kotlin/org/vanillalink/daemon/traffic/RoutedCalls.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.daemon.traffic
 
 import org.vanillalink.control.AttemptTarget
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.model.Endpoint
@@ -33,6 +34,12 @@
         feed(event)
     }
 
+    override fun modelCallArrived(
+        call: ActiveCall,
+        fingerprint: CallFingerprint,
+        event: RouterEvent.RequestArrived,
+    ) = arrived(call, event)
+
     override fun keyedCallArrived(
         call: ActiveCall,
         keyed: KeyedCall,
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonMessages.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonMessages.kt
@@ -42,6 +42,24 @@
         val mayHaveRun: Boolean,
     ) : PoisonEvent
 
+    /** [request] could be passed to another failure domain, whose daemons see to its permit. */
+    data class ForwardingWanted(
+        val request: RequestId,
+        val fingerprint: CallFingerprint,
+        val mayHaveRun: Boolean,
+    ) : PoisonEvent
+
+    /** A Place for [host] came too late: [request] isn't sent there. */
+    data class PlacementDropped(
+        val request: RequestId,
+        val host: HostId,
+    ) : PermitEvent
+
+    /** Other daemons struck. */
+    data class StrikesHeard(
+        val strikes: Set<Strike>,
+    ) : PoisonEvent
+
     /** An attempt of [fingerprint] is about to be sent to [target]. */
     data class AttemptStarted(
         val attempt: AttemptId,
@@ -59,9 +77,13 @@
         val attempt: AttemptId,
     ) : PoisonEvent
 
-    /** The target's process died, or the host reports another boot. */
+    /**
+     * A process died, or its host reports another boot. Attempts sent to [ranAt] ran on it: another process than [loss]
+     * where a group lost a member that isn't the one that takes its requests.
+     */
     data class TargetLost(
         val loss: TargetLoss,
+        val ranAt: TargetLoss = loss,
     ) : PoisonEvent
 
     /** A report asked for at [askedAt] shows that this process still runs. */
@@ -86,20 +108,23 @@
     data class PermitAsked(
         val request: RequestId,
         val permit: Permit,
-    ) : PoisonEvent
+    ) : PermitEvent
 
     /** The answer to AskPermit; not [granted] also where the owner couldn't be reached. */
     data class PermitAnswered(
         val request: RequestId,
         val granted: Boolean,
-    ) : PoisonEvent
+    ) : PermitEvent
 
     /** The peer that held [permit] gave it back. */
     data class PermitReturned(
         val permit: Permit,
-    ) : PoisonEvent
+    ) : PermitEvent
 }
 
+/** What happened to permits. */
+sealed interface PermitEvent : PoisonEvent
+
 /** What has to be done. */
 sealed interface PoisonDecision {
     /** Send [request] to [host] now. */
@@ -108,6 +133,11 @@
         val host: HostId,
     ) : PoisonDecision
 
+    /** Pass [request] on now. */
+    data class Forward(
+        val request: RequestId,
+    ) : PoisonDecision
+
     /** Ask [owner] for [permit]. */
     data class AskPermit(
         val owner: DaemonId,
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonRegister.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/poison/PoisonRegister.kt
@@ -6,12 +6,13 @@
  */
 package org.vanillalink.dispatch.poison
 
-import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.model.Aggregate
 import org.vanillalink.model.AttemptId
+import org.vanillalink.model.HostId
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
+import org.vanillalink.model.RequestId
 import org.vanillalink.model.Transition
 import java.time.Instant
 
@@ -30,6 +31,14 @@
             place(state, event, now)
         }
 
+        is PoisonEvent.ForwardingWanted -> {
+            forward(state, event, now)
+        }
+
+        is PoisonEvent.StrikesHeard -> {
+            Transition(state.withStrikes(event.strikes, settings, now))
+        }
+
         is PoisonEvent.AttemptStarted -> {
             val attempt = RunningAttempt(event.fingerprint, event.target)
             Transition(state.copy(running = state.running + (event.attempt to attempt)))
@@ -44,7 +53,7 @@
         }
 
         is PoisonEvent.TargetLost -> {
-            lost(state, event.loss, now)
+            lost(state, event, now)
         }
 
         is PoisonEvent.TargetProvedAlive -> {
@@ -59,17 +68,20 @@
             Transition(state.copy(daemons = event.daemons + state.daemon))
         }
 
-        is PoisonEvent.PermitAsked -> {
-            permitAsked(state, event, now)
-        }
-
-        is PoisonEvent.PermitAnswered -> {
-            permitAnswered(state, event)
+        is PermitEvent -> {
+            permits(state, event, now)
         }
+    }
 
-        is PoisonEvent.PermitReturned -> {
-            Transition(state.copy(granted = state.granted - event.permit))
-        }
+    private fun permits(
+        state: PoisonState,
+        event: PermitEvent,
+        now: Instant,
+    ): PoisonTransition = when (event) {
+        is PoisonEvent.PermitAsked -> permitAsked(state, event, now)
+        is PoisonEvent.PermitAnswered -> permitAnswered(state, event)
+        is PoisonEvent.PermitReturned -> Transition(state.copy(granted = state.granted - event.permit))
+        is PoisonEvent.PlacementDropped -> returnPermits(state, unusedPermits(state, event.host))
     }
 
     private fun place(
@@ -78,7 +90,9 @@
         now: Instant,
     ): PoisonTransition {
         val strikes = state.strikesOf(event.fingerprint, settings, now)
-        if (strikes >= STRIKES_BEFORE_REFUSAL) return Transition(state, listOf(refusal(event)))
+        if (strikes >= STRIKES_BEFORE_REFUSAL) {
+            return Transition(state, listOf(refusal(event.request, event.mayHaveRun)))
+        }
         if (strikes == 0) return placeBesideCopies(state, event)
         return placeSuspect(state, event, now)
     }
@@ -109,10 +123,24 @@
         return Transition(state, listOf(PoisonDecision.Place(event.request, copy?.target?.host ?: event.host)))
     }
 
-    private fun refusal(event: PoisonEvent.PlacementWanted): PoisonDecision {
-        val outcome = if (event.mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
+    private fun forward(
+        state: PoisonState,
+        event: PoisonEvent.ForwardingWanted,
+        now: Instant,
+    ): PoisonTransition {
+        val isPoison = state.strikesOf(event.fingerprint, settings, now) >= STRIKES_BEFORE_REFUSAL
+        val decision =
+            if (isPoison) refusal(event.request, event.mayHaveRun) else PoisonDecision.Forward(event.request)
+        return Transition(state, listOf(decision))
+    }
+
+    private fun refusal(
+        request: RequestId,
+        mayHaveRun: Boolean,
+    ): PoisonDecision {
+        val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
         val detail = "$STRIKES_BEFORE_REFUSAL targets failed while they ran this request"
-        return PoisonDecision.Refuse(event.request, Refusal(RefusalReason.POISON_REQUEST, outcome, detail))
+        return PoisonDecision.Refuse(request, Refusal(RefusalReason.POISON_REQUEST, outcome, detail))
     }
 
     private fun ended(
@@ -120,7 +148,7 @@
         attempt: AttemptId,
     ): PoisonTransition {
         val ended = state.running[attempt] ?: return Transition(state)
-        return returnPermits(state.copy(running = state.running - attempt), setOf(ended))
+        return returnPermits(state.copy(running = state.running - attempt), permitsOf(state, setOf(ended)))
     }
 
     /** A strike at once, since a retry before the target's fate is known could take the next one down. */
@@ -130,34 +158,46 @@
         now: Instant,
     ): PoisonTransition {
         val broken = state.running[attempt] ?: return Transition(state)
-        return strike(state.copy(running = state.running - attempt), setOf(broken), now)
+        return strike(state.copy(running = state.running - attempt), setOf(broken), broken.target, now)
     }
 
     private fun lost(
         state: PoisonState,
-        loss: TargetLoss,
+        event: PoisonEvent.TargetLost,
         now: Instant,
     ): PoisonTransition {
-        val hit = state.running.filterValues { it.target == loss }
-        return strike(state.copy(running = state.running - hit.keys), hit.values.toSet(), now)
+        val hit = state.running.filterValues { it.target == event.ranAt }
+        return strike(state.copy(running = state.running - hit.keys), hit.values.toSet(), event.loss, now)
     }
 
     private fun strike(
         state: PoisonState,
         attempts: Set<RunningAttempt>,
+        loss: TargetLoss,
         now: Instant,
     ): PoisonTransition {
-        val strikes = attempts.map { Strike(it.fingerprint, it.target, now) }.toSet()
+        val strikes = attempts.map { Strike(it.fingerprint, loss, now) }.toSet()
         if (strikes.isEmpty()) return Transition(state)
-        val returned = returnPermits(state.withStrikes(strikes, now), attempts)
+        val returned = returnPermits(state.withStrikes(strikes, settings, now), permitsOf(state, attempts))
         return Transition(returned.state, listOf(PoisonDecision.TellPeers(strikes)) + returned.decisions)
     }
 
-    private fun returnPermits(
+    private fun permitsOf(
         state: PoisonState,
         attempts: Set<RunningAttempt>,
+    ): Set<Permit> = state.held.filter { permit -> attempts.any { it.holds(permit) } }.toSet()
+
+    private fun unusedPermits(
+        state: PoisonState,
+        host: HostId,
+    ): Set<Permit> = state.held
+        .filter { permit -> permit.host == host && state.running.values.none { it.holds(permit) } }
+        .toSet()
+
+    private fun returnPermits(
+        state: PoisonState,
+        free: Set<Permit>,
     ): PoisonTransition {
-        val free = state.held.filter { permit -> attempts.any { it.holds(permit) } }.toSet()
         val next = state.copy(held = state.held - free, granted = state.granted - free)
         if (state.permitOwner == state.daemon) return Transition(next)
         return Transition(next, free.map { PoisonDecision.ReturnPermit(state.permitOwner, it) })
@@ -187,7 +227,7 @@
         val settled = now.minus(settings.permitSettleTime)
         val kept = state.granted.filterNot { (permit, at) -> permit.holder == event.daemon && at.isBefore(settled) }
         val told = event.permits.associateWith { now }
-        return Transition(state.withStrikes(event.strikes, now).copy(granted = kept + told))
+        return Transition(state.withStrikes(event.strikes, settings, now).copy(granted = kept + told))
     }
 
     private fun permitAsked(
@@ -224,24 +264,6 @@
 
     private fun Permit.overlaps(other: Permit): Boolean = host == other.host || fingerprint == other.fingerprint
 
-    private fun PoisonState.withStrikes(
-        strikes: Set<Strike>,
-        now: Instant,
-    ): PoisonState {
-        val oldest = now.minus(settings.strikeLifetime)
-        val kept = this.strikes.mapValues { (_, losses) -> losses.filterValues { it.isAfter(oldest) } }
-        return copy(strikes = strikes.fold(kept.filterValues { it.isNotEmpty() }, ::withStrike))
-    }
-
-    private fun withStrike(
-        known: Map<CallFingerprint, Map<TargetLoss, Instant>>,
-        strike: Strike,
-    ): Map<CallFingerprint, Map<TargetLoss, Instant>> {
-        val losses = known[strike.fingerprint].orEmpty()
-        val at = losses[strike.loss] ?: strike.at
-        return known + (strike.fingerprint to losses + (strike.loss to at))
-    }
-
     private companion object {
         const val STRIKES_BEFORE_REFUSAL = 2
     }
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/poison/PoisonScenarios.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/poison/PoisonScenarios.kt
@@ -187,6 +187,10 @@
                 run(daemon, decision.request, decision.host)
             }
 
+            is PoisonDecision.Forward -> {
+                error("nothing is passed on here")
+            }
+
             is PoisonDecision.AskPermit -> {
                 soon { feed(decision.owner, PoisonEvent.PermitAsked(decision.request, decision.permit)) }
             }
