Tell silent connections from lost targets by stream

Cause: PathHealth stood unused. A stream on a connection that went silent for good waited for its request's deadline, and idle connections to the same endpoint were used again blindly.

Ruled out: telling the control thread of each token (it would cost it one event a token); a timeout on the socket (it can't tell a dead target from a dead path).

Change: StreamWatch looks at each stream's count of pieces with each tick and feeds PathHealth; probes go out on fresh connections; EndStreams ends the attempts of one connection, which are then resumed; a suspected target gets nothing until it reports again.

--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -47,6 +47,7 @@
     private val configurationPart = ConfigurationPart(startedAt)
     private val groups = GroupsPart(identity, groupSettings)
     private val calls = CallsPart(identity, ::attemptTarget)
+    private val paths = PathPart()
     private val peers = PeersPart(identity, seeds, startedAt)
     private val candidates = CandidateList(identity.failureDomain)
     private var hosts: Map<HostId, Host> = emptyMap()
@@ -117,6 +118,7 @@
             is DaemonEvent.ForEditor -> configurationPart.handle(event.event, step)
             is DaemonEvent.ForRouter -> calls.handle(event.event, step)
             is DaemonEvent.ModelCallArrived -> calls.modelCallArrived(event, step)
+            is DaemonEvent.ForPath -> paths.handle(event.event, step)
             is DaemonEvent.ForPoison -> calls.handle(event.event, step)
             is DaemonEvent.KeyedCallArrived -> calls.keyedCallArrived(event, step)
             is DaemonEvent.KeyedCallAnswered -> calls.keyedCallAnswered(event, step)
@@ -154,6 +156,7 @@
         groups.tick(step)
         refreshCandidates(step)
         calls.tick(step)
+        paths.tick(step)
         exchangeServices(step)
         peers.exchangeReports(hosts.values, step)
     }
@@ -164,6 +167,7 @@
     ) {
         groups.reportKnown(received, step)
         calls.reportKnown(received, step)
+        paths.reportKnown(received, step)
     }
 
     private fun hostsListed(
@@ -193,7 +197,8 @@
     private fun refreshCandidates(step: ControlStep) {
         configuration.services.keys.forEach { service ->
             val usable = candidates.of(service, configuration, hosts, servingState, step.now)
-            calls.handle(RouterEvent.CandidatesChanged(service, usable), step)
+            val answering = usable.filterNot { paths.isSuspected(it.host) }
+            calls.handle(RouterEvent.CandidatesChanged(service, answering), step)
         }
     }
 
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonDecision.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.configuration.ConfigurationDocument
 import org.vanillalink.configuration.EditorDecision
 import org.vanillalink.configuration.ReplicaDecision
+import org.vanillalink.dispatch.path.PathDecision
 import org.vanillalink.dispatch.poison.PoisonDecision
 import org.vanillalink.dispatch.record.DispatchDecision
 import org.vanillalink.groups.DomainDecision
@@ -79,6 +80,11 @@
         val decision: DispatchDecision,
     ) : DaemonDecision
 
+    /** Probe a target, or end streams on a silent connection. */
+    data class ForPath(
+        val decision: PathDecision,
+    ) : DaemonDecision
+
     /** Send or answer a message about permits to run a suspect request. */
     data class ForPoison(
         val decision: PoisonDecision,
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.configuration.EditorEvent
 import org.vanillalink.configuration.ReplicaEvent
+import org.vanillalink.dispatch.path.PathEvent
 import org.vanillalink.dispatch.poison.PoisonEvent
 import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
@@ -75,6 +76,11 @@
         val arrival: RouterEvent.RequestArrived,
     ) : DaemonEvent
 
+    /** What happened to a stream of an answer, or to a probe. */
+    data class ForPath(
+        val event: PathEvent,
+    ) : DaemonEvent
+
     /** A message about permits to run a suspect request. */
     data class ForPoison(
         val event: PoisonEvent,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -15,6 +15,7 @@
 import org.vanillalink.daemon.control.ControlThread
 import org.vanillalink.daemon.control.DispatchExecutor
 import org.vanillalink.daemon.control.DomainExecutor
+import org.vanillalink.daemon.control.StreamWatch
 import org.vanillalink.daemon.control.TargetPolling
 import org.vanillalink.daemon.operators.ConfigurationPages
 import org.vanillalink.daemon.operators.HealthPages
@@ -79,6 +80,7 @@
     private val polling = TargetPolling(loop, targets, HttpHostList(client, platform), clock)
     private val observer = CallObserver(log, metrics, clock)
     private val activeCalls = ActiveCalls()
+    private val streams = StreamWatch(loop, activeCalls, targets, client, log) { control.endpointOf(it) }
     private val peerClient = PeerClient(client, settings.secret, PEER_TIMEOUT)
     private val peers = PeerExecutor(loop, thread, peerClient) { control.peerEndpointOf(it) }
     private val permits =
@@ -122,6 +124,7 @@
         loop.add(dispatch)
         loop.add(peers)
         loop.add(permits)
+        loop.add(streams)
         loop.add { decision ->
             when (decision) {
                 is DaemonDecision.Record -> log.record(decision.name, decision.fields)
@@ -141,7 +144,10 @@
     }
 
     private fun subscribeToTime() {
-        thread.every(TICK) { loop.handle(DaemonEvent.Tick) }
+        thread.every(TICK) {
+            streams.look()
+            loop.handle(DaemonEvent.Tick)
+        }
         thread.every(HOSTS_INTERVAL, polling::readHosts)
         thread.every(PERMITS_INTERVAL, permits::giveBackAgain)
     }
--- a/targets/src/main/kotlin/org/vanillalink/targets/HttpTargetClient.kt
+++ b/targets/src/main/kotlin/org/vanillalink/targets/HttpTargetClient.kt
@@ -10,6 +10,7 @@
 import org.vanillalink.model.AttemptId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.TargetReport
+import org.vanillalink.transport.ConnectionChoice
 import org.vanillalink.transport.HttpAnswer
 import org.vanillalink.transport.HttpClient
 import org.vanillalink.transport.HttpRequestMessage
@@ -23,7 +24,16 @@
     private val timeout: Duration,
 ) : TargetClient {
     override fun report(target: Endpoint): CompletableFuture<Either<TargetFailure, TargetReport>> =
-        call(target, "GET", TargetProtocol.REPORT_PATH).thenApply { answer ->
+        report(target, ConnectionChoice.REUSED_OR_FRESH)
+
+    override fun probe(target: Endpoint): CompletableFuture<Either<TargetFailure, TargetReport>> =
+        report(target, ConnectionChoice.FRESH)
+
+    private fun report(
+        target: Endpoint,
+        connection: ConnectionChoice,
+    ): CompletableFuture<Either<TargetFailure, TargetReport>> =
+        call(target, "GET", TargetProtocol.REPORT_PATH, connection = connection).thenApply { answer ->
             answer.flatMap(::successful).flatMap { decode(it, TargetReport::class.java) }
         }
 
@@ -48,8 +58,9 @@
         method: String,
         path: String,
         body: ByteArray = ByteArray(0),
+        connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
     ): CompletableFuture<Either<TargetFailure, HttpAnswer>> = client
-        .call(target, HttpRequestMessage(method, path, body = body), timeout)
+        .call(target, HttpRequestMessage(method, path, body = body), timeout, connection)
         .thenApply { answer -> answer.mapLeft { TargetFailure.Unreachable(it.detail) } }
 
     private fun successful(answer: HttpAnswer): Either<TargetFailure, HttpAnswer> =
--- a/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
+++ b/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
@@ -27,6 +27,9 @@
     /** Asks for the report. */
     fun report(target: Endpoint): CompletableFuture<Either<TargetFailure, TargetReport>>
 
+    /** Asks for the report on a connection made for it, to look behind one that is silent. */
+    fun probe(target: Endpoint): CompletableFuture<Either<TargetFailure, TargetReport>>
+
     /** Gives an order. */
     fun order(
         target: Endpoint,
