Tell strikes to all known peers at once

Ruled out: holding the refusal back until peers have heard.

Change: StrikeExecutor posts strikes to the known peers' /peer/strikes as soon as they are made; gossip stays for daemons that weren't reached.

--- a/control/src/main/kotlin/org/vanillalink/control/PoisonPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PoisonPart.kt
@@ -201,13 +201,22 @@
             is PoisonDecision.Forward -> forward(decision, step)
             is PoisonDecision.Postpone -> Unit
             is PoisonDecision.Refuse -> refuse(decision, step)
-            is PoisonDecision.TellPeers -> decision.strikes.forEach { step.tell(PartNews.StrikeMade(it)) }
+            is PoisonDecision.TellPeers -> tellPeers(decision, step)
             is PoisonDecision.AskPermit -> step.decide(DaemonDecision.ForPoison(decision))
             is PoisonDecision.AnswerPermit -> step.decide(DaemonDecision.ForPoison(decision))
             is PoisonDecision.ReturnPermit -> step.decide(DaemonDecision.ForPoison(decision))
         }
     }
 
+    /** At once to the peers that are known, since a resend may be on its way; gossip reaches the others. */
+    private fun tellPeers(
+        decision: PoisonDecision.TellPeers,
+        step: ControlStep,
+    ) {
+        step.decide(DaemonDecision.ForPoison(decision))
+        decision.strikes.forEach { step.tell(PartNews.StrikeMade(it)) }
+    }
+
     /** A copy whose harm isn't known waits until the copy that runs elsewhere has ended. */
     private fun place(
         decision: PoisonDecision.Place,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -26,6 +26,7 @@
 import org.vanillalink.daemon.peers.PeerProtocol
 import org.vanillalink.daemon.peers.PeerRecordOwners
 import org.vanillalink.daemon.peers.PermitExecutor
+import org.vanillalink.daemon.peers.StrikeExecutor
 import org.vanillalink.daemon.settings.DaemonSettings
 import org.vanillalink.daemon.settings.SettingsCheck
 import org.vanillalink.daemon.timeline.EventLog
@@ -87,6 +88,11 @@
         PermitExecutor(loop, thread, peerClient, control::peerEndpointOf) { permit ->
             permit in control.poisonState.held || permit in control.poisonState.asked.values
         }
+    private val strikes =
+        StrikeExecutor(loop, peerClient) {
+            control.membershipState.peers.values
+                .map { it.identity.endpoints.peers }
+        }
     private val calls = CallExecutor(loop, thread, targets, activeCalls, observer, ::forwardTargetOf)
     private val objects = HttpObjectStore(client, platform)
     private val owners = PeerRecordOwners(peerClient) { control.peerEndpointOf(it) }
@@ -99,7 +105,7 @@
         addExecutors()
         val traffic = NettyHttpServer(loops, settings.listen, ServerLimits(), callers)
         val operators = NettyHttpServer(loops, settings.operatorsListen, ServerLimits(), operatorsHandler())
-        val peerHandler = PeerHandler(settings.secret, loop, peers, permits, callers.forwarded, clock)
+        val peerHandler = PeerHandler(settings.secret, loop, peers, permits, strikes, callers.forwarded, clock)
         val peerServer = NettyHttpServer(loops, settings.peersListen, ServerLimits(), peerHandler)
         val ended = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(Thread { shutDown(listOf(traffic, peerServer), operators, ended) })
@@ -124,6 +130,7 @@
         loop.add(dispatch)
         loop.add(peers)
         loop.add(permits)
+        loop.add(strikes)
         loop.add(streams)
         loop.add { decision ->
             when (decision) {
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
@@ -25,6 +25,7 @@
     private val loop: ControlLoop,
     private val executor: PeerExecutor,
     private val permits: PermitExecutor,
+    private val strikes: StrikeExecutor,
     private val forwarded: HttpRequestHandler,
     private val clock: Clock,
 ) : HttpRequestHandler {
@@ -37,6 +38,7 @@
             request.path == PeerProtocol.HEARTBEAT_PATH -> heartbeat(request, answer)
             request.path == PeerProtocol.REPORTS_PATH -> reports(request, answer)
             request.path == PeerProtocol.PERMITS_PATH -> permits(request, answer)
+            request.path == PeerProtocol.STRIKES_PATH -> strikes(request, answer)
             request.path == PeerProtocol.CONFIGURATION_PATH -> configuration(request, answer)
             request.path.startsWith(PeerProtocol.DISPATCH_PREFIX) -> dispatchStatus(request, answer)
             request.path.startsWith(PeerProtocol.FORWARD_PREFIX) -> forwarded.handle(unwrap(request), answer)
@@ -77,6 +79,14 @@
         { permits.receive(it, answer) },
     )
 
+    private fun strikes(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = Json.read<StrikesMessage>(request.body).fold(
+        { answer.answer(BAD_REQUEST) },
+        { answer.answerJson(strikes.receive(it)) },
+    )
+
     private fun configuration(
         request: HttpRequestMessage,
         answer: AnswerWriter,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerProtocol.kt
@@ -20,6 +20,9 @@
     /** Permits to run requests that may crash their targets. */
     const val PERMITS_PATH = "/peer/permits"
 
+    /** Requests that ran on a lost target. */
+    const val STRIKES_PATH = "/peer/strikes"
+
     /** Whether a keyed call is in progress. */
     const val DISPATCH_PREFIX = "/peer/dispatch/"
 
