--- a/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonControl.kt
@@ -14,11 +14,14 @@
 import org.vanillalink.control.admission.AdmissionPart
 import org.vanillalink.control.admission.AdmissionTargets
 import org.vanillalink.control.admission.CandidateUnits
+import org.vanillalink.dispatch.poison.PoisonEvent
+import org.vanillalink.dispatch.poison.PoisonState
 import org.vanillalink.dispatch.record.DispatchState
 import org.vanillalink.groups.ControlEvent
 import org.vanillalink.groups.ControllerEvent
 import org.vanillalink.groups.DomainState
 import org.vanillalink.groups.GroupSettings
+import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.groups.ServingState
 import org.vanillalink.membership.DaemonIdentity
 import org.vanillalink.membership.LocalState
@@ -50,6 +53,7 @@
     private val admission = AdmissionPart(identity)
     private val calls: CallsPart = CallsPart(identity, ::beforeRouting, ::attemptTarget)
     private val units = CandidateUnits(admission) { calls.routerState }
+    private val paths = PathPart()
     private val peers = PeersPart(identity, seeds, startedAt)
     private val expectedCapacity = ExpectedCapacity(identity.failureDomain)
     private val outlook = CapacityOutlook()
@@ -72,6 +76,9 @@
     /** What is known of calls with idempotency keys. */
     val dispatchState: DispatchState get() = calls.dispatchState
 
+    /** What is known of requests that crash their targets. */
+    val poisonState: PoisonState get() = calls.poisonState
+
     /** What is known of requests. */
     val routerState: RouterState get() = calls.routerState
 
@@ -118,6 +125,9 @@
             is DaemonEvent.ForReplica -> configurationPart.handle(event.event, step)
             is DaemonEvent.ForEditor -> configurationPart.handle(event.event, step)
             is DaemonEvent.ForRouter -> calls.handle(event.event, step)
+            is DaemonEvent.ModelCallArrived -> calls.modelCallArrived(event, step)
+            is DaemonEvent.ForPath -> paths.handle(event.event, step)
+            is DaemonEvent.ForPoison -> calls.handle(event.event, step)
             is DaemonEvent.KeyedCallArrived -> calls.keyedCallArrived(event, step)
             is DaemonEvent.KeyedCallAnswered -> calls.keyedCallAnswered(event, step)
             is DaemonEvent.ForDispatch -> calls.handle(event.event, step)
@@ -141,6 +151,10 @@
             is PartNews.HostsListed -> groups.handle(ControllerEvent.HostsListed(news.hosts.values.toList()), step)
             is PartNews.ReportKnown -> reportKnown(news, step)
             PartNews.UnitsChanged -> calls.refresh(step)
+            is PartNews.StrikeMade -> peers.handle(MembershipEvent.StrikeSeen(StrikeText.of(news.strike)), step)
+            is PartNews.StrikeHeard -> calls.handle(PoisonEvent.StrikesHeard(setOf(news.strike)), step)
+            is PartNews.DaemonsHeard -> calls.handle(PoisonEvent.DaemonsHeard(news.daemons), step)
+            is PartNews.MemberLost -> calls.handle(PoisonEvent.TargetLost(news.loss, news.ranAt), step)
             PartNews.ServingChanged -> refreshCandidates(step)
             is PartNews.ForRouter -> calls.handle(news.event, step)
             is PartNews.ServicesCounted -> peers.handle(servicesCounted(news), step)
@@ -169,6 +183,7 @@
                 membershipState.heardDaemons.size,
                 step,
             ).forEach { calls.handle(outlook.join(OutlookSource.COLD_TARGETS, it), step) }
+        paths.tick(step)
         exchangeServices(step)
         peers.exchangeReports(hosts.values, servingState.endedGenerations, step)
     }
@@ -204,7 +219,8 @@
         configuration.services.keys.forEach { service ->
             calls.refresh(step)
             val usable = candidates.of(service, configuration, hosts, servingState, step.now)
-            calls.handle(RouterEvent.CandidatesChanged(service, units.ofAll(service, usable)), step)
+            val answering = usable.filterNot { paths.isSuspected(it.host) }
+            calls.handle(RouterEvent.CandidatesChanged(service, units.ofAll(service, answering)), step)
         }
     }
 
@@ -228,6 +244,8 @@
     ) {
         admission.reportKnown(news.received.report, step)
         groups.reportKnown(news.received, step)
+        calls.reportKnown(news.received, step)
+        paths.reportKnown(news.received, step)
         calls.refresh(step)
     }
 
--- a/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/DaemonEvent.kt
@@ -6,6 +6,9 @@
 import org.vanillalink.configuration.EditorEvent
 import org.vanillalink.configuration.ReplicaEvent
 import org.vanillalink.control.admission.AdmissionNews
+import org.vanillalink.dispatch.path.PathEvent
+import org.vanillalink.dispatch.poison.PoisonEvent
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.DispatchEvent
 import org.vanillalink.dispatch.record.KeyedCall
@@ -69,6 +72,22 @@
         val event: RouterEvent,
     ) : DaemonEvent
 
+    /** A model request arrived; [fingerprint] is the same for each of its resends. */
+    data class ModelCallArrived(
+        val fingerprint: CallFingerprint,
+        val arrival: RouterEvent.RequestArrived,
+    ) : DaemonEvent
+
+    /** What happened to a stream of an answer, or to a probe. */
+    data class ForPath(
+        val event: PathEvent,
+    ) : DaemonEvent
+
+    /** A message about permits to run a suspect request. */
+    data class ForPoison(
+        val event: PoisonEvent,
+    ) : DaemonEvent
+
     /** A call with an idempotency key arrived; [arrival] is for the router once the call may be sent. */
     data class KeyedCallArrived(
         val call: KeyedCall,
--- a/control/src/test/kotlin/org/vanillalink/control/joined/JoinedDaemon.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/joined/JoinedDaemon.kt
@@ -134,17 +134,32 @@
     private fun execute(decision: DaemonDecision) {
         when (decision) {
             is DaemonDecision.FetchReport -> fetchReport(decision)
+
             is DaemonDecision.ShareReports -> share(decision)
+
             is DaemonDecision.ForMembership -> execute(decision.decision)
+
             is DaemonDecision.ForDomain -> execute(decision.decision)
+
             is DaemonDecision.ForReplica -> execute(decision.decision)
+
             is DaemonDecision.ForEditor -> execute(decision.decision)
+
             is DaemonDecision.StartAttempt -> calls.startAttempt(decision)
+
             is DaemonDecision.ForDispatch -> calls.execute(decision.decision)
+
             is DaemonDecision.ForRouter -> calls.execute(decision.decision)
+
             is DaemonDecision.ForAdmission -> admission.execute(decision.work)
+
+            // Requests here carry no fingerprints and streams no connections; other tests drive these two.
+            is DaemonDecision.ForPoison, is DaemonDecision.ForPath -> Unit
+
             is DaemonDecision.EndAttempts -> calls.endAttemptsAt(decision.host)
+
             is DaemonDecision.ConfigurationChanged -> revisions.add(decision.revision)
+
             is DaemonDecision.Record -> scenario.note("$id ${decision.name} ${decision.fields}")
         }
     }
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -19,6 +19,7 @@
 import org.vanillalink.daemon.control.DispatchExecutor
 import org.vanillalink.daemon.control.DomainExecutor
 import org.vanillalink.daemon.control.EndpointDirectory
+import org.vanillalink.daemon.control.StreamWatch
 import org.vanillalink.daemon.control.TargetPolling
 import org.vanillalink.daemon.metrics.CallMetrics
 import org.vanillalink.daemon.metrics.MeteredTableStore
@@ -32,6 +33,8 @@
 import org.vanillalink.daemon.peers.PeerHandler
 import org.vanillalink.daemon.peers.PeerProtocol
 import org.vanillalink.daemon.peers.PeerRecordOwners
+import org.vanillalink.daemon.peers.PermitExecutor
+import org.vanillalink.daemon.peers.StrikeExecutor
 import org.vanillalink.daemon.settings.DaemonSettings
 import org.vanillalink.daemon.settings.SettingsCheck
 import org.vanillalink.daemon.timeline.EventLog
@@ -89,8 +92,18 @@
     private val polling = TargetPolling(loop, targets, HttpHostList(client, platform), settings.failureDomain, clock)
     private val observer = CallObserver(log, callMetrics, clock)
     private val activeCalls = ActiveCalls()
+    private val streams = StreamWatch(loop, activeCalls, targets, client, log) { control.endpointOf(it) }
     private val peerClient = PeerClient(client, settings.secret, PEER_TIMEOUT)
     private val peers = PeerExecutor(loop, thread, peerClient) { control.peerEndpointOf(it) }
+    private val permits =
+        PermitExecutor(loop, thread, peerClient, control::peerEndpointOf) { permit ->
+            permit in control.poisonState.held || permit in control.poisonState.asked.values
+        }
+    private val strikes =
+        StrikeExecutor(loop, peerClient) {
+            control.membershipState.peers.values
+                .map { it.identity.endpoints.peers }
+        }
     private val calls =
         CallExecutor(loop, thread, targets, activeCalls, observer, callMetrics, clock, ::forwardTargetOf)
     private val objects = HttpObjectStore(client, platform)
@@ -104,7 +117,7 @@
         addExecutors()
         val traffic = NettyHttpServer(loops, settings.listen, ServerLimits(), callers)
         val operators = NettyHttpServer(loops, settings.operatorsListen, ServerLimits(), operatorsHandler())
-        val peerHandler = PeerHandler(settings.secret, loop, peers, callers.forwarded, clock)
+        val peerHandler = PeerHandler(settings.secret, loop, peers, permits, strikes, callers.forwarded, clock)
         val peerServer = NettyHttpServer(loops, settings.peersListen, ServerLimits(), peerHandler)
         ProcessMetrics.register(metrics, thread) { inProgress(listOf(traffic, peerServer)) }
         val ended = CountDownLatch(1)
@@ -131,6 +144,9 @@
         loop.add(calls)
         loop.add(dispatch)
         loop.add(peers)
+        loop.add(permits)
+        loop.add(strikes)
+        loop.add(streams)
         loop.add { decision ->
             when (decision) {
                 is DaemonDecision.Record -> log.record(decision.name, decision.fields)
@@ -150,9 +166,13 @@
     }
 
     private fun subscribeToTime() {
-        thread.every(TICK) { loop.handle(DaemonEvent.Tick) }
+        thread.every(TICK) {
+            streams.look()
+            loop.handle(DaemonEvent.Tick)
+        }
         thread.every(HOSTS_INTERVAL, polling::readHosts)
         thread.every(METRICS_INTERVAL) { stateMetrics.refresh(control, clock.instant()) }
+        thread.every(PERMITS_INTERVAL, permits::giveBackAgain)
     }
 
     private fun operatorsHandler(): OperatorsHandler {
@@ -217,6 +237,7 @@
         val TICK: Duration = Duration.ofMillis(100)
         val METRICS_INTERVAL: Duration = Duration.ofSeconds(1)
         val HOSTS_INTERVAL: Duration = Duration.ofSeconds(1)
+        val PERMITS_INTERVAL: Duration = Duration.ofSeconds(1)
         val REPORT_TIMEOUT: Duration = Duration.ofSeconds(1)
         const val DRAIN_POLL_MILLISECONDS = 50L
         const val GIVE_UP_CONTROL_MILLISECONDS = 200L
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -14,6 +14,7 @@
 import org.vanillalink.daemon.traffic.ForwardTarget
 import org.vanillalink.daemon.traffic.KeyedPlainCall
 import org.vanillalink.daemon.traffic.attemptId
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.model.DaemonId
@@ -48,6 +49,16 @@
         loop.handle(DaemonEvent.ForRouter(event))
     }
 
+    override fun modelCallArrived(
+        call: ActiveCall,
+        fingerprint: CallFingerprint,
+        event: RouterEvent.RequestArrived,
+    ) = thread.execute {
+        calls.add(call)
+        observer.arrived(event)
+        loop.handle(DaemonEvent.ModelCallArrived(fingerprint, event))
+    }
+
     override fun keyedCallArrived(
         call: ActiveCall,
         keyed: KeyedCall,
@@ -86,6 +97,15 @@
         return TimedAnswerWriter(answer) { metrics.firstByte(service, Duration.between(startedAt, clock.instant())) }
     }
 
+    /** Where the work may go on, the target is told to end it, so that its admission unit comes free. */
+    override fun attemptFailed(
+        event: RouterEvent.AttemptFailed,
+        target: AttemptTarget?,
+    ) {
+        happened(event)
+        if (!event.workEnded && target != null) cancel(event.request, event.attempt, target)
+    }
+
     override fun execute(decision: DaemonDecision) {
         when (decision) {
             is DaemonDecision.StartAttempt -> {
@@ -93,12 +113,7 @@
             }
 
             is DaemonDecision.EndAttempts -> {
-                calls.all.forEach {
-                    it.endAttemptAt(
-                        decision.host,
-                        decision.reason.toString(),
-                    )
-                }
+                calls.all.forEach { it.endAttemptAt(decision.host) }
             }
 
             is DaemonDecision.ForRouter -> {
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/peers/PeerHandler.kt
@@ -25,6 +25,8 @@
     private val secret: String?,
     private val loop: ControlLoop,
     private val executor: PeerExecutor,
+    private val permits: PermitExecutor,
+    private val strikes: StrikeExecutor,
     private val forwarded: HttpRequestHandler,
     private val clock: Clock,
 ) : HttpRequestHandler {
@@ -37,6 +39,8 @@
             request.path == PeerProtocol.HEARTBEAT_PATH -> heartbeat(request, answer)
             request.path == PeerProtocol.REPORTS_PATH -> reports(request, answer)
             request.path == PeerProtocol.ADMISSION_PATH -> admission(request, answer)
+            request.path == PeerProtocol.PERMITS_PATH -> permits(request, answer)
+            request.path == PeerProtocol.STRIKES_PATH -> strikes(request, answer)
             request.path == PeerProtocol.CONFIGURATION_PATH -> configuration(request, answer)
             request.path.startsWith(PeerProtocol.DISPATCH_PREFIX) -> dispatchStatus(request, answer)
             request.path.startsWith(PeerProtocol.FORWARD_PREFIX) -> forwarded.handle(unwrap(request), answer)
@@ -80,6 +84,22 @@
         },
     )
 
+    private fun permits(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = Json.read<PermitMessage>(request.body).fold(
+        { answer.answer(BAD_REQUEST) },
+        { permits.receive(it, answer) },
+    )
+
+    private fun strikes(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = Json.read<StrikesMessage>(request.body).fold(
+        { answer.answer(BAD_REQUEST) },
+        { answer.answerJson(strikes.receive(it)) },
+    )
+
     private fun configuration(
         request: HttpRequestMessage,
         answer: AnswerWriter,
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallEvents.kt
@@ -3,6 +3,8 @@
  */
 package org.vanillalink.daemon.traffic
 
+import org.vanillalink.control.AttemptTarget
+import org.vanillalink.dispatch.record.CallFingerprint
 import org.vanillalink.dispatch.record.CallOutcome
 import org.vanillalink.dispatch.record.KeyedCall
 import org.vanillalink.model.Refusal
@@ -19,6 +21,13 @@
         event: RouterEvent.RequestArrived,
     )
 
+    /** [call] of a model arrived; [fingerprint] is the same for each of its resends. */
+    fun modelCallArrived(
+        call: ActiveCall,
+        fingerprint: CallFingerprint,
+        event: RouterEvent.RequestArrived,
+    )
+
     /** [call], which has an idempotency key, arrived. */
     fun keyedCallArrived(
         call: ActiveCall,
@@ -32,7 +41,13 @@
         outcome: CallOutcome,
     )
 
-    /** Something happened to a call's attempt. */
+    /** An attempt failed that ran at [target], or at another failure domain's daemon where that is null. */
+    fun attemptFailed(
+        event: RouterEvent.AttemptFailed,
+        target: AttemptTarget?,
+    )
+
+    /** Something else happened to a call. */
     fun happened(event: RouterEvent)
 
     /** [request] was refused before it became a call; [forwarded] where another daemon passed it on. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/traffic/CallerHandler.kt
@@ -57,7 +57,11 @@
     var draining: Boolean = false
 
     /** Takes requests that a daemon of another failure domain passes on; they aren't passed on again. */
-    val forwarded: HttpRequestHandler = HttpRequestHandler(::take)
+    val forwarded: HttpRequestHandler =
+        HttpRequestHandler { request, answer ->
+            val attempt = request.headers[CallerProtocol.FORWARDED_HEADER]
+            take(request, if (attempt == null) answer else EchoingAnswer(answer, attempt))
+        }
 
     /** A caller's own word that its request was passed on counts for nothing. */
     override fun handle(
@@ -87,8 +91,9 @@
 
     private class AcceptedCall(
         val call: ActiveCall,
-        val keyed: KeyedCall?,
         val arrival: RouterEvent.RequestArrived,
+        val keyed: KeyedCall? = null,
+        val fingerprint: CallFingerprint? = null,
     )
 
     private fun begin(
@@ -97,10 +102,11 @@
     ) {
         answer.onCallerGone { events.happened(RouterEvent.RequestCancelled(accepted.call.request)) }
         val keyed = accepted.keyed
-        if (keyed == null) {
-            events.arrived(accepted.call, accepted.arrival)
-        } else {
-            events.keyedCallArrived(accepted.call, keyed, accepted.arrival)
+        val fingerprint = accepted.fingerprint
+        when {
+            keyed != null -> events.keyedCallArrived(accepted.call, keyed, accepted.arrival)
+            fingerprint != null -> events.modelCallArrived(accepted.call, fingerprint, accepted.arrival)
+            else -> events.arrived(accepted.call, accepted.arrival)
         }
     }
 
@@ -125,11 +131,12 @@
         val timed = if (arrival.forwarded) answer else events.timed(service, answer)
         if (body != null) {
             val call = ModelCall(id, body, request.headers, timed, client, events, clock)
-            return AcceptedCall(call, null, withPrompt(arrival, body))
+            val described = withPrompt(arrival, body)
+            return AcceptedCall(call, described, fingerprint = fingerprintOf(body, arrival))
         }
         // The daemon that passes a keyed call on holds its record.
         val keyed = if (arrival.repeatable || arrival.forwarded) null else keyedCall(request, arrival)
-        return AcceptedCall(plainCall(keyed, arrival, request, timed), keyed, arrival)
+        return AcceptedCall(plainCall(keyed, arrival, request, timed), arrival, keyed)
     }
 
     private fun Raise<Refusal>.completionBody(request: HttpRequestMessage): ObjectNode {
@@ -143,6 +150,15 @@
         return node
     }
 
+    /** A resend is the same request whether it asks for a stream or not, and wherever it was passed on. */
+    private fun fingerprintOf(
+        body: ObjectNode,
+        arrival: RouterEvent.RequestArrived,
+    ): CallFingerprint {
+        val asked = body.deepCopy().without<ObjectNode>("stream")
+        return CallFingerprint.ofModelRequest(arrival.workspace, arrival.service, Json.write(asked))
+    }
+
     private fun modelOf(body: ObjectNode) = ServiceName(body.path("model").asText())
 
     private fun serviceOf(request: HttpRequestMessage): ServiceName? {
--- a/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
+++ b/targets/src/main/kotlin/org/vanillalink/targets/TargetClient.kt
@@ -25,7 +25,7 @@
 
 /** Access to one target's control interface. */
 interface TargetClient {
-    /** Asks for the report over [connection]. */
+    /** Asks for the report over [connection]; a fresh one looks behind one that is silent. */
     fun report(
         target: Endpoint,
         connection: ConnectionChoice = ConnectionChoice.REUSED_OR_FRESH,
