Leave a target alone that took nothing of an attempt until its next report

Cause: after an engine's loss the router chose it again until its last report was old: up to 10 attempts within 30 ms, then a refusal, seen in the time line of innocents beside a poison request. Ruled out: the poison rules, which had placed those requests; a shorter life of reports, which would stop healthy groups. Change: a candidate whose attempt certainly didn't run has no room until a report that was asked for later. Broken on a scratch copy (the mark ignored): the new test in RouterRetryTest fails. Result: all router tests pass. Not run again with real processes and a poison prompt.

--- a/routing/src/main/kotlin/org/vanillalink/routing/AttemptOutcomes.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/AttemptOutcomes.kt
@@ -39,6 +39,7 @@
         request.current = null
         request.mayHaveRun = request.mayHaveRun || event.mayHaveRun
         record.candidate?.let { request.failedHosts.add(it.candidate.host) }
+        if (!event.mayHaveRun) record.candidate?.unreached(step.now)
         val turnedAway = record.remote != null && !event.mayHaveRun
         if (turnedAway) record.remote?.refused()
         val mayRetry = turnedAway || (canRepeat(event, request) && record.service.budget.spend())
--- a/routing/src/main/kotlin/org/vanillalink/routing/CandidateEntry.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/CandidateEntry.kt
@@ -15,6 +15,9 @@
     private val running = HashMap<AttemptKey, Instant>()
     private val ended = ArrayDeque<Pair<Instant, Instant>>()
 
+    /** When an attempt couldn't reach it, or was turned away, for the last time. */
+    private var unreachedAt: Instant? = null
+
     /** Change of the load since the report, by own attempts. */
     private var ownChange = 0
 
@@ -23,7 +26,14 @@
     val limit: Int get() = minOf(candidate.capacity, candidate.admissionUnits ?: candidate.capacity)
 
     /** Whether one more attempt may start here. */
-    val hasRoom: Boolean get() = inUse < limit && estimatedLoad < candidate.capacity
+    val hasRoom: Boolean get() = inUse < limit && estimatedLoad < candidate.capacity && !isUnreached
+
+    /** Whether it took nothing of an attempt and has given no report since. */
+    private val isUnreached: Boolean
+        get() {
+            val unreached = unreachedAt ?: return false
+            return candidate.load?.let { it.reportedAt <= unreached } ?: false
+        }
 
     /** Requests at the target from all daemons. */
     val estimatedLoad: Int
@@ -62,6 +72,11 @@
         ownChange += 1
     }
 
+    /** An attempt sent at [at] certainly didn't run here. */
+    fun unreached(at: Instant) {
+        unreachedAt = at
+    }
+
     fun ended(
         key: AttemptKey,
         now: Instant,
--- a/routing/src/test/kotlin/org/vanillalink/routing/RouterRetryTest.kt
+++ b/routing/src/test/kotlin/org/vanillalink/routing/RouterRetryTest.kt
@@ -23,6 +23,28 @@
         assertEquals(setOf("a", "b"), setOf(first, second))
     }
 
+    @Test
+    fun `a target that took nothing of an attempt gets no other before its next report`() {
+        val fixture = RouterFixture()
+        val deadLoad = ReportedLoad(0, 0, 1.0, fixture.now)
+        fixture.target("dead", capacity = 50, load = deadLoad)
+        fixture.arrive("r1")
+        fixture.target("other", capacity = 1)
+
+        val retried = fixture.fail("r1", mayHaveRun = false).startedHosts()
+        val next = fixture.arrive("r2").startedHosts()
+        val reported =
+            fixture.target(
+                "dead",
+                capacity = 50,
+                load = deadLoad.copy(reportedAt = fixture.now.plusMillis(1)),
+            )
+
+        assertEquals(listOf("other"), retried)
+        assertEquals(emptyList(), next)
+        assertEquals(listOf("dead"), reported.startedHosts())
+    }
+
     @Test
     fun `a spent budget ends in a refusal that tells what is known`() {
         repeat(4) { testSubject.arrive("r$it") }
