--- a/measure/src/main/kotlin/org/vanillalink/measure/AdmissionMeasurement.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/AdmissionMeasurement.kt
@@ -20,7 +20,7 @@
         return listOf(
             Figure("load-over-bound-checking", lent.worst(true), "ratio", timetable.worst(true), "<= 1.0"),
             Figure("load-over-bound-known-cold", lent.worstKnown(), "ratio", timetable.worstKnown(), "<= 1.0"),
-            Figure("load-over-bound-not-checking", lent.worst(false), "ratio", timetable.worst(false)),
+            Figure("load-over-bound-not-checking", lent.worst(false), "ratio", timetable.worst(false), "<= 1.0"),
             Figure(
                 "requests-over-bound-before-turn-known",
                 lent.unannounced().toDouble(),
