--- a/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationEditor.kt
+++ b/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationEditor.kt
@@ -11,11 +11,11 @@
 import arrow.core.Either
 import org.vanillalink.model.Aggregate
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 import java.time.Instant
 
 private typealias EditorTransition = Transition<EditorState, EditorDecision>
--- a/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationReplica.kt
+++ b/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationReplica.kt
@@ -12,8 +12,8 @@
 import org.vanillalink.model.Aggregate
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 import java.time.Duration
 import java.time.Instant
 
--- a/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationRows.kt
+++ b/configuration/src/main/kotlin/org/vanillalink/configuration/ConfigurationRows.kt
@@ -9,8 +9,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
 import com.fasterxml.jackson.module.kotlin.readValue
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 import java.util.zip.CRC32
 
 /** An edit that took effect, and what it led to. */
--- a/configuration/src/main/kotlin/org/vanillalink/configuration/ReplicaTypes.kt
+++ b/configuration/src/main/kotlin/org/vanillalink/configuration/ReplicaTypes.kt
@@ -5,9 +5,9 @@
 
 import arrow.core.Either
 import org.vanillalink.model.DaemonId
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
 import java.time.Duration
 import java.time.Instant
 
--- a/configuration/src/test/kotlin/org/vanillalink/configuration/ReplicaFleet.kt
+++ b/configuration/src/test/kotlin/org/vanillalink/configuration/ReplicaFleet.kt
@@ -6,11 +6,11 @@
 import arrow.core.Either
 import arrow.core.right
 import org.vanillalink.model.DaemonId
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.LinkBehaviour
 import org.vanillalink.testing.Scenario
--- a/control/src/main/kotlin/org/vanillalink/control/admission/AdmissionWork.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/admission/AdmissionWork.kt
@@ -12,11 +12,11 @@
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.HostId
 import org.vanillalink.model.TargetReport
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 
 /** Who asked a target for a report: the owner of the units, or a holder of some. */
 enum class ReportAsker { OWNER, HOLDER }
--- a/control/src/main/kotlin/org/vanillalink/control/admission/DomainRuns.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/admission/DomainRuns.kt
@@ -11,9 +11,9 @@
 import org.vanillalink.membership.DaemonIdentity
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FencingNumber
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
 import java.time.Duration
 import java.time.Instant
 
--- a/control/src/main/kotlin/org/vanillalink/control/admission/RunRegister.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/admission/RunRegister.kt
@@ -8,10 +8,10 @@
 
 import org.vanillalink.groups.GroupRows
 import org.vanillalink.membership.DaemonIdentity
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.TransactionResult
 import java.time.Duration
 import java.time.Instant
 
--- a/control/src/main/kotlin/org/vanillalink/control/admission/RunRows.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/admission/RunRows.kt
@@ -15,8 +15,8 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.FencingNumber
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 
 /** What a run's row holds: where the run takes messages of daemons. */
 internal data class RunRow(
--- a/control/src/test/kotlin/org/vanillalink/control/admission/DomainRunsTest.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/admission/DomainRunsTest.kt
@@ -17,9 +17,9 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.FencingNumber
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.TransactionResult
 import java.time.Instant
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/control/src/test/kotlin/org/vanillalink/control/admission/JoinedDomain.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/admission/JoinedDomain.kt
@@ -16,7 +16,7 @@
 import org.vanillalink.model.Host
 import org.vanillalink.model.HostId
 import org.vanillalink.model.HostRole
-import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.Scenario
 import java.time.Duration
--- a/control/src/test/kotlin/org/vanillalink/control/joined/JoinedPlatform.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/joined/JoinedPlatform.kt
@@ -8,11 +8,11 @@
 import org.vanillalink.model.Host
 import org.vanillalink.model.HostId
 import org.vanillalink.model.HostStatus
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.StoreBehaviour
 import java.time.Duration
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Daemon.kt
@@ -47,10 +47,10 @@
 import org.vanillalink.membership.DaemonIdentity
 import org.vanillalink.model.BootId
 import org.vanillalink.model.DaemonId
-import org.vanillalink.platform.http.HttpHostList
-import org.vanillalink.platform.http.HttpObjectStore
-import org.vanillalink.platform.http.HttpTableStore
-import org.vanillalink.platform.http.PlatformSettings
+import org.vanillalink.store.http.HttpHostList
+import org.vanillalink.store.http.HttpObjectStore
+import org.vanillalink.store.http.HttpTableStore
+import org.vanillalink.store.http.PlatformSettings
 import org.vanillalink.targets.HttpTargetClient
 import org.vanillalink.transport.HttpServer
 import org.vanillalink.transport.NettyEventLoops
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/AdmissionExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/AdmissionExecutor.kt
@@ -14,7 +14,7 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.HostId
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.TableStore
 import org.vanillalink.targets.OrderKind
 import org.vanillalink.targets.OrderMessage
 import org.vanillalink.targets.TargetClient
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/ConfigurationExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/ConfigurationExecutor.kt
@@ -11,7 +11,7 @@
 import org.vanillalink.configuration.ReplicaEvent
 import org.vanillalink.control.DaemonDecision
 import org.vanillalink.control.DaemonEvent
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.TableStore
 import java.util.concurrent.CompletableFuture
 
 /** Reads and writes the configuration's rows in [table]. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/ControlThread.kt
@@ -4,7 +4,7 @@
 package org.vanillalink.daemon.control
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.vanillalink.daemon.timeline.KeyValueLine
+import org.vanillalink.model.KeyValueLine
 import java.time.Duration
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/DispatchExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/DispatchExecutor.kt
@@ -17,8 +17,8 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
-import org.vanillalink.platform.ObjectStore
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.ObjectStore
+import org.vanillalink.store.TableStore
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/DomainExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/DomainExecutor.kt
@@ -16,7 +16,7 @@
 import org.vanillalink.groups.TargetOrder
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.HostId
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.TableStore
 import org.vanillalink.targets.MemberMessage
 import org.vanillalink.targets.OrderAnswer
 import org.vanillalink.targets.OrderKind
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/TargetPolling.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/TargetPolling.kt
@@ -7,7 +7,7 @@
 import org.vanillalink.control.DaemonEvent
 import org.vanillalink.groups.ReceivedReport
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.platform.HostList
+import org.vanillalink.store.HostList
 import org.vanillalink.targets.TargetClient
 import java.time.Clock
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/metrics/MeteredTableStore.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/metrics/MeteredTableStore.kt
@@ -5,12 +5,12 @@
 
 import arrow.core.Either
 import io.micrometer.core.instrument.MeterRegistry
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TableStore
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TableStore
+import org.vanillalink.store.TransactionResult
 import java.util.concurrent.CompletableFuture
 
 /** A [TableStore] that passes calls on to [table]. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/ConfigurationHistoryPage.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/ConfigurationHistoryPage.kt
@@ -8,9 +8,9 @@
 import org.vanillalink.configuration.ConfigurationSection
 import org.vanillalink.configuration.StoredSection
 import org.vanillalink.daemon.control.ControlLoop
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.TableStore
 import org.vanillalink.transport.AnswerWriter
 import org.vanillalink.transport.HttpRequestMessage
 
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/operators/OperatorsPages.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/operators/OperatorsPages.kt
@@ -6,7 +6,7 @@
 import org.vanillalink.daemon.control.ConfigurationExecutor
 import org.vanillalink.daemon.control.ControlLoop
 import org.vanillalink.daemon.settings.DaemonSettings
-import org.vanillalink.platform.TableStore
+import org.vanillalink.store.TableStore
 import java.time.Clock
 
 /** Makes the pages of the daemon that runs with [settings]. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/DaemonCommand.kt
@@ -15,6 +15,7 @@
     mixinStandardHelpOptions = true,
     version = ["vanillalinkd 0.1.0"],
     sortOptions = false,
+    subcommands = [EntryCommand::class],
 )
 class DaemonCommand : Callable<Int> {
     @Option(
--- /dev/null
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -0,0 +1,83 @@
+/*
+ * Runs the daemon on the users' platform: settings come from the platform's file, everything else through the adapter.
+ */
+package org.vanillalink.daemon.settings
+
+import org.vanillalink.gateway.EntryDaemon
+import org.vanillalink.gateway.EntryPorts
+import org.vanillalink.gateway.ports.EntrySettings
+import org.vanillalink.platform.NodeFile
+import org.vanillalink.platform.RunnerControl
+import org.vanillalink.platform.StoreClient
+import org.vanillalink.platform.StoredRegistry
+import org.vanillalink.platform.WireCallProtocol
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpClient
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import sun.misc.Signal
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+
+/** Starts a daemon with the platform's settings file. */
+@Command(
+    name = "entry",
+    description = ["Serves callers on an entry host of the users' platform."],
+    mixinStandardHelpOptions = true,
+)
+class EntryCommand : Callable<Int> {
+    @Option(
+        names = ["--node-file"],
+        description = ["The platform's settings file. VANILLALINK_NODE_FILE."],
+        defaultValue = "\${env:VANILLALINK_NODE_FILE:-/etc/vanillalink/boot.json}",
+    )
+    private lateinit var nodeFile: Path
+
+    @Option(
+        names = ["--metrics-port"],
+        description = ["Where metrics are served. VANILLALINK_METRICS_PORT. Default: \${DEFAULT-VALUE}"],
+        defaultValue = "\${env:VANILLALINK_METRICS_PORT:-9464}",
+    )
+    private var metricsPort: Int = 0
+
+    override fun call(): Int = NodeFile.read(nodeFile, metricsPort).fold(
+        { problem ->
+            System.err.println("${problem.path}: ${problem.reason}")
+            EXIT_USAGE
+        },
+        ::run,
+    )
+
+    private fun run(settings: EntrySettings): Int {
+        val loops = NettyEventLoops(TRAFFIC_THREADS)
+        val http = NettyHttpClient(loops, CONNECT_TIMEOUT)
+        val store = StoreClient(http, settings.store)
+        val ports = EntryPorts(http, StoredRegistry(store), store, RunnerControl(http), WireCallProtocol())
+        val daemon = EntryDaemon(settings, loops, ports)
+        val stopped = CountDownLatch(1)
+        Signal.handle(Signal("TERM")) { stopped.countDown() }
+        Signal.handle(Signal("INT")) { stopped.countDown() }
+        Signal.handle(Signal("HUP")) {
+            NodeFile
+                .read(
+                    nodeFile,
+                    metricsPort,
+                ).fold({ System.err.println("${it.path}: ${it.reason}") }, daemon::reloaded)
+        }
+        stopped.await()
+        daemon.stop()
+        return 0
+    }
+
+    private companion object {
+        const val EXIT_USAGE = 2
+
+        /** Traffic state belongs to one thread, and entry hosts have about one core. */
+        const val TRAFFIC_THREADS = 1
+
+        /** Round trips take a few milliseconds; a host that is gone doesn't answer at all. */
+        val CONNECT_TIMEOUT: Duration = Duration.ofMillis(300)
+    }
+}
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/timeline/EventLog.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/timeline/EventLog.kt
@@ -5,6 +5,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.KeyValueLine
 import org.vanillalink.model.TimelineEvent
 import java.time.Clock
 
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/DispatchSteps.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/DispatchSteps.kt
@@ -5,7 +5,7 @@
 
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.store.ConditionalWrite
 import java.time.Instant
 
 internal typealias DispatchTransition = Transition<DispatchState, DispatchDecision>
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/IdempotentDispatchMessages.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/IdempotentDispatchMessages.kt
@@ -8,11 +8,11 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RequestId
 import org.vanillalink.model.WorkspaceId
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 import java.time.Instant
 
 /** A call with an idempotency key. [attempt] is new for each call; past [deadline] nothing is sent any more. */
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordFinish.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordFinish.kt
@@ -5,7 +5,7 @@
 
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.Row
+import org.vanillalink.store.Row
 import java.time.Instant
 
 internal class RecordFinish(
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordId.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordId.kt
@@ -10,7 +10,7 @@
 import org.vanillalink.model.IdempotencyKey
 import org.vanillalink.model.ServiceName
 import org.vanillalink.model.WorkspaceId
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.RowKey
 import java.security.MessageDigest
 import java.util.HexFormat
 
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordRetention.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordRetention.kt
@@ -6,9 +6,9 @@
  */
 package org.vanillalink.dispatch.record
 
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 import java.time.Duration
 import java.time.Instant
 
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordStart.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/record/RecordStart.kt
@@ -9,8 +9,8 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
 import java.time.Instant
 
 internal class RecordStart(
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/LargeOutcomeTest.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/LargeOutcomeTest.kt
@@ -7,7 +7,7 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.RequestId
 import org.vanillalink.model.WorkspaceId
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.StoreFailure
 import java.time.Instant
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/RecordRetentionTest.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/record/RecordRetentionTest.kt
@@ -4,8 +4,8 @@
 import org.vanillalink.model.BootId
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.WorkspaceId
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 import java.time.Duration
 import java.time.Instant
 import kotlin.test.Test
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -0,0 +1,148 @@
+/*
+ * A daemon on an entry host: callers' traffic, control, and what is told to peers.
+ */
+package org.vanillalink.gateway
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.vanillalink.gateway.control.ControlLoop
+import org.vanillalink.gateway.control.ControlThread
+import org.vanillalink.gateway.control.SystemEntryClock
+import org.vanillalink.gateway.logs.CallLog
+import org.vanillalink.gateway.logs.DecisionInputs
+import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.peers.PeerExchange
+import org.vanillalink.gateway.ports.CallProtocol
+import org.vanillalink.gateway.ports.EntrySettings
+import org.vanillalink.gateway.ports.Registry
+import org.vanillalink.gateway.ports.TargetControl
+import org.vanillalink.gateway.traffic.CallHandler
+import org.vanillalink.gateway.traffic.LiveTraffic
+import org.vanillalink.gateway.traffic.TrafficContext
+import org.vanillalink.store.TableStore
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpClient
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpServer
+import org.vanillalink.transport.ServerLimits
+import java.time.Duration
+import kotlin.random.Random
+
+/** What the daemon reaches the outside by. */
+class EntryPorts(
+    val http: HttpClient,
+    val registry: Registry,
+    val table: TableStore,
+    val targets: TargetControl,
+    val protocol: CallProtocol,
+)
+
+/** Runs from construction until [stop]. */
+class EntryDaemon(
+    private val settings: EntrySettings,
+    private val loops: NettyEventLoops,
+    ports: EntryPorts,
+) {
+    private val clock = SystemEntryClock
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val lines = EventLines(settings.daemon, clock::steady)
+    private val thread = ControlThread()
+    private val random = Random(settings.daemon.hashCode() + clock.wall())
+    private val live = LiveTraffic(settings.bounds, loops, random, clock::steady)
+    private val control = ControlLoop(settings, thread, ports.registry, ports.table, ports.targets, live, lines, clock)
+    private val peers = PeerExchange(settings, loops, thread, ports.table, control, live, lines, clock)
+    private val log = CallLog(metrics, clock::steady, ::decisionInputs)
+    private val handler =
+        CallHandler(
+            TrafficContext(live.state, ports.http, ports.protocol, log, live.active, clock::steady, loops::schedule),
+            { control.freshness.isFresh(clock.reading(), control.keyBound()) },
+            random,
+        )
+    private val readiness = NettyHttpServer(loops, settings.readiness, ServerLimits(), ::answerReadiness)
+    private val metricsServer = NettyHttpServer(loops, settings.metrics, ServerLimits(), ::answerMetrics)
+    private val callers =
+        NettyHttpServer(loops, settings.callers, ::limits) { request, answer ->
+            live.sawRequest()
+            handler.handle(request, answer)
+        }
+
+    init {
+        metrics.gauge("vanillalink.requests.in.progress", live) { it.active.count.toDouble() }
+        metrics.gauge("vanillalink.groups.routable", live) {
+            it.state.view.groups.size
+                .toDouble()
+        }
+        metrics.gauge("vanillalink.configuration.version", control) { (it.configurationVersion ?: 0).toDouble() }
+        control.start()
+        peers.start()
+        lines.record("started", "failureDomain" to settings.failureDomain, "callers" to settings.callers)
+    }
+
+    /** New settings have been read; addresses don't change while the daemon runs. */
+    fun reloaded(settings: EntrySettings) {
+        lines.record("reloaded", "same" to (settings == this.settings))
+    }
+
+    /** Says that it leaves, finishes what is under way, and ends before it would be killed. */
+    fun stop() {
+        val began = clock.steady()
+        lines.record("stopping", "inProgress" to callers.requestsInProgress)
+        thread.execute(control::leave)
+        callers.announceEnd()
+        sleepUntil(began + REDIRECTION_MILLISECONDS) { false }
+        callers.drain()
+        val last = began + settings.bounds.graceMilliseconds - END_MARGIN_MILLISECONDS
+        sleepUntil(last) { callers.requestsInProgress == 0 }
+        lines.record("stopped", "inProgress" to callers.requestsInProgress, "tookMs" to clock.steady() - began)
+    }
+
+    private fun sleepUntil(
+        end: Long,
+        isDone: () -> Boolean,
+    ) {
+        while (clock.steady() < end && !isDone()) Thread.sleep(POLL_MILLISECONDS)
+    }
+
+    private fun limits(): ServerLimits {
+        val configured =
+            live.state.view.catalog
+                ?.configuration
+                ?.limits ?: return ServerLimits()
+        val idleSeconds = Duration.ofMillis(configured.idleMilliseconds).toSeconds().toInt()
+        return ServerLimits(configured.headerBytes, configured.bodyBytes, CONNECTIONS, maxOf(1, idleSeconds))
+    }
+
+    private fun decisionInputs() =
+        DecisionInputs(control.configurationVersion, control.freshness.age(clock.reading()), live.state.view.sharers)
+
+    @Suppress("UnusedParameter")
+    private fun answerReadiness(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = answer.answer(if (control.isReady) STATUS_OK else STATUS_UNAVAILABLE)
+
+    @Suppress("UnusedParameter")
+    private fun answerMetrics(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) = answer.answer(
+        STATUS_OK,
+        HeaderFields.of("content-type" to "text/plain; version=0.0.4"),
+        metrics.scrape().toByteArray(),
+    )
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+        const val CONNECTIONS = 4_000
+        const val POLL_MILLISECONDS = 20L
+
+        /** Callers are sent elsewhere once two readiness checks, a second apart, have failed. */
+        const val REDIRECTION_MILLISECONDS = 2_500L
+
+        /** Kept for ending the process itself. */
+        const val END_MARGIN_MILLISECONDS = 700L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -0,0 +1,396 @@
+/*
+ * The one thread that holds control state: the directory of targets, the configuration, peers, and the groups of the
+ * failure domains that this daemon controls. Everything that happens is brought to it; it publishes a picture for traffic.
+ */
+package org.vanillalink.gateway.control
+
+import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.ports.EntrySettings
+import org.vanillalink.gateway.ports.Registry
+import org.vanillalink.gateway.ports.RegistryPart
+import org.vanillalink.gateway.ports.RegistryRecord
+import org.vanillalink.gateway.ports.TargetControl
+import org.vanillalink.gateway.traffic.RoutableGroup
+import org.vanillalink.gateway.traffic.TrafficView
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.catalog.Catalog
+import org.vanillalink.serving.catalog.ClockReading
+import org.vanillalink.serving.catalog.CredentialFreshness
+import org.vanillalink.serving.control.AnnouncedGroup
+import org.vanillalink.serving.control.DomainView
+import org.vanillalink.serving.control.GroupDecision
+import org.vanillalink.serving.control.GroupEvent
+import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.PeerBoard
+import org.vanillalink.serving.peers.PeerMessage
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.ServingGroups
+import org.vanillalink.serving.targets.TargetDirectory
+import org.vanillalink.store.TableStore
+
+/** What the control loop reads of the traffic side; safe from any thread. */
+interface TrafficSummary {
+    /** Requests under way by target, and groups that stand still. */
+    fun inFlight(): Map<HostId, Int>
+
+    /** Groups whose answers stand still here. */
+    fun suspects(): Set<GroupKey>
+
+    /** Whether a request has ever come. */
+    fun hasTraffic(): Boolean
+
+    /** Takes the new picture. */
+    fun publish(view: TrafficView)
+}
+
+/** Runs on the control thread only, but for what is marked otherwise. */
+class ControlLoop internal constructor(
+    private val settings: EntrySettings,
+    private val thread: ControlThread,
+    registry: Registry,
+    table: TableStore,
+    private val targets: TargetControl,
+    private val traffic: TrafficSummary,
+    private val lines: EventLines,
+    private val clock: EntryClock,
+) {
+    private var catalog: Catalog? = null
+    private var directory = TargetDirectory()
+    private var evacuated: Set<FailureDomainId> = emptySet()
+    private var board = PeerBoard()
+    private var lastBroken: Set<GroupKey> = emptySet()
+    private val brokenUntil = HashMap<GroupKey, Long>()
+
+    /** Read on traffic threads. */
+    @Volatile
+    var freshness = CredentialFreshness()
+        private set
+
+    @Volatile
+    private var isLeaving = false
+
+    /** Called on the control thread after each change of what is told to peers. */
+    var onChange: () -> Unit = {}
+
+    private val operators =
+        RegistryFollower(RegistryPart.OPERATORS, registry, thread, clock, lines, ::operatorsChanged, ::storeAnswered)
+    private val listed =
+        RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::targetsChanged, ::storeAnswered)
+    private val domains =
+        settings.failureDomains.associateWith { DomainControl(it, settings.daemon, table, thread, lines, clock) }
+    private var storeAnsweredAt = clock.steady()
+
+    /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
+    val isReady: Boolean
+        get() = !isLeaving && catalog != null && freshness.isFresh(clock.reading(), keyBound())
+
+    /** How old the knowledge of keys may be, in milliseconds. */
+    fun keyBound(): Long = settings.bounds.revocationMilliseconds - KEY_MARGIN_MILLISECONDS
+
+    /** The version of the configuration in force, or null. */
+    val configurationVersion: Long? get() = catalog?.configuration?.version
+
+    /** Starts following the registry and ticking. */
+    fun start() {
+        operators.start()
+        listed.start()
+        thread.every(TICK, ::tick)
+    }
+
+    /** Gives up control and tells peers so. */
+    fun leave() {
+        isLeaving = true
+        onChange()
+    }
+
+    /** A peer's message has arrived. */
+    fun heard(message: PeerMessage) {
+        val before = board.peers[message.daemon]?.message
+        board = board.heard(message, clock.steady())
+        message.suspects.forEach(::suspect)
+        if (before == null || before.startedAt != message.startedAt) {
+            lines.record("peer-heard", "peer" to message.daemon, "failureDomain" to message.failureDomain)
+        }
+        if (before?.controlled != message.controlled) publish()
+    }
+
+    /** What this daemon tells its peers now. */
+    fun message(
+        sequence: Long,
+        startedAt: Long,
+        strikes: List<org.vanillalink.serving.choice.Strike>,
+    ): PeerMessage = PeerMessage(
+        daemon = settings.daemon,
+        failureDomain = settings.failureDomain,
+        startedAt = startedAt,
+        sequence = sequence,
+        storeAge = storeAge(),
+        isLeaving = isLeaving,
+        inFlight = traffic.inFlight(),
+        suspects = traffic.suspects(),
+        strikes = strikes,
+        controlled = ownDomains(),
+    )
+
+    private fun operatorsChanged(
+        records: List<RegistryRecord>,
+        isWhole: Boolean,
+    ) {
+        if (isWhole) evacuated = emptySet()
+        records.forEach { record ->
+            when (record) {
+                is RegistryRecord.Configuration -> {
+                    configured(record)
+                }
+
+                is RegistryRecord.Evacuated -> {
+                    evacuated = evacuated + record.failureDomain
+                }
+
+                is RegistryRecord.TakenBack -> {
+                    evacuated = evacuated - record.failureDomain
+                }
+
+                is RegistryRecord.Unreadable -> {
+                    lines.record(
+                        "record-unreadable",
+                        "key" to record.key,
+                        "reason" to record.reason,
+                    )
+                }
+
+                is RegistryRecord.Listed, is RegistryRecord.Removed -> {
+                    Unit
+                }
+            }
+        }
+        if (records.any { it is RegistryRecord.Evacuated || it is RegistryRecord.TakenBack }) {
+            lines.record("evacuation", "failureDomains" to evacuated.joinToString(","))
+        }
+        publish()
+    }
+
+    private fun configured(record: RegistryRecord.Configuration) {
+        val before = catalog
+        catalog = before?.advance(record.configuration) ?: Catalog(record.configuration)
+        if (catalog !== before) {
+            lines.record(
+                "configuration-in-force",
+                "version" to configurationVersion,
+                "before" to before?.configuration?.version,
+            )
+        }
+    }
+
+    private fun targetsChanged(
+        records: List<RegistryRecord>,
+        isWhole: Boolean,
+    ) {
+        if (isWhole) {
+            val entries = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry }
+            directory = directory.replaced(entries, clock.steady() + settings.bounds.relistMilliseconds)
+        }
+        records.forEach { record ->
+            when (record) {
+                is RegistryRecord.Listed -> listed(record)
+                is RegistryRecord.Removed -> removed(record.target)
+                is RegistryRecord.Unreadable -> unreadable(record)
+                else -> Unit
+            }
+        }
+        publish()
+    }
+
+    private fun listed(record: RegistryRecord.Listed) {
+        val before = directory.entries[record.entry.id]
+        if (before?.run != record.entry.run || before.isLeaving != record.entry.isLeaving) {
+            lines.record(
+                "target-listed",
+                "target" to record.entry.id,
+                "service" to record.entry.service,
+                "failureDomain" to record.entry.failureDomain,
+                "fabricDomain" to record.entry.fabricDomain,
+                "leaving" to record.entry.isLeaving,
+                "coldMs" to record.entry.coldMilliseconds,
+            )
+        }
+        directory = directory.listed(record.entry)
+    }
+
+    private fun removed(target: HostId) {
+        if (target in directory.entries) lines.record("target-removed", "target" to target)
+        directory = directory.removed(target)
+    }
+
+    private fun unreadable(record: RegistryRecord.Unreadable) {
+        lines.record("record-unreadable", "key" to record.key, "reason" to record.reason)
+        directory = directory.removed(HostId(record.key))
+    }
+
+    private fun storeAnswered(
+        part: RegistryPart,
+        sentAt: ClockReading,
+    ) {
+        storeAnsweredAt = clock.steady()
+        if (part == RegistryPart.OPERATORS) freshness = freshness.proved(sentAt)
+    }
+
+    private fun storeAge(): Long = clock.steady() - storeAnsweredAt
+
+    private fun tick() {
+        val now = clock.steady()
+        val expired = directory.expired(now)
+        if (expired !== directory) {
+            (directory.entries.keys - expired.entries.keys).forEach { lines.record("target-expired", "target" to it) }
+            directory = expired
+        }
+        traffic.suspects().forEach(::suspect)
+        domains.values.forEach { domain -> tick(domain, now) }
+        publish()
+    }
+
+    private fun tick(
+        domain: DomainControl,
+        now: Long,
+    ) {
+        val own =
+            org.vanillalink.serving.peers
+                .OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
+        val isWanted = board.controllerFor(domain.failureDomain, own, now) == settings.daemon
+        domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
+        val view = view(domain.failureDomain) ?: return
+        carryOut(domain, domain.apply(GroupEvent.Tick(view)))
+    }
+
+    private fun view(failureDomain: FailureDomainId): DomainView? {
+        val service = catalog?.configuration?.services?.firstOrNull { it.engine != null } ?: return null
+        val entries = directory.entries.filterValues { it.failureDomain == failureDomain && it.service == service.name }
+        return DomainView(entries, service.engine!!, settings.failureDomains.size, traffic.hasTraffic())
+    }
+
+    private fun suspect(key: GroupKey) {
+        domains.values.forEach { domain -> carryOut(domain, domain.apply(GroupEvent.Suspected(key))) }
+    }
+
+    private fun carryOut(
+        domain: DomainControl,
+        decisions: List<GroupDecision>,
+    ) {
+        decisions.forEach { decision ->
+            when (decision) {
+                is GroupDecision.Note -> {
+                    lines.record(
+                        decision.event,
+                        decision.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term),
+                    )
+                }
+
+                is GroupDecision.Send -> {
+                    send(domain, decision)
+                }
+
+                is GroupDecision.AskReport -> {
+                    ask(domain, decision)
+                }
+            }
+        }
+    }
+
+    private fun send(
+        domain: DomainControl,
+        decision: GroupDecision.Send,
+    ) {
+        val term = domain.term
+        targets.order(decision.target, decision.order).thenAccept { result ->
+            thread.execute {
+                lines.record(
+                    "order",
+                    "target" to decision.target.id,
+                    "order" to decision.order,
+                    "result" to result,
+                    "term" to term,
+                )
+                if (domain.term == term) {
+                    carryOut(domain, domain.apply(GroupEvent.OrderAnswered(decision.target.id, decision.order, result)))
+                }
+            }
+        }
+    }
+
+    private fun ask(
+        domain: DomainControl,
+        decision: GroupDecision.AskReport,
+    ) {
+        targets.report(decision.target).thenAccept { result ->
+            thread.execute {
+                carryOut(domain, domain.apply(GroupEvent.ReportAnswered(decision.target.id, result)))
+                publish()
+            }
+        }
+    }
+
+    private fun ownDomains(): List<ControlledDomain> = domains.values.mapNotNull { domain ->
+        view(domain.failureDomain)?.let(domain::announced)
+    }
+
+    private fun publish() {
+        val now = clock.steady()
+        val announced = board.announced(now) + ownDomains().associateBy { it.failureDomain }
+        announced.values.flatMap { it.broken }.forEach { brokenUntil[it] = now + BROKEN_MILLISECONDS }
+        brokenUntil.values.removeIf { it < now }
+        val groups = settings.failureDomains.flatMap { domain -> routable(domain, announced[domain]) }
+        traffic.publish(
+            TrafficView(
+                catalog = catalog,
+                groups = groups.filter { it.key !in brokenUntil },
+                broken = brokenUntil.keys.toSet(),
+                plainTargets =
+                    directory.entries.values
+                        .filter { it.model == null && it.fabricDomain == null }
+                        .groupBy { it.service },
+                evacuated = evacuated,
+                sharers = board.sharers(now),
+            ),
+        )
+        if (lastBroken != brokenUntil.keys) {
+            lastBroken = brokenUntil.keys.toSet()
+            onChange()
+        }
+    }
+
+    private fun routable(
+        failureDomain: FailureDomainId,
+        announced: ControlledDomain?,
+    ): List<RoutableGroup> {
+        val groups = announced?.groups ?: listedGroups(failureDomain)
+        return groups.mapNotNull { group ->
+            val head = directory.entries[group.members.first()] ?: return@mapNotNull null
+            if (head.isLeaving) null else RoutableGroup(group.key, group.model, head)
+        }
+    }
+
+    /** Without a controller's word the registry's own picture counts. */
+    private fun listedGroups(failureDomain: FailureDomainId): List<AnnouncedGroup> {
+        val view = view(failureDomain) ?: return emptyList()
+        return ServingGroups
+            .open(view.entries.values)
+            .filter { group ->
+                group.members.size ==
+                    view.engine.models
+                        .firstOrNull { it.name == group.model }
+                        ?.size
+            }.filter { group -> group.members.none { it.isLeaving } }
+            .map { group -> AnnouncedGroup(group.key, group.model, group.members.map { it.id }) }
+    }
+
+    private companion object {
+        val TICK: java.time.Duration = java.time.Duration.ofMillis(100)
+
+        /** How long a broken group is remembered; its name is never used again. */
+        const val BROKEN_MILLISECONDS = 5_000L
+
+        /** For requests on their way while the bound runs out. */
+        const val KEY_MARGIN_MILLISECONDS = 700L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -0,0 +1,92 @@
+/*
+ * Follows one part of the registry: reads all of it once, then change by change; reads all of it again after an outage or
+ * when the history has been dropped.
+ */
+package org.vanillalink.gateway.control
+
+import arrow.core.Either
+import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.ports.Registry
+import org.vanillalink.gateway.ports.RegistryFailure
+import org.vanillalink.gateway.ports.RegistryPart
+import org.vanillalink.gateway.ports.RegistryRecord
+import org.vanillalink.gateway.ports.RegistryRecords
+import org.vanillalink.serving.catalog.ClockReading
+import java.time.Duration
+
+/** Tells [changed] on the control thread. */
+internal class RegistryFollower(
+    private val part: RegistryPart,
+    private val registry: Registry,
+    private val thread: ControlThread,
+    private val clock: EntryClock,
+    private val lines: EventLines,
+    private val changed: (records: List<RegistryRecord>, isWhole: Boolean) -> Unit,
+    private val answered: (part: RegistryPart, sentAt: ClockReading) -> Unit,
+) {
+    private var version: Long? = null
+    private var failures = 0
+    private var failedSince: Long? = null
+
+    fun start() = thread.execute(::next)
+
+    private fun next() {
+        val sentAt = clock.reading()
+        val known = version
+        if (known == null) {
+            registry.readAll(part).thenAccept { result -> thread.execute { readAll(sentAt, result) } }
+        } else {
+            registry.changes(part, known, WAIT).thenAccept { result -> thread.execute { changes(sentAt, result) } }
+        }
+    }
+
+    private fun readAll(
+        sentAt: ClockReading,
+        result: Either<RegistryFailure, RegistryRecords>,
+    ) = result.fold(::failed) { all ->
+        succeeded(sentAt)
+        version = all.version
+        changed(all.records, true)
+        again(PAUSE)
+    }
+
+    private fun changes(
+        sentAt: ClockReading,
+        result: Either<RegistryFailure, RegistryRecords>,
+    ) = result.fold(::failed) { some ->
+        succeeded(sentAt)
+        version = maxOf(version ?: 0, some.version)
+        if (some.records.isNotEmpty()) changed(some.records, false)
+        again(PAUSE)
+    }
+
+    private fun succeeded(sentAt: ClockReading) {
+        failedSince?.let { lines.record("registry-regained", "part" to part, "afterMs" to clock.steady() - it) }
+        failedSince = null
+        failures = 0
+        answered(part, sentAt)
+    }
+
+    private fun failed(failure: RegistryFailure) {
+        if (failedSince == null) {
+            failedSince = clock.steady()
+            lines.record("registry-lost", "part" to part, "failure" to failure, "version" to version)
+        }
+        // Entries may have lapsed meanwhile without telling anything of their targets, so all is read anew.
+        version = null
+        failures += 1
+        val isHistory = failure is RegistryFailure.HistoryLost
+        again(if (isHistory) PAUSE else PAUSE.multipliedBy(minOf(failures, BACKOFF_AT_MOST).toLong()))
+    }
+
+    private fun again(pause: Duration) = thread.after(pause, ::next)
+
+    private companion object {
+        /** Bounds the calls to the store; far below the time in which a change must be in force. */
+        val PAUSE: Duration = Duration.ofMillis(200)
+
+        /** Bounds the age of what is known when nothing changes. */
+        val WAIT: Duration = Duration.ofMillis(1_500)
+        const val BACKOFF_AT_MOST = 4
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
@@ -0,0 +1,36 @@
+/*
+ * The settings of a daemon on an entry host, as its deployment gives them.
+ */
+package org.vanillalink.gateway.ports
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
+
+/** Addresses and bounds; times are milliseconds. */
+data class EntrySettings(
+    val daemon: DaemonId,
+    val failureDomain: FailureDomainId,
+    val failureDomains: Set<FailureDomainId>,
+    val callers: Endpoint,
+    val readiness: Endpoint,
+    val peers: Endpoint,
+    val metrics: Endpoint,
+    val store: Endpoint,
+    val bounds: EntryBounds,
+)
+
+/** What the deployment promises its users; times are milliseconds. */
+data class EntryBounds(
+    /** From SIGTERM until the process is killed. */
+    val graceMilliseconds: Long = 8_000,
+    /** How long a key that was taken away may still be accepted. */
+    val revocationMilliseconds: Long = 5_000,
+    /** How long entries that lapsed in an outage may take to come back. */
+    val relistMilliseconds: Long = 2_000,
+    /** How long a group with a missing member accepts requests before it says that it is broken. */
+    val stallMilliseconds: Long = 5_000,
+    val retryRatio: Double = 0.2,
+    val retryWindowMilliseconds: Long = 10_000,
+    val retrySlack: Double = 100.0,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -0,0 +1,43 @@
+/*
+ * Calls with an attempt under way, by target, so that they can be told when their group has broken.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+
+/** Touched on the traffic thread only. */
+internal class ActiveCalls {
+    private val calls = HashSet<ProxiedCall>()
+
+    /** How many calls have no final answer yet. */
+    val count: Int get() = calls.size
+
+    fun add(call: ProxiedCall) {
+        calls.add(call)
+    }
+
+    fun remove(call: ProxiedCall) {
+        calls.remove(call)
+    }
+
+    /** Tells all calls at a group of [broken] to go elsewhere. */
+    fun broken(broken: Set<GroupKey>) {
+        if (broken.isEmpty()) return
+        calls.filter { it.currentGroup in broken }.forEach { it.groupBroken("group-broken") }
+    }
+
+    /** Tells calls that have waited at one of [targets] since before it stood still to go elsewhere. */
+    fun stalled(targets: Set<HostId>) {
+        if (targets.isEmpty()) return
+        calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach {
+            it.groupBroken(
+                "group-stalled",
+            )
+        }
+    }
+
+    /** Groups of calls at [targets]. */
+    fun groupsAt(targets: Set<HostId>): Set<GroupKey> =
+        calls.filter { it.currentTarget in targets }.mapNotNull { it.currentGroup }.toSet()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -0,0 +1,152 @@
+/*
+ * Takes callers' requests: finds the route, checks the key, and hands the request to a call.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.ports.CallMarks
+import org.vanillalink.model.Refusal
+import org.vanillalink.model.RefusalOutcome
+import org.vanillalink.model.RefusalReason
+import org.vanillalink.serving.catalog.CallKind
+import org.vanillalink.serving.catalog.Catalog
+import org.vanillalink.serving.catalog.Route
+import org.vanillalink.serving.catalog.ServiceDefinition
+import org.vanillalink.serving.catalog.Workspace
+import org.vanillalink.serving.choice.RequestFingerprint
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.RetryAfterPrecision
+import org.vanillalink.transport.refuse
+import java.util.zip.CRC32
+import kotlin.random.Random
+
+/** The age of what is known of keys and routes. */
+internal fun interface KnowledgeAge {
+    /** Whether the configuration is known to be recent enough to accept keys by it. */
+    fun isFresh(): Boolean
+}
+
+internal class CallHandler(
+    private val context: TrafficContext,
+    private val knowledge: KnowledgeAge,
+    private val random: Random,
+) : HttpRequestHandler {
+    private class Rejected(
+        val reason: RefusalReason,
+        val detail: String,
+    )
+
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val marks = context.protocol.read(request)
+        val now = context.now()
+        val catalog = context.state.view.catalog
+        val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, marks, now, answer)
+        if (rejection == null) return
+        val outcome = RefusalOutcome.NOT_RUN
+        val retryAfter = if (rejection.reason.status == STATUS_UNAVAILABLE) ProxiedCall.RETRY_AFTER else null
+        context.log.rejected(marks, request.path, rejection.reason, rejection.detail)
+        answer.refuse(
+            Refusal(rejection.reason, outcome, rejection.detail, retryAfter),
+            marks.requestId,
+            RetryAfterPrecision.TENTHS,
+        )
+    }
+
+    /** Begins the call, or gives why it can't begin. */
+    private fun admit(
+        catalog: Catalog,
+        request: HttpRequestMessage,
+        marks: CallMarks,
+        now: Long,
+        answer: AnswerWriter,
+    ): Rejected? {
+        val isFresh = knowledge.isFresh()
+        val route = catalog.route(marks.host, request.path) ?: return if (isFresh) NO_ROUTE else STALE
+        val needsKey = catalog.needsKeys && !route.isPublic
+        if (needsKey && !isFresh) return STALE
+        val workspace = marks.key?.let(catalog::workspace)
+        if (needsKey && workspace == null) return UNKNOWN_KEY
+        val service = chooseService(catalog, route) ?: return NO_SERVICE
+        val fingerprint = fingerprint(request, marks)
+        context.state.requested(service.name, now)
+        if (context.state.failures.refuses(fingerprint, now)) return REPEATED_FAILURE
+        start(admitted(request, marks, route, service, workspace, now, fingerprint), answer)
+        return null
+    }
+
+    private fun admitted(
+        request: HttpRequestMessage,
+        marks: CallMarks,
+        route: Route,
+        service: ServiceDefinition,
+        workspace: Workspace?,
+        now: Long,
+        fingerprint: RequestFingerprint,
+    ): AdmittedRequest {
+        val deadline = marks.deadlineMilliseconds ?: route.timeoutMilliseconds
+        val patience = if (route.timeoutMilliseconds > 0) minOf(deadline, route.timeoutMilliseconds) else deadline
+        return AdmittedRequest(
+            message = request,
+            marks = marks,
+            route = route,
+            service = service,
+            workspace = workspace,
+            arrivedAt = now,
+            answerBy = now + patience,
+            callerDeadline = now + deadline,
+            fingerprint = fingerprint,
+        )
+    }
+
+    private fun start(
+        admitted: AdmittedRequest,
+        answer: AnswerWriter,
+    ) {
+        if (admitted.route.kind == CallKind.STREAM) {
+            StreamCall(context, admitted, answer).begin()
+        } else {
+            PlainCall(context, admitted, answer).start()
+        }
+    }
+
+    private fun chooseService(
+        catalog: Catalog,
+        route: Route,
+    ): ServiceDefinition? {
+        val total = route.services.sumOf { it.weight }
+        if (total <= 0) return null
+        var drawn = random.nextInt(total)
+        val chosen =
+            route.services.first { part ->
+                drawn -= part.weight
+                drawn < 0
+            }
+        return catalog.service(chosen.service)
+    }
+
+    private fun fingerprint(
+        request: HttpRequestMessage,
+        marks: CallMarks,
+    ): RequestFingerprint {
+        val digest = CRC32()
+        digest.update(request.body)
+        return RequestFingerprint(
+            "${marks.key.hashCode()}-${request.target.hashCode()}-${request.body.size}-${digest.value}",
+        )
+    }
+
+    private companion object {
+        const val STATUS_UNAVAILABLE = 503
+        val NOT_CONFIGURED = Rejected(RefusalReason.NOT_READY, "no configuration is known yet")
+        val STALE = Rejected(RefusalReason.NOT_READY, "the configuration could not be confirmed lately")
+        val NO_ROUTE = Rejected(RefusalReason.UNKNOWN_SERVICE, "no route leads there")
+        val UNKNOWN_KEY = Rejected(RefusalReason.UNAUTHENTICATED, "the key belongs to no workspace")
+        val NO_SERVICE = Rejected(RefusalReason.NO_SERVING_TARGET, "the route's service is not configured")
+        val REPEATED_FAILURE =
+            Rejected(RefusalReason.NO_SERVING_TARGET, "targets failed each time they ran this request")
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
@@ -0,0 +1,70 @@
+/*
+ * Splits a stream of server-sent events into whole events without changing a byte, and reads their ids.
+ */
+package org.vanillalink.gateway.traffic
+
+import java.io.ByteArrayOutputStream
+
+/** Whole events, as they came. [lastId] is the id of the last of them that has one. */
+internal class WholeEvents(
+    val bytes: ByteArray,
+    val firstId: Long?,
+    val lastId: Long?,
+    val count: Int,
+)
+
+/** Keeps the part of an event that isn't whole yet. */
+internal class EventSplitter {
+    private val pending = ByteArrayOutputStream()
+
+    /** Whether an event has begun and not ended. */
+    val isMidEvent: Boolean get() = pending.size() > 0
+
+    /** The events that [piece] completes, or null where it completes none. */
+    fun add(piece: ByteArray): WholeEvents? {
+        pending.write(piece)
+        val all = pending.toByteArray()
+        val end = endOfLastEvent(all)
+        if (end == 0) return null
+        pending.reset()
+        pending.write(all, end, all.size - end)
+        return whole(all.copyOf(end))
+    }
+
+    private fun endOfLastEvent(bytes: ByteArray): Int {
+        var index = bytes.size - 1
+        while (index >= 1) {
+            if (bytes[index] == LINE_FEED && endsEvent(bytes, index)) return index + 1
+            index -= 1
+        }
+        return 0
+    }
+
+    private fun endsEvent(
+        bytes: ByteArray,
+        index: Int,
+    ): Boolean {
+        if (bytes[index - 1] == LINE_FEED) return true
+        return index >= 2 && bytes[index - 1] == CARRIAGE_RETURN && bytes[index - 2] == LINE_FEED
+    }
+
+    private fun whole(bytes: ByteArray): WholeEvents {
+        var firstId: Long? = null
+        var lastId: Long? = null
+        var count = 0
+        String(bytes, Charsets.ISO_8859_1).lineSequence().forEach { line ->
+            if (!line.startsWith(ID_FIELD)) return@forEach
+            val id = line.substring(ID_FIELD.length).trim().toLongOrNull() ?: return@forEach
+            firstId = firstId ?: id
+            lastId = id
+            count += 1
+        }
+        return WholeEvents(bytes, firstId, lastId, count)
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -0,0 +1,99 @@
+/*
+ * The traffic side as the control thread sees it: pictures go in, counts come out.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.control.TrafficSummary
+import org.vanillalink.gateway.ports.EntryBounds
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.choice.Strike
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.transport.NettyEventLoops
+import java.time.Duration
+import kotlin.random.Random
+
+/** Holds the state of the traffic thread and a copy of what others ask for. */
+internal class LiveTraffic(
+    bounds: EntryBounds,
+    private val loops: NettyEventLoops,
+    random: Random,
+    private val now: () -> Long,
+) : TrafficSummary {
+    val state = TrafficState(bounds, random)
+    val active = ActiveCalls()
+
+    @Volatile
+    private var counts: Map<HostId, Int> = emptyMap()
+
+    @Volatile
+    private var standing: Set<GroupKey> = emptySet()
+
+    @Volatile
+    private var strikes: List<Strike> = emptyList()
+
+    @Volatile
+    private var hasTraffic = false
+    private var tidiedAt = 0L
+
+    init {
+        loops.schedule(WATCH, ::watch)
+    }
+
+    override fun inFlight(): Map<HostId, Int> = counts
+
+    override fun suspects(): Set<GroupKey> = standing
+
+    override fun hasTraffic(): Boolean = hasTraffic
+
+    /** Strikes seen lately. */
+    fun strikes(): List<Strike> = strikes
+
+    /** A caller has come. */
+    fun sawRequest() {
+        hasTraffic = true
+    }
+
+    override fun publish(view: TrafficView) {
+        val before = state.view
+        state.view = view
+        val broken = view.broken - before.broken
+        if (broken.isNotEmpty()) loops.execute { active.broken(broken) }
+    }
+
+    /** A peer has told of its requests and of requests that took targets down. */
+    fun heard(
+        peer: DaemonId,
+        inFlight: Map<HostId, Int>,
+        struck: List<Strike>,
+    ) = loops.execute {
+        val at = now()
+        state.inFlight.heard(peer, inFlight, at)
+        struck.forEach { state.failures.struck(it, at) }
+    }
+
+    private fun watch() {
+        val at = now()
+        val stalled = state.stalls.stalled(at)
+        standing = active.groupsAt(stalled.keys)
+        active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys)
+        counts = state.inFlight.own()
+        strikes = state.failures.since(at - STRIKES_TOLD_MILLISECONDS)
+        if (at - tidiedAt > TIDY_MILLISECONDS) {
+            tidiedAt = at
+            state.tidy(at)
+        }
+        loops.schedule(WATCH, ::watch)
+    }
+
+    private companion object {
+        val WATCH: Duration = Duration.ofMillis(50)
+
+        /** A group that no controller has judged by now is left all the same: callers leave a stream after 2 s. */
+        const val GIVEN_UP_MILLISECONDS = 1_200L
+
+        /** Long enough to reach each peer although datagrams are lost. */
+        const val STRIKES_TOLD_MILLISECONDS = 1_000L
+        const val TIDY_MILLISECONDS = 5_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficContext.kt
@@ -0,0 +1,22 @@
+/*
+ * What every call needs beside its own request.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.logs.CallLog
+import org.vanillalink.gateway.ports.CallProtocol
+import org.vanillalink.transport.HttpClient
+import org.vanillalink.transport.ScheduledAction
+import java.time.Duration
+
+/** The surroundings of calls. */
+internal class TrafficContext(
+    val state: TrafficState,
+    val http: HttpClient,
+    val protocol: CallProtocol,
+    val log: CallLog,
+    val active: ActiveCalls,
+    /** The steady clock in milliseconds. */
+    val now: () -> Long,
+    val schedule: (Duration, () -> Unit) -> ScheduledAction,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -0,0 +1,156 @@
+/*
+ * What the traffic thread counts and remembers between requests. Touched on the traffic thread only; the control thread
+ * publishes views and reads summaries through the methods that say so.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.ports.EntryBounds
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.catalog.ServiceDefinition
+import org.vanillalink.serving.choice.Candidate
+import org.vanillalink.serving.choice.ColdAllowance
+import org.vanillalink.serving.choice.InFlightCounts
+import org.vanillalink.serving.choice.RepeatedFailures
+import org.vanillalink.serving.choice.RetryBudget
+import org.vanillalink.serving.choice.RetryBudgetSettings
+import org.vanillalink.serving.choice.StallWatch
+import org.vanillalink.serving.choice.TargetChoice
+import org.vanillalink.serving.targets.TargetEntry
+import kotlin.random.Random
+
+/** A target chosen for an attempt; [group] is null for plain services. */
+internal data class ChosenTarget(
+    val entry: TargetEntry,
+    val group: RoutableGroup?,
+    val inFlight: Int,
+    val candidates: Int,
+)
+
+/** Counts, budgets and marks. */
+internal class TrafficState(
+    private val bounds: EntryBounds,
+    random: Random,
+) {
+    @Volatile
+    var view = TrafficView()
+
+    val inFlight = InFlightCounts()
+    val stalls = StallWatch()
+    val failures = RepeatedFailures()
+    private val cold = ColdAllowance()
+    private val choice = TargetChoice(random)
+    private val budgets = HashMap<ServiceName, RetryBudget>()
+    private val avoidedUntil = HashMap<HostId, Long>()
+
+    /** The best target for a call of [model] at [service], or null. */
+    fun chooseGroup(
+        service: ServiceDefinition,
+        model: String,
+        excluded: Set<HostId>,
+        now: Long,
+    ): ChosenTarget? {
+        val current = view
+        val limit = (service.engine?.slots ?: 1) * GROUP_LIMIT_PER_SLOT
+        val groups = current.groups(service.name, model).associateBy { it.head.id }
+        val heads = groups.values.map { it.head }
+        val chosen = choose(service, heads, excluded, limit.toInt(), now) ?: return null
+        val group = groups.getValue(chosen.target)
+        return ChosenTarget(group.head, group, chosen.inFlight, heads.size)
+    }
+
+    /** The best plain target of [service], or null. */
+    fun choosePlain(
+        service: ServiceDefinition,
+        excluded: Set<HostId>,
+        now: Long,
+    ): ChosenTarget? {
+        val entries = view.plainTargets[service.name].orEmpty().associateBy { it.id }
+        val limit = entries.values.minOfOrNull { it.slots }?.times(PLAIN_LIMIT_PER_SLOT) ?: return null
+        val chosen = choose(service, entries.values, excluded, limit, now) ?: return null
+        return ChosenTarget(entries.getValue(chosen.target), null, chosen.inFlight, entries.size)
+    }
+
+    private fun choose(
+        service: ServiceDefinition,
+        targets: Collection<TargetEntry>,
+        excluded: Set<HostId>,
+        limit: Int,
+        now: Long,
+    ): Candidate? {
+        val current = view
+        val usable = targets.filter { it.id !in excluded && it.failureDomain !in current.evacuated && !it.isLeaving }
+        val sound = usable.filter { (avoidedUntil[it.id] ?: 0) <= now }.ifEmpty { usable }
+        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) })
+    }
+
+    private fun candidate(
+        service: ServiceDefinition,
+        target: TargetEntry,
+        limit: Int,
+        now: Long,
+        sharers: Int,
+    ): Candidate {
+        val perSecond = service.coldRequestsPerSecond
+        val admitted = perSecond <= 0 || cold.admits(target.id, now, perSecond, sharers)
+        return Candidate(target.id, inFlight.at(target.id, now), limit, admitted)
+    }
+
+    /** Something went wrong at [target]; others are preferred for a while. */
+    fun avoid(
+        target: HostId,
+        now: Long,
+    ) {
+        avoidedUntil[target] = now + AVOID_MILLISECONDS
+    }
+
+    /** A request leaves for [target]. */
+    fun begun(
+        target: HostId,
+        now: Long,
+    ) {
+        inFlight.begun(target)
+        stalls.begun(target, now)
+        cold.sent(target, now)
+    }
+
+    /** A request at [target] has ended, however. */
+    fun ended(target: HostId) {
+        inFlight.ended(target)
+        stalls.ended(target)
+    }
+
+    /** A caller's request for [service] has arrived. */
+    fun requested(
+        service: ServiceName,
+        now: Long,
+    ) = budget(service).requested(now)
+
+    /** Whether one more target may be tried for a request to [service]. */
+    fun takeRetry(
+        service: ServiceName,
+        now: Long,
+    ): Boolean = budget(service).take(now, view.sharers)
+
+    /** Forgets marks of targets that are gone. */
+    fun tidy(now: Long) {
+        avoidedUntil.values.removeIf { it <= now }
+        val current = view
+        cold.keep((current.groups.map { it.head } + current.plainTargets.values.flatten()).map { it.id }.toSet())
+    }
+
+    private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
+        RetryBudget(RetryBudgetSettings(bounds.retryRatio, bounds.retryWindowMilliseconds, bounds.retrySlack))
+    }
+
+    private companion object {
+        /** Requests beyond the batch wait in the engine's queue; a few keep the batch full. */
+        const val GROUP_LIMIT_PER_SLOT = 1.4
+
+        /** Plain services queue a few requests behind those that run. */
+        const val PLAIN_LIMIT_PER_SLOT = 3
+
+        /** About the time in which the registry or a repeated try tells more. */
+        const val AVOID_MILLISECONDS = 1_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
@@ -0,0 +1,37 @@
+/*
+ * What the traffic threads need to know, published by the control thread as a whole.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.catalog.Catalog
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetEntry
+
+/** A whole group that takes requests at [head]. */
+data class RoutableGroup(
+    val key: GroupKey,
+    val model: String,
+    val head: TargetEntry,
+)
+
+/** An immutable picture. */
+class TrafficView(
+    val catalog: Catalog? = null,
+    val groups: List<RoutableGroup> = emptyList(),
+    /** Groups that lost a member: requests under way there won't be answered. */
+    val broken: Set<GroupKey> = emptySet(),
+    val plainTargets: Map<ServiceName, List<TargetEntry>> = emptyMap(),
+    val evacuated: Set<FailureDomainId> = emptySet(),
+    /** How many daemons share budgets. */
+    val sharers: Int = 1,
+) {
+    private val byModel = groups.groupBy { it.head.service to it.model }
+
+    /** The groups that serve [model] for [service]. */
+    fun groups(
+        service: ServiceName,
+        model: String,
+    ): List<RoutableGroup> = byModel[service to model].orEmpty()
+}
--- a/groups/src/main/kotlin/org/vanillalink/groups/ControlState.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/ControlState.kt
@@ -4,7 +4,7 @@
 package org.vanillalink.groups
 
 import org.vanillalink.model.FencingNumber
-import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.store.ConditionalWrite
 import java.time.Instant
 
 /** The row as a candidate saw it; it has been at [version] since [since] by the candidate's own watch. */
--- a/groups/src/main/kotlin/org/vanillalink/groups/ControllerState.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/ControllerState.kt
@@ -16,7 +16,7 @@
 import org.vanillalink.model.HostStatus
 import org.vanillalink.model.TargetPhase
 import org.vanillalink.model.TargetReport
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.RowKey
 import java.time.Instant
 
 /** How far a controller is with its control. */
--- a/groups/src/main/kotlin/org/vanillalink/groups/DomainDecision.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/DomainDecision.kt
@@ -9,10 +9,10 @@
 import org.vanillalink.model.Generation
 import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 
 /** What a target is told to do. */
 sealed interface TargetOrder {
--- a/groups/src/main/kotlin/org/vanillalink/groups/DomainEvent.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/DomainEvent.kt
@@ -10,11 +10,11 @@
 import org.vanillalink.model.Host
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 
 /** An event for [FailureDomainAggregate]. */
 sealed interface DomainEvent {
--- a/groups/src/main/kotlin/org/vanillalink/groups/FailureDomainControl.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/FailureDomainControl.kt
@@ -15,10 +15,10 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TransactionResult
 import java.time.Instant
 
 private typealias ControlStep = Transition<ControlState, DomainDecision>
--- a/groups/src/main/kotlin/org/vanillalink/groups/GroupController.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/GroupController.kt
@@ -11,10 +11,10 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostRole
 import org.vanillalink.model.Transition
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.TransactionResult
 import java.time.Instant
 
 private typealias ControllerStep = Transition<ControllerState, DomainDecision>
--- a/groups/src/main/kotlin/org/vanillalink/groups/GroupRows.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/GroupRows.kt
@@ -13,7 +13,7 @@
 import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.RowKey
 
 /** One run of one daemon. */
 data class ControlHolder(
--- a/groups/src/main/kotlin/org/vanillalink/groups/RowJournal.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/RowJournal.kt
@@ -5,8 +5,8 @@
 
 import org.vanillalink.model.FencingNumber
 import org.vanillalink.model.HostId
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.RowKey
 
 /** Compares the controller's groups and claims with the stored rows. */
 internal class RowJournal(
--- a/groups/src/main/kotlin/org/vanillalink/groups/StoredRows.kt
+++ b/groups/src/main/kotlin/org/vanillalink/groups/StoredRows.kt
@@ -7,8 +7,8 @@
 
 import org.vanillalink.model.GroupId
 import org.vanillalink.model.HostId
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
 
 /** Rows by key, null for one that was read and doesn't exist. */
 data class StoredRows(
--- a/groups/src/test/kotlin/org/vanillalink/groups/FakeDaemon.kt
+++ b/groups/src/test/kotlin/org/vanillalink/groups/FakeDaemon.kt
@@ -7,7 +7,7 @@
 import arrow.core.left
 import org.vanillalink.model.BootId
 import org.vanillalink.model.DaemonId
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.StoreFailure
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.Scenario
 import org.vanillalink.testing.UnreliableLink
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityDaemon.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityDaemon.kt
@@ -27,8 +27,8 @@
 import org.vanillalink.model.RequestId
 import org.vanillalink.model.TargetReport
 import org.vanillalink.model.WorkspaceId
-import org.vanillalink.platform.http.HostsAnswer
 import org.vanillalink.routing.RouterEvent
+import org.vanillalink.store.http.HostsAnswer
 import org.vanillalink.transport.Json
 import org.vanillalink.transport.read
 import java.time.Duration
--- a/measure/src/main/kotlin/org/vanillalink/measure/CapacityModel.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/CapacityModel.kt
@@ -15,7 +15,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.model.HostRole
 import org.vanillalink.model.ServiceName
-import org.vanillalink.platform.http.HostsAnswer
+import org.vanillalink.store.http.HostsAnswer
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.Scenario
 import org.vanillalink.transport.Json
--- a/measure/src/main/kotlin/org/vanillalink/measure/EditedConfiguration.kt
+++ b/measure/src/main/kotlin/org/vanillalink/measure/EditedConfiguration.kt
@@ -7,7 +7,7 @@
 import org.vanillalink.configuration.ConfigurationSection
 import org.vanillalink.configuration.SectionSet
 import org.vanillalink.configuration.StoredSection
-import org.vanillalink.platform.ConditionalWrite
+import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.testing.InMemoryTableStore
 
 /** Keeps the sections as [store] has them. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/timeline/KeyValueLine.kt
+++ b/model/src/main/kotlin/org/vanillalink/model/KeyValueLine.kt
@@ -1,7 +1,7 @@
 /*
  * One line of key=value pairs.
  */
-package org.vanillalink.daemon.timeline
+package org.vanillalink.model
 
 /** Writes key=value pairs; a value with spaces, quotes or line ends is quoted. */
 object KeyValueLine {
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/RouteTable.kt
@@ -0,0 +1,26 @@
+/*
+ * Finds the route of a request in time that follows the depth of its path, however many routes there are.
+ */
+package org.vanillalink.serving.catalog
+
+/** The routes of one configuration by host and prefix. */
+class RouteTable(
+    routes: List<Route>,
+) {
+    private val byHost: Map<String, Map<String, Route>> =
+        routes.groupBy { it.host.lowercase() }.mapValues { (_, ofHost) -> ofHost.associateBy { it.prefix } }
+
+    /** The route with the longest prefix that begins [path], or null. [host] may carry a port. */
+    fun find(
+        host: String,
+        path: String,
+    ): Route? {
+        val ofHost = byHost[host.substringBefore(':').lowercase()] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            ofHost[path.substring(0, end + 1)]?.let { return it }
+            end = if (end == 0) -1 else path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -0,0 +1,65 @@
+/*
+ * Events and decisions of the control of one failure domain's serving groups.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.catalog.EngineDefinition
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetEntry
+
+/** What the controller looks at: the failure domain's model targets and the engine's figures. */
+data class DomainView(
+    val entries: Map<HostId, TargetEntry>,
+    val engine: EngineDefinition,
+    /** Over how many failure domains the weight store's allowance is divided. */
+    val failureDomains: Int,
+    /** Whether requests have come; before that, loads from the weight store are cheap and not limited. */
+    val trafficSeen: Boolean,
+)
+
+/** Something that happened. */
+sealed interface GroupEvent {
+    /** Time has passed, or the view has changed. */
+    data class Tick(
+        val view: DomainView,
+    ) : GroupEvent
+
+    /** A daemon has seen all work of a group stand still. */
+    data class Suspected(
+        val key: GroupKey,
+    ) : GroupEvent
+
+    /** An order was answered, or not. */
+    data class OrderAnswered(
+        val target: HostId,
+        val order: GroupOrder,
+        val result: OrderResult,
+    ) : GroupEvent
+
+    /** A target was asked for its report. */
+    data class ReportAnswered(
+        val target: HostId,
+        val result: ReportResult,
+    ) : GroupEvent
+}
+
+/** Something to do. */
+sealed interface GroupDecision {
+    /** Give [target] an order. */
+    data class Send(
+        val target: TargetEntry,
+        val order: GroupOrder,
+    ) : GroupDecision
+
+    /** Ask [target] for its report. */
+    data class AskReport(
+        val target: TargetEntry,
+    ) : GroupDecision
+
+    /** Write down that the controller changed its mind about something, and why. */
+    data class Note(
+        val event: String,
+        val fields: Map<String, Any?>,
+    ) : GroupDecision
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -0,0 +1,30 @@
+/*
+ * Delays of the control of groups, in milliseconds.
+ */
+package org.vanillalink.serving.control
+
+/** Bounds and pauses. */
+data class GroupControlSettings(
+    /** A member of a suspected group isn't asked more often than this; about two round trips and the report's lag. */
+    val askAgainMilliseconds: Long = 300,
+    /** An order without an answer is sent again after this; longer than any round trip inside a region. */
+    val resendMilliseconds: Long = 500,
+    /** Pause between two questions whether a member is ready. */
+    val pollMilliseconds: Long = 100,
+    /** How long members with the model in memory take to join. */
+    val rejoinMilliseconds: Long = 200,
+    /** Slack after the expected end of a formation before it is given up. */
+    val formationSlackMilliseconds: Long = 2_500,
+    /** How long work in progress may hold back a planned change of members; most answers take less. */
+    val gentleCloseMilliseconds: Long = 3_000,
+    /** How long an opened group is believed before the registry shows it. */
+    val listingLagMilliseconds: Long = 2_500,
+    /** How long names of dissolved groups are remembered; longer than an order can be carried out late. */
+    val rememberMilliseconds: Long = 20_000,
+    /** Orders without an answer to a head that is no longer listed before it is taken as ended. */
+    val unansweredBeforeGone: Int = 2,
+    /** A target that gave no answer is asked again after this. */
+    val silentRetryMilliseconds: Long = 700,
+    /** Free targets that a fabric domain keeps before it forms a second group of a model. */
+    val reservePerFabricDomain: Int = 2,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -0,0 +1,72 @@
+/*
+ * What the controller of a failure domain knows beyond the registry. All times are milliseconds on the steady clock.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetRun
+
+/** How far a group's formation has come. */
+enum class FormationPhase { JOINING, OPENING, OPENED }
+
+/** A group that is being formed. */
+data class Formation(
+    val key: GroupKey,
+    val model: String,
+    val members: List<TargetEntry>,
+    val phase: FormationPhase,
+    val startedAt: Long,
+    /** When all members should be ready if nothing goes wrong. */
+    val expectedReadyAt: Long,
+    val giveUpAt: Long,
+    val joined: Set<HostId> = emptySet(),
+    val ready: Set<HostId> = emptySet(),
+    val lastSentAt: Map<HostId, Long> = emptyMap(),
+    val lastAskedAt: Map<HostId, Long> = emptyMap(),
+    val phaseSince: Long = startedAt,
+) {
+    val head: TargetEntry get() = members.first()
+}
+
+/** Why and since when a group is taken apart. */
+data class Dissolution(
+    val key: GroupKey,
+    val head: TargetEntry,
+    val reason: String,
+    val startedAt: Long,
+    /** Whether work in progress may finish first. */
+    val isGentle: Boolean,
+    val lastSentAt: Long = 0,
+    /** Orders to leave without any answer since the head is no longer listed. */
+    val unansweredSinceGone: Int = 0,
+)
+
+/** The state of [GroupController]. */
+data class GroupControlState(
+    val nextEpoch: Long,
+    val formations: Map<GroupKey, Formation> = emptyMap(),
+    val dissolutions: Map<GroupKey, Dissolution> = emptyMap(),
+    /** Groups whose head certainly serves no more under this key, with the time of that. */
+    val dissolved: Map<GroupKey, Long> = emptyMap(),
+    /** Runs of targets that gave no answer, with the time of the last try. */
+    val silent: Map<TargetRun, Long> = emptyMap(),
+    /** When members of a suspected group were last asked. */
+    val askedAt: Map<HostId, Long> = emptyMap(),
+    /** Models that hosts were told to stage, until when that may take. */
+    val staging: Map<HostId, Staging> = emptyMap(),
+    /** The last entry of each head, for orders to heads that are no longer listed. */
+    val lastHeads: Map<GroupKey, TargetEntry> = emptyMap(),
+    /** Members of each group as last listed. */
+    val lastMembers: Map<GroupKey, List<TargetEntry>> = emptyMap(),
+    /** Allowance of loads from the weight store, and when it was last filled. */
+    val loadAllowance: Double = 0.0,
+    val loadAllowanceAt: Long = 0,
+)
+
+/** A host on its way to keep a model ready. */
+data class Staging(
+    val model: String,
+    val until: Long,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -0,0 +1,111 @@
+/*
+ * Controls the serving groups of one failure domain: forms whole groups, watches them, and takes apart those that have
+ * lost a member so that the survivors serve again soon.
+ *
+ * It works like a reconciler. Each tick it compares what the registry lists with what should be there; beyond the
+ * registry it only remembers orders whose effect isn't visible yet. So a daemon that takes over control needs nothing
+ * from its predecessor but a greater epoch.
+ *
+ * Two rules carry the safety. A group is opened only after each member has itself reported that it is ready under the
+ * group's name and epoch. And members of a group are used elsewhere only after its head has left, has ended, or was never
+ * told to open.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.ServingGroups
+import org.vanillalink.serving.targets.TargetEntry
+
+/** The result of one event. */
+data class GroupTransition(
+    val state: GroupControlState,
+    val decisions: List<GroupDecision>,
+)
+
+/** Decides about groups; [settings] holds its delays. */
+class GroupController(
+    private val settings: GroupControlSettings = GroupControlSettings(),
+) {
+    /** Applies [event], which happened at [now], to [state]. */
+    fun handle(
+        state: GroupControlState,
+        event: GroupEvent,
+        now: Long,
+    ): GroupTransition {
+        val work = GroupWork(state, settings, now)
+        when (event) {
+            is GroupEvent.Tick -> tick(work, event.view)
+            is GroupEvent.Suspected -> suspected(work, event.key)
+            is GroupEvent.OrderAnswered -> OrderAnswers(work).apply(event)
+            is GroupEvent.ReportAnswered -> ReportAnswers(work).apply(event)
+        }
+        return GroupTransition(work.state, work.decisions)
+    }
+
+    /** The groups that requests may go to, by what this controller knows. */
+    fun serving(
+        state: GroupControlState,
+        view: DomainView,
+    ): List<AnnouncedGroup> {
+        val listed =
+            ServingGroups
+                .open(view.entries.values)
+                .filter { group -> isSound(state, view, group.key, group.members) }
+                .map { group -> AnnouncedGroup(group.key, group.model, group.members.map { it.id }) }
+        val opened =
+            state.formations.values
+                .filter { it.phase == FormationPhase.OPENED }
+                .map { AnnouncedGroup(it.key, it.model, it.members.map(TargetEntry::id)) }
+        return (opened + listed).distinctBy { it.key }
+    }
+
+    private fun isSound(
+        state: GroupControlState,
+        view: DomainView,
+        key: GroupKey,
+        members: List<TargetEntry>,
+    ): Boolean {
+        if (key in state.dissolutions || key in state.dissolved) return false
+        val size =
+            view.engine.models
+                .firstOrNull { it.name == members.first().model }
+                ?.size
+        return members.size == size && members.none { it.run in state.silent }
+    }
+
+    private fun tick(
+        work: GroupWork,
+        view: DomainView,
+    ) {
+        work.forget(view)
+        GroupHealth(work, view).check()
+        DissolutionSteps(work, view).advance()
+        FormationSteps(work, view).advance()
+        GroupPlan(work, view).apply()
+    }
+
+    private fun suspected(
+        work: GroupWork,
+        key: GroupKey,
+    ) {
+        if (key in work.state.dissolutions) return
+        work.members(key).forEach { member -> askAgain(work, member) }
+    }
+
+    private fun askAgain(
+        work: GroupWork,
+        member: TargetEntry,
+    ) {
+        val last = work.state.askedAt[member.id]
+        if (last != null && work.now - last < settings.askAgainMilliseconds) return
+        work.ask(member)
+    }
+}
+
+/** A group that a controller lets requests go to; the first of [members] takes them. */
+data class AnnouncedGroup(
+    val key: GroupKey,
+    val model: String,
+    val members: List<HostId>,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -0,0 +1,242 @@
+/*
+ * Chooses which groups to form from free targets, and which models free hosts keep ready.
+ *
+ * Each fabric domain gets one group of each model first, the model with the greatest lack first; more groups only
+ * beyond a reserve. The reserve is what makes repairs fast: a spare that has the right model stands in for a lost member
+ * within a fraction of a load from the weight store.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.serving.catalog.ModelDefinition
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.MemberState
+import org.vanillalink.serving.targets.TargetEntry
+
+internal class GroupPlan(
+    private val work: GroupWork,
+    private val view: DomainView,
+) {
+    private class StandingGroup(
+        val fabricDomain: String?,
+        val model: String,
+        val members: Int,
+    )
+
+    private val standing: MutableList<StandingGroup> = standingGroups().toMutableList()
+
+    fun apply() {
+        fillAllowance()
+        val free = freeTargets().groupBy { it.fabricDomain }
+        free.toSortedMap(compareBy { it.orEmpty() }).forEach { (domain, targets) -> planFabricDomain(domain, targets) }
+    }
+
+    private fun planFabricDomain(
+        domain: String?,
+        targets: List<TargetEntry>,
+    ) {
+        var free = targets
+        while (true) {
+            val model = nextModel(domain, free.size) ?: break
+            val members = choose(free, model) ?: break
+            form(members, model)
+            standing += StandingGroup(domain, model.name, model.size)
+            free = free - members.toSet()
+        }
+        stage(domain, free)
+    }
+
+    private fun nextModel(
+        domain: String?,
+        free: Int,
+    ): ModelDefinition? = view.engine.models
+        .filter { model ->
+            val isFirst = standing.none { it.fabricDomain == domain && it.model == model.name }
+            val needed = if (isFirst) model.size else model.size + work.settings.reservePerFabricDomain
+            free >= needed
+        }.maxByOrNull(::lack)
+
+    /** How far [model] is from its share of all members in groups; positive where it has too few. */
+    private fun lack(model: ModelDefinition): Double {
+        val total = standing.sumOf { it.members } + model.size
+        return model.share * total - standing.filter { it.model == model.name }.sumOf { it.members }
+    }
+
+    /** The members that would be ready soonest, or null where the model should first be staged. */
+    private fun choose(
+        free: List<TargetEntry>,
+        model: ModelDefinition,
+    ): List<TargetEntry>? {
+        val chosen = free.sortedWith(compareBy({ readiness(it, model.name) }, { it.id })).take(model.size)
+        val cold = chosen.count { readiness(it, model.name) > STAGED }
+        if (cold == 0 || !view.trafficSeen) return chosen
+        val nobodyServes = standing.none { it.model == model.name }
+        if (!nobodyServes || !takeLoads(cold)) return null
+        return chosen
+    }
+
+    private fun readiness(
+        target: TargetEntry,
+        model: String,
+    ): Int = when {
+        target.model == model && model in target.staged -> IN_MEMORY
+        model in target.staged -> STAGED
+        work.state.staging[target.id]?.model == model -> STAGING
+        target.staged.isEmpty() -> EMPTY
+        else -> OTHER_MODEL
+    }
+
+    private fun form(
+        members: List<TargetEntry>,
+        model: ModelDefinition,
+    ) {
+        val epoch = work.nextEpoch()
+        val key = GroupKey("${model.name}-$epoch", epoch)
+        val expected = members.maxOf { expectedMilliseconds(it, model) }
+        val waiting = if (view.trafficSeen) expected else expected * FIRST_LOADS_SHARE_THE_STORE
+        work.update(
+            Formation(
+                key = key,
+                model = model.name,
+                members = members,
+                phase = FormationPhase.JOINING,
+                startedAt = work.now,
+                expectedReadyAt = work.now + expected,
+                giveUpAt = work.now + waiting + work.settings.formationSlackMilliseconds,
+            ),
+        )
+        work.note(
+            "group-forming",
+            "group" to key.group,
+            "epoch" to epoch,
+            "model" to model.name,
+            "members" to members.joinToString(",") { it.id.value },
+            "expectedMs" to expected,
+        )
+        members.forEach { member ->
+            work.send(member, GroupOrder.Join(key, model.name, members.map { it.id }))
+        }
+        val sent = members.associate { it.id to work.now }
+        work.update(
+            work.state.formations
+                .getValue(key)
+                .copy(lastSentAt = sent),
+        )
+    }
+
+    private fun expectedMilliseconds(
+        member: TargetEntry,
+        model: ModelDefinition,
+    ): Long = when (readiness(member, model.name)) {
+        IN_MEMORY -> work.settings.rejoinMilliseconds
+        STAGED -> model.warmMilliseconds
+        else -> if (view.trafficSeen) model.loadMilliseconds else model.loadMilliseconds / FIRST_LOADS_ARE_FASTER
+    }
+
+    private fun stage(
+        domain: String?,
+        free: List<TargetEntry>,
+    ) {
+        free.filter { it.staged.isEmpty() && it.id !in work.state.staging }.forEach { target ->
+            val model = modelToStage(domain, free) ?: return
+            if (view.trafficSeen && !takeLoads(1)) return
+            val until = work.now + model.loadMilliseconds + work.settings.formationSlackMilliseconds
+            work.state = work.state.copy(staging = work.state.staging + (target.id to Staging(model.name, until)))
+            work.note("model-staging", "target" to target.id, "model" to model.name)
+            work.send(target, GroupOrder.Stage(model.name))
+        }
+    }
+
+    /** A model without a group in [domain] goes first; else the one with the fewest spares for its members. */
+    private fun modelToStage(
+        domain: String?,
+        free: List<TargetEntry>,
+    ): ModelDefinition? {
+        val models = view.engine.models
+        val without = models.filter { model -> standing.none { it.fabricDomain == domain && it.model == model.name } }
+        return (without.ifEmpty { models }).minByOrNull { model -> sparesFor(model, free).toDouble() / model.size }
+    }
+
+    private fun sparesFor(
+        model: ModelDefinition,
+        free: List<TargetEntry>,
+    ): Int = free.count { model.name in it.staged || work.state.staging[it.id]?.model == model.name }
+
+    private fun standingGroups(): List<StandingGroup> {
+        val forming =
+            work.state.formations.values.map {
+                StandingGroup(
+                    it.head.fabricDomain,
+                    it.model,
+                    it.members.size,
+                )
+            }
+        val listed =
+            view.entries.values.filter { entry ->
+                val membership = entry.membership
+                membership != null && membership.rank == 0 && membership.state == MemberState.OPEN &&
+                    !isOver(GroupKey(membership.group, membership.epoch)) &&
+                    GroupKey(membership.group, membership.epoch) !in work.state.formations
+            }
+        return forming +
+            listed.map { head ->
+                val size =
+                    view.engine.models
+                        .firstOrNull { it.name == head.model }
+                        ?.size ?: 0
+                StandingGroup(head.fabricDomain, head.model.orEmpty(), size)
+            }
+    }
+
+    private fun isOver(key: GroupKey) = key in work.state.dissolutions || key in work.state.dissolved
+
+    private fun freeTargets(): List<TargetEntry> {
+        val forming =
+            work.state.formations.values
+                .flatMap { it.members }
+                .map { it.id }
+                .toSet()
+        return view.entries.values.filter { entry ->
+            !entry.isLeaving && entry.run !in work.state.silent && entry.id !in forming && isUnused(entry)
+        }
+    }
+
+    /** Members are unused once their group's head serves no more; members of a group that never opened always are. */
+    private fun isUnused(entry: TargetEntry): Boolean {
+        val membership = entry.membership ?: return true
+        val key = GroupKey(membership.group, membership.epoch)
+        if (key in work.state.dissolved) return true
+        if (key in work.state.dissolutions) return false
+        val head = work.state.lastHeads[key]
+        val headState = head?.membership?.state
+        return headState != MemberState.OPEN && headState != MemberState.CLOSING
+    }
+
+    private fun fillAllowance() {
+        val perSecond = view.engine.loadsPerSecond / view.failureDomains
+        val elapsed = work.now - work.state.loadAllowanceAt
+        val filled = work.state.loadAllowance + perSecond * elapsed / MILLISECONDS_PER_SECOND
+        work.state = work.state.copy(loadAllowance = minOf(filled, LOAD_BURST), loadAllowanceAt = work.now)
+    }
+
+    private fun takeLoads(count: Int): Boolean {
+        if (work.state.loadAllowance < count) return false
+        work.state = work.state.copy(loadAllowance = work.state.loadAllowance - count)
+        return true
+    }
+
+    private companion object {
+        const val IN_MEMORY = 0
+        const val STAGED = 1
+        const val STAGING = 2
+        const val EMPTY = 3
+        const val OTHER_MODEL = 4
+        const val FIRST_LOADS_ARE_FASTER = 10
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** All of a fleet's first loads run side by side, so each takes longer than by itself. */
+        const val FIRST_LOADS_SHARE_THE_STORE = 12
+
+        /** Loads that may begin together after a pause; well under what the store allows in its window. */
+        const val LOAD_BURST = 4.0
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -0,0 +1,90 @@
+/*
+ * What answers to orders change.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+
+internal class OrderAnswers(
+    private val work: GroupWork,
+) {
+    fun apply(event: GroupEvent.OrderAnswered) {
+        when (val order = event.order) {
+            is GroupOrder.Join -> joinAnswered(event.target, order.key, event.result)
+            is GroupOrder.Open -> openAnswered(order.key, event.result)
+            is GroupOrder.Leave -> leaveAnswered(order.key, event.result)
+            is GroupOrder.Close -> Unit
+            is GroupOrder.Stage -> stageAnswered(event.target, event.result)
+        }
+    }
+
+    private fun joinAnswered(
+        target: HostId,
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        val formation = work.state.formations[key]?.takeIf { it.phase == FormationPhase.JOINING } ?: return
+        when (result) {
+            OrderResult.ACCEPTED -> work.update(formation.copy(joined = formation.joined + target))
+            OrderResult.UNKNOWN -> Unit
+            else -> giveUp(formation, target, result)
+        }
+    }
+
+    private fun giveUp(
+        formation: Formation,
+        target: HostId,
+        result: OrderResult,
+    ) {
+        val member = formation.members.first { it.id == target }
+        work.note("formation-refused", "group" to formation.key.group, "target" to target, "result" to result)
+        work.state = work.state.copy(silent = work.state.silent + (member.run to work.now))
+        work.drop(formation)
+    }
+
+    private fun openAnswered(
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        val formation = work.state.formations[key]?.takeIf { it.phase == FormationPhase.OPENING } ?: return
+        if (result == OrderResult.ACCEPTED) {
+            work.update(formation.copy(joined = formation.joined + formation.head.id, phaseSince = work.now))
+        } else if (result != OrderResult.UNKNOWN) {
+            work.drop(formation)
+            work.dissolve(key, formation.head, "open-refused", isGentle = false)
+        }
+    }
+
+    private fun leaveAnswered(
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        val dissolution = work.state.dissolutions[key] ?: return
+        if (result != OrderResult.UNKNOWN) {
+            work.dissolved(key)
+            return
+        }
+        val unanswered = dissolution.unansweredSinceGone + 1
+        val isListed =
+            work.state.lastHeads[key]?.let {
+                work.state.lastMembers[key]
+                    .orEmpty()
+                    .contains(it)
+            } ?: false
+        if (!isListed && unanswered >= work.settings.unansweredBeforeGone) {
+            work.dissolved(key)
+            return
+        }
+        val counted = dissolution.copy(unansweredSinceGone = if (isListed) 0 else unanswered)
+        work.state = work.state.copy(dissolutions = work.state.dissolutions + (key to counted))
+    }
+
+    private fun stageAnswered(
+        target: HostId,
+        result: OrderResult,
+    ) {
+        if (result == OrderResult.ACCEPTED || result == OrderResult.UNKNOWN) return
+        work.state = work.state.copy(staging = work.state.staging - target)
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -0,0 +1,111 @@
+/*
+ * What targets' own reports change.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.MemberState
+import org.vanillalink.serving.targets.TargetEntry
+
+internal class ReportAnswers(
+    private val work: GroupWork,
+) {
+    fun apply(event: GroupEvent.ReportAnswered) {
+        val entry = entry(event.target) ?: return
+        when (val result = event.result) {
+            is ReportResult.Answered -> answered(entry, result.report)
+            is ReportResult.Silent -> silent(entry, result.reason)
+        }
+    }
+
+    private fun entry(target: HostId): TargetEntry? {
+        val forming =
+            work.state.formations.values
+                .flatMap { it.members }
+        val listed =
+            work.state.lastMembers.values
+                .flatten()
+        return (forming + listed).firstOrNull { it.id == target }
+    }
+
+    private fun silent(
+        entry: TargetEntry,
+        reason: String,
+    ) {
+        if (entry.run !in work.state.silent) work.note("target-silent", "target" to entry.id, "reason" to reason)
+        work.state = work.state.copy(silent = work.state.silent + (entry.run to work.now))
+    }
+
+    private fun answered(
+        entry: TargetEntry,
+        report: GroupReport,
+    ) {
+        if (report.bornAt != null && entry.bornAt != null && report.bornAt != entry.bornAt) {
+            silent(entry, "restarted")
+            return
+        }
+        if (entry.run in work.state.silent) {
+            work.note("target-answers-again", "target" to entry.id)
+            work.state = work.state.copy(silent = work.state.silent - entry.run)
+        }
+        work.state.formations.values
+            .filter { formation -> formation.members.any { it.id == entry.id } }
+            .forEach { progress(it, entry, report) }
+        strayed(entry, report)
+    }
+
+    /** A member that says it is in another group than the registry lists is lost to the listed one. */
+    private fun strayed(
+        entry: TargetEntry,
+        report: GroupReport,
+    ) {
+        val listed = entry.membership ?: return
+        val key = GroupKey(listed.group, listed.epoch)
+        if (key in work.state.formations) return
+        val said = report.membership
+        val isBroken = said?.state == MemberState.BROKEN
+        if (said != null && GroupKey(said.group, said.epoch) == key && !isBroken) return
+        val head = work.state.lastHeads[key] ?: return
+        if (head.membership?.state == MemberState.OPEN) work.dissolve(key, head, "member-strayed", isGentle = false)
+    }
+
+    private fun progress(
+        formation: Formation,
+        entry: TargetEntry,
+        report: GroupReport,
+    ) {
+        val membership = report.membership ?: return
+        if (GroupKey(membership.group, membership.epoch) != formation.key) return
+        when (formation.phase) {
+            FormationPhase.JOINING -> {
+                if (membership.state == MemberState.READY) {
+                    work.update(
+                        formation.copy(ready = formation.ready + entry.id, joined = formation.joined + entry.id),
+                    )
+                }
+            }
+
+            FormationPhase.OPENING -> {
+                val opened = entry.id == formation.head.id && membership.state == MemberState.OPEN
+                if (opened) opened(formation)
+            }
+
+            FormationPhase.OPENED -> {
+                Unit
+            }
+        }
+    }
+
+    fun opened(formation: Formation) {
+        work.note(
+            "group-opened",
+            "group" to formation.key.group,
+            "epoch" to formation.key.epoch,
+            "model" to formation.model,
+            "members" to formation.members.joinToString(",") { it.id.value },
+            "tookMs" to work.now - formation.startedAt,
+        )
+        work.update(formation.copy(phase = FormationPhase.OPENED, phaseSince = work.now))
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -0,0 +1,99 @@
+/*
+ * The last word of each peer, and what follows from all of them: who is alive, who should control a failure domain, and
+ * which groups serve.
+ */
+package org.vanillalink.serving.peers
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.serving.targets.GroupKey
+
+/** A daemon as its peers see it. */
+data class PeerState(
+    val message: PeerMessage,
+    val heardAt: Long,
+)
+
+/** This daemon's own part in the choice of controllers. */
+data class OwnState(
+    val daemon: DaemonId,
+    val failureDomain: FailureDomainId,
+    val storeAge: Long,
+    val isLeaving: Boolean,
+)
+
+/** What is known of peers; times are milliseconds on the steady clock. */
+data class PeerBoard(
+    val peers: Map<DaemonId, PeerState> = emptyMap(),
+) {
+    /** [message] has arrived; older ones of the same run are passed over. */
+    fun heard(
+        message: PeerMessage,
+        now: Long,
+    ): PeerBoard {
+        val known = peers[message.daemon]?.message
+        val isOlder =
+            known != null && (
+                message.startedAt < known.startedAt ||
+                    (message.startedAt == known.startedAt && message.sequence <= known.sequence)
+            )
+        return if (isOlder) this else PeerBoard(peers + (message.daemon to PeerState(message, now)))
+    }
+
+    /** Peers heard of lately. */
+    fun alive(now: Long): List<PeerState> = peers.values.filter { now - it.heardAt < ALIVE_MILLISECONDS }
+
+    /** Daemons that share budgets: all that were heard of within the longest window, and this one. */
+    fun sharers(now: Long): Int = 1 + peers.values.count { now - it.heardAt < SHARER_MILLISECONDS }
+
+    /**
+     * The daemon that should control [domain]: one inside it if there is one, and one that reaches the store if any does.
+     */
+    fun controllerFor(
+        domain: FailureDomainId,
+        own: OwnState,
+        now: Long,
+    ): DaemonId? {
+        val others =
+            alive(now).map {
+                OwnState(it.message.daemon, it.message.failureDomain, it.message.storeAge, it.message.isLeaving)
+            }
+        val staying = (others + own).filterNot { it.isLeaving }
+        val reaching = staying.filter { it.storeAge < STORE_AGE_MILLISECONDS }
+        val able = reaching.ifEmpty { staying }
+        val inside = able.filter { it.failureDomain == domain }
+        return inside.minOfOrNull { it.daemon } ?: able.minByOrNull { rank(domain, it.daemon) }?.daemon
+    }
+
+    /** The greatest term that a live peer claims for [domain], or null. */
+    fun claimedTerm(
+        domain: FailureDomainId,
+        now: Long,
+    ): Long? =
+        alive(now).flatMap { it.message.controlled }.filter { it.failureDomain == domain }.maxOfOrNull { it.term }
+
+    /** The groups of each failure domain by its latest controller among live peers. */
+    fun announced(now: Long): Map<FailureDomainId, ControlledDomain> = alive(now)
+        .flatMap { it.message.controlled }
+        .groupBy { it.failureDomain }
+        .mapValues { (_, claims) -> claims.maxBy { it.term } }
+
+    /** Groups that live peers see standing still. */
+    fun suspects(now: Long): Set<GroupKey> = alive(now).flatMap { it.message.suspects }.toSet()
+
+    private fun rank(
+        domain: FailureDomainId,
+        daemon: DaemonId,
+    ): Int = (domain.value + '/' + daemon.value).hashCode()
+
+    private companion object {
+        /** Several heartbeats: one lost datagram must not move control. */
+        const val ALIVE_MILLISECONDS = 1_000L
+
+        /** Longer than the window of any budget that daemons share. */
+        const val SHARER_MILLISECONDS = 12_000L
+
+        /** Longer than two waits for changes that end without one. */
+        const val STORE_AGE_MILLISECONDS = 2_500L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -0,0 +1,38 @@
+/*
+ * What daemons tell each other directly. Messages may be lost, doubled and reordered; each one stands for itself, and a
+ * later one replaces it.
+ */
+package org.vanillalink.serving.peers
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.choice.Strike
+import org.vanillalink.serving.control.AnnouncedGroup
+import org.vanillalink.serving.targets.GroupKey
+
+/** What one daemon says of itself and of the groups that it controls. */
+data class PeerMessage(
+    val daemon: DaemonId,
+    val failureDomain: FailureDomainId,
+    /** When this run of the daemon began, in Unix milliseconds. */
+    val startedAt: Long,
+    val sequence: Long,
+    /** Milliseconds since the store last answered. */
+    val storeAge: Long,
+    val isLeaving: Boolean,
+    val inFlight: Map<HostId, Int>,
+    /** Groups whose answers stand still here. */
+    val suspects: Set<GroupKey>,
+    val strikes: List<Strike>,
+    val controlled: List<ControlledDomain>,
+)
+
+/** The groups of a failure domain by the word of its controller in [term]. */
+data class ControlledDomain(
+    val failureDomain: FailureDomainId,
+    val term: Long,
+    val groups: List<AnnouncedGroup>,
+    /** Groups that lost a member: work in progress there won't end. */
+    val broken: Set<GroupKey>,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/ServingGroup.kt
@@ -0,0 +1,38 @@
+/*
+ * Serving groups as the registry's entries show them.
+ */
+package org.vanillalink.serving.targets
+
+/** The name of one set of members; a group that is formed anew has a greater epoch. */
+data class GroupKey(
+    val group: String,
+    val epoch: Long,
+)
+
+/** A group whose head is open. [members] are in order of rank, as far as they are listed. */
+data class ServingGroup(
+    val key: GroupKey,
+    val model: String,
+    val head: TargetEntry,
+    val members: List<TargetEntry>,
+)
+
+/** Finds groups among entries. */
+object ServingGroups {
+    /** The groups among [entries] whose head is open, with the members that still list themselves in it. */
+    fun open(entries: Collection<TargetEntry>): List<ServingGroup> = entries
+        .filter { it.membership != null }
+        .groupBy { entry -> entry.membership!!.let { GroupKey(it.group, it.epoch) } }
+        .mapNotNull { (key, members) -> group(key, members) }
+
+    private fun group(
+        key: GroupKey,
+        members: List<TargetEntry>,
+    ): ServingGroup? {
+        val ordered = members.sortedBy { it.membership?.rank }
+        val head = ordered.first().takeIf { it.membership?.rank == 0 } ?: return null
+        if (head.membership?.state != MemberState.OPEN) return null
+        val model = head.model ?: return null
+        return ServingGroup(key, model, head, ordered)
+    }
+}
--- a/stand-ins/src/test/kotlin/org/vanillalink/standins/platform/HostListTest.kt
+++ b/stand-ins/src/test/kotlin/org/vanillalink/standins/platform/HostListTest.kt
@@ -4,8 +4,8 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.HostStatus
-import org.vanillalink.platform.http.HttpHostList
-import org.vanillalink.platform.http.PlatformSettings
+import org.vanillalink.store.http.HttpHostList
+import org.vanillalink.store.http.PlatformSettings
 import org.vanillalink.transport.NettyEventLoops
 import org.vanillalink.transport.NettyHttpClient
 import org.vanillalink.transport.NettyHttpServer
--- a/platform/src/main/kotlin/org/vanillalink/platform/HostList.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/HostList.kt
@@ -1,7 +1,7 @@
 /*
  * The platform's list of live and leaving hosts. It lags behind the truth.
  */
-package org.vanillalink.platform
+package org.vanillalink.store
 
 import arrow.core.Either
 import org.vanillalink.model.FailureDomainId
--- a/platform/src/main/kotlin/org/vanillalink/platform/ObjectStore.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/ObjectStore.kt
@@ -1,7 +1,7 @@
 /*
  * The platform's object store, for values too large for a table row.
  */
-package org.vanillalink.platform
+package org.vanillalink.store
 
 import arrow.core.Either
 import java.util.concurrent.CompletableFuture
--- a/platform/src/main/kotlin/org/vanillalink/platform/TableStore.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/TableStore.kt
@@ -4,7 +4,7 @@
  * Every change is conditional on the versions of the rows that it was decided on. An answer can be lost after the write
  * took effect, so a failure says whether the write may have happened.
  */
-package org.vanillalink.platform
+package org.vanillalink.store
 
 import arrow.core.Either
 import java.util.concurrent.CompletableFuture
--- a/platform/src/main/kotlin/org/vanillalink/platform/http/HttpHostList.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/http/HttpHostList.kt
@@ -1,15 +1,15 @@
 /*
  * The platform's host list over HTTP.
  */
-package org.vanillalink.platform.http
+package org.vanillalink.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.right
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.Host
-import org.vanillalink.platform.HostList
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.HostList
+import org.vanillalink.store.StoreFailure
 import org.vanillalink.transport.HttpAnswer
 import org.vanillalink.transport.HttpClient
 import java.util.concurrent.CompletableFuture
--- a/platform/src/main/kotlin/org/vanillalink/platform/http/HttpObjectStore.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/http/HttpObjectStore.kt
@@ -1,11 +1,11 @@
 /*
  * The platform's object store over HTTP.
  */
-package org.vanillalink.platform.http
+package org.vanillalink.store.http
 
 import arrow.core.Either
-import org.vanillalink.platform.ObjectStore
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.ObjectStore
+import org.vanillalink.store.StoreFailure
 import org.vanillalink.transport.HttpClient
 import java.util.concurrent.CompletableFuture
 
--- a/platform/src/main/kotlin/org/vanillalink/platform/http/HttpTableStore.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/http/HttpTableStore.kt
@@ -1,15 +1,15 @@
 /*
  * The platform's table service over HTTP.
  */
-package org.vanillalink.platform.http
+package org.vanillalink.store.http
 
 import arrow.core.Either
-import org.vanillalink.platform.ConditionalWrite
-import org.vanillalink.platform.Row
-import org.vanillalink.platform.RowKey
-import org.vanillalink.platform.StoreFailure
-import org.vanillalink.platform.TableStore
-import org.vanillalink.platform.TransactionResult
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.Row
+import org.vanillalink.store.RowKey
+import org.vanillalink.store.StoreFailure
+import org.vanillalink.store.TableStore
+import org.vanillalink.store.TransactionResult
 import org.vanillalink.transport.HttpClient
 import java.util.concurrent.CompletableFuture
 
--- a/platform/src/main/kotlin/org/vanillalink/platform/http/PlatformCaller.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/http/PlatformCaller.kt
@@ -1,14 +1,14 @@
 /*
  * Calls to the platform over HTTP, with failures that say whether a write may have taken effect.
  */
-package org.vanillalink.platform.http
+package org.vanillalink.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import org.vanillalink.model.Endpoint
-import org.vanillalink.platform.StoreFailure
+import org.vanillalink.store.StoreFailure
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.HttpAnswer
 import org.vanillalink.transport.HttpClient
--- a/platform/src/main/kotlin/org/vanillalink/platform/http/PlatformMessages.kt
+++ b/store/src/main/kotlin/org/vanillalink/store/http/PlatformMessages.kt
@@ -1,7 +1,7 @@
 /*
  * Messages of the platform's HTTP interface, JSON bodies. The stand-in uses the same types.
  */
-package org.vanillalink.platform.http
+package org.vanillalink.store.http
 
 import org.vanillalink.model.Host
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
@@ -15,6 +15,10 @@
     private var exchange: NettyExchange? = null
     private var reusable = false
 
+    /** How long the other side keeps an idle connection, where the last answer told. */
+    var keepAliveSeconds: Int? = null
+        private set
+
     fun use(next: NettyExchange) {
         exchange = next
         reusable = false
@@ -36,6 +40,12 @@
         }
         if (part is HttpResponse) {
             reusable = HttpUtil.isKeepAlive(part)
+            keepAliveSeconds =
+                KEEP_ALIVE_TIMEOUT
+                    .find(part.headers()["keep-alive"].orEmpty())
+                    ?.groupValues
+                    ?.get(1)
+                    ?.toIntOrNull()
             current.head(part.status().code(), part.headers().toFields())
         }
         if (part is HttpContent) passContent(current, part)
@@ -66,4 +76,8 @@
         }
         if (content is LastHttpContent) current.whole(reusable)
     }
+
+    private companion object {
+        val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
+    }
 }
--- /dev/null
+++ b/transport/src/main/kotlin/org/vanillalink/transport/DatagramPort.kt
@@ -0,0 +1,64 @@
+/*
+ * Small messages between daemons that may be lost: each one replaces the one before.
+ */
+package org.vanillalink.transport
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.vanillalink.model.Endpoint
+import java.net.InetSocketAddress
+
+/** Receives datagrams on [bind] and gives their content to [receive] on a traffic thread. */
+class DatagramPort(
+    loops: NettyEventLoops,
+    bind: Endpoint,
+    private val receive: (ByteArray) -> Unit,
+) : AutoCloseable {
+    private val channel: Channel =
+        Bootstrap()
+            .group(loops.group)
+            .channel(NioDatagramChannel::class.java)
+            .handler(Receiver())
+            .bind(bind.address, bind.port)
+            .syncUninterruptibly()
+            .channel()
+
+    /** Where it receives; the port is the real one also where 0 was asked for. */
+    val port: Int get() = (channel.localAddress() as InetSocketAddress).port
+
+    /** Sends [content] to [target]; it may be lost on the way. */
+    fun send(
+        target: Endpoint,
+        content: ByteArray,
+    ) {
+        val address = InetSocketAddress(target.address, target.port)
+        channel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(content), address))
+    }
+
+    override fun close() {
+        channel.close()
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(
+            context: ChannelHandlerContext,
+            packet: DatagramPacket,
+        ) {
+            val content = ByteArray(packet.content().readableBytes())
+            packet.content().readBytes(content)
+            receive(content)
+        }
+
+        /** A datagram that was refused somewhere must not end the port. */
+        @Suppress("OVERRIDE_DEPRECATION")
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ) = Unit
+    }
+}
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpMessages.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpMessages.kt
@@ -64,9 +64,10 @@
     /** What to write into logs. */
     val detail: String
 
-    /** No connection came about, so nothing was sent. */
+    /** No connection came about, so nothing was sent. [isRefused] where the host said that nobody listens. */
     data class NotConnected(
         override val detail: String,
+        val isRefused: Boolean = false,
     ) : TransportFailure {
         override val requestMayHaveArrived: Boolean get() = false
     }
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -64,6 +64,9 @@
     /** How many requests have no whole answer yet. */
     val requestsInProgress: Int
 
+    /** Goes on serving, but each answer from now on ends its connection. */
+    fun announceEnd()
+
     /** Takes no new connections and closes each open one once its answer has ended. */
     fun drain()
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/IdleConnections.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/IdleConnections.kt
@@ -15,6 +15,7 @@
     private class IdleConnection(
         val channel: Channel,
         val since: Long,
+        val keptNanoseconds: Long,
     )
 
     private val byEndpoint = ConcurrentHashMap<Endpoint, ConcurrentLinkedDeque<IdleConnection>>()
@@ -23,20 +24,25 @@
         val connections = byEndpoint[endpoint] ?: return null
         while (true) {
             val connection = connections.pollFirst() ?: return null
-            if (connection.channel.isActive) return connection.channel
+            val isKept = nanoTime() - connection.since < connection.keptNanoseconds
+            if (connection.channel.isActive && isKept) return connection.channel
+            connection.channel.close()
         }
     }
 
     fun add(
         endpoint: Endpoint,
         channel: Channel,
+        keepAliveSeconds: Int? = null,
     ) {
         val connections = byEndpoint.computeIfAbsent(endpoint) { ConcurrentLinkedDeque() }
         if (connections.size >= CONNECTIONS_PER_ENDPOINT) {
             channel.close()
             return
         }
-        connections.addFirst(IdleConnection(channel, nanoTime()))
+        // The other side counts from an earlier moment than this one, so only a part of its time is used.
+        val told = keepAliveSeconds?.let { TimeUnit.SECONDS.toNanos(it.toLong()) / 2 } ?: IDLE_NANOSECONDS
+        connections.addFirst(IdleConnection(channel, nanoTime(), minOf(told, IDLE_NANOSECONDS)))
     }
 
     /** Closes all that wait for [endpoint]. */
@@ -50,16 +56,16 @@
 
     /** Closes what has waited too long. */
     fun sweep() {
-        val oldest = nanoTime() - IDLE_NANOSECONDS
-        byEndpoint.values.forEach { connections -> sweep(connections, oldest) }
+        val now = nanoTime()
+        byEndpoint.values.forEach { connections -> sweep(connections, now) }
     }
 
     private fun sweep(
         connections: ConcurrentLinkedDeque<IdleConnection>,
-        oldest: Long,
+        now: Long,
     ) {
         for (connection in connections) {
-            val expired = connection.since < oldest || !connection.channel.isActive
+            val expired = now - connection.since >= connection.keptNanoseconds || !connection.channel.isActive
             if (expired && connections.remove(connection)) connection.channel.close()
         }
     }
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyEventLoops.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyEventLoops.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /** Netty's event loops; [threads] of 0 leaves the number to Netty. */
@@ -14,6 +15,18 @@
 ) : AutoCloseable {
     internal val group: EventLoopGroup = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
 
+    /** Runs [action] on one of the threads. */
+    fun execute(action: () -> Unit) = group.execute(action)
+
+    /** Runs [action] on one of the threads once [delay] is over. */
+    fun schedule(
+        delay: Duration,
+        action: () -> Unit,
+    ): ScheduledAction {
+        val scheduled = group.schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS)
+        return ScheduledAction { scheduled.cancel(false) }
+    }
+
     override fun close() {
         group.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
@@ -22,3 +35,9 @@
         const val SHUTDOWN_MILLISECONDS = 1_000L
     }
 }
+
+/** Something that will run later unless it is cancelled. */
+fun interface ScheduledAction {
+    /** It won't run any more. */
+    fun cancel()
+}
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
@@ -5,11 +5,13 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ConnectTimeoutException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.Future
+import java.net.ConnectException
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -37,6 +39,7 @@
     @Volatile
     private var reading = true
     private var timeout: Future<*>? = null
+    private var isWritten = false
 
     override fun setReading(reading: Boolean) {
         this.reading = reading
@@ -59,13 +62,17 @@
             listener.sending()
             scheduleTimeout(connected, options.answerTimeout)
             connected.writeAndFlush(toNetty()).addListener { written ->
+                isWritten = written.isSuccess
                 if (!written.isSuccess) fail(TransportFailure.ConnectionLost(written.cause().message.orEmpty()))
             }
         }
     }
 
-    fun notConnected(detail: String) {
-        if (ended.compareAndSet(false, true)) listener.failed(TransportFailure.NotConnected(detail))
+    fun notConnected(cause: Throwable) {
+        if (!ended.compareAndSet(false, true)) return
+        val isTimeout = cause is ConnectTimeoutException
+        val isRefused = cause is ConnectException && !isTimeout
+        listener.failed(TransportFailure.NotConnected(cause.message.orEmpty(), isRefused))
     }
 
     fun head(
@@ -87,7 +94,8 @@
         val connection = channel ?: return
         connection.connection().leave()
         connection.config().isAutoRead = true
-        if (reusable) pool.release(connection) else connection.close()
+        // An answer may come before the request's body has left; the rest must not precede the next request.
+        if (reusable && isWritten) pool.release(connection) else connection.close()
         listener.whole()
     }
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -36,7 +36,8 @@
     ): OutgoingExchange {
         val pool =
             object : ConnectionPool {
-                override fun release(channel: Channel) = idle.add(endpoint, channel)
+                override fun release(channel: Channel) =
+                    idle.add(endpoint, channel, channel.connection().keepAliveSeconds)
 
                 override fun wentSilent() = closeIdle(endpoint)
             }
@@ -80,7 +81,7 @@
                 if (attempt.isSuccess) {
                     exchange.begin((attempt as ChannelFuture).channel())
                 } else {
-                    exchange.notConnected(attempt.cause().message.orEmpty())
+                    exchange.notConnected(attempt.cause())
                 }
             }
     }
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -23,9 +23,17 @@
 class NettyHttpServer(
     private val loops: NettyEventLoops,
     private val bind: Endpoint,
-    private val limits: ServerLimits,
+    private val limitsInForce: () -> ServerLimits,
     private val handler: HttpRequestHandler,
 ) : HttpServer {
+    /** A server whose limits never change. */
+    constructor(
+        loops: NettyEventLoops,
+        bind: Endpoint,
+        limits: ServerLimits,
+        handler: HttpRequestHandler,
+    ) : this(loops, bind, { limits }, handler)
+
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val inProgress = AtomicInteger()
 
@@ -38,6 +46,10 @@
 
     override val requestsInProgress: Int get() = inProgress.get()
 
+    override fun announceEnd() {
+        draining = true
+    }
+
     override fun drain() {
         draining = true
         listening.close()
@@ -61,6 +73,7 @@
 
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
+            val limits = limitsInForce()
             if (connections.size >= limits.connections) {
                 channel.close()
                 return
--- a/transport/src/main/kotlin/org/vanillalink/transport/ProblemDetails.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ProblemDetails.kt
@@ -41,18 +41,31 @@
 const val OUTCOME_HEADER = "vanillalink-outcome"
 
 private const val MILLISECONDS_PER_SECOND = 1_000L
+private const val MILLISECONDS_PER_TENTH = 100L
 
-/** Writes [refusal] as the whole answer; `Retry-After` is rounded up to whole seconds. */
+/** How precisely `Retry-After` is written: in whole seconds (RFC 9110), or in tenths for callers that read them. */
+enum class RetryAfterPrecision { SECONDS, TENTHS }
+
+/** Writes [refusal] as the whole answer; `Retry-After` is rounded up. */
 fun AnswerWriter.refuse(
     refusal: Refusal,
     requestId: String? = null,
+    precision: RetryAfterPrecision = RetryAfterPrecision.SECONDS,
 ) {
     var headers =
         HeaderFields.of("content-type" to ProblemDetails.MEDIA_TYPE, OUTCOME_HEADER to refusal.outcome.wireName)
-    refusal.retryAfter?.let { headers = headers.with("retry-after", wholeSeconds(it).toString()) }
+    refusal.retryAfter?.let { headers = headers.with("retry-after", seconds(it, precision)) }
     requestId?.let { headers = headers.with("vanillalink-request", it) }
     answer(refusal.reason.status, headers, Json.write(ProblemDetails.of(refusal, requestId)))
 }
 
-private fun wholeSeconds(duration: Duration): Long =
-    maxOf(1, (duration.toMillis() + MILLISECONDS_PER_SECOND - 1) / MILLISECONDS_PER_SECOND)
+private fun seconds(
+    duration: Duration,
+    precision: RetryAfterPrecision,
+): String {
+    val unit = if (precision == RetryAfterPrecision.SECONDS) MILLISECONDS_PER_SECOND else MILLISECONDS_PER_TENTH
+    val units = maxOf(1, (duration.toMillis() + unit - 1) / unit)
+    if (precision == RetryAfterPrecision.SECONDS) return units.toString()
+    val perSecond = MILLISECONDS_PER_SECOND / MILLISECONDS_PER_TENTH
+    return "${units / perSecond}.${units % perSecond}"
+}
