Keep spares warm, tell groups of failure domains apart, and let big datagrams through

Ruled out: lack of processor time (0.15 cores at the most). Change: buffers for the greatest datagram; the failure domain in a group's name; spares join a standby group of their own, so that they hold the model in memory; a daemon that has control keeps it; two questions before a member counts as lost; only sent attempts come out of the retry budget.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -17,17 +17,20 @@
 import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.catalog.CredentialFreshness
+import org.vanillalink.serving.choice.Strike
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.control.DomainView
 import org.vanillalink.serving.control.GroupDecision
 import org.vanillalink.serving.control.GroupEvent
 import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.OwnState
 import org.vanillalink.serving.peers.PeerBoard
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.ServingGroups
 import org.vanillalink.serving.targets.TargetDirectory
 import org.vanillalink.store.TableStore
+import java.time.Duration
 
 /** What the control loop reads of the traffic side; safe from any thread. */
 interface TrafficSummary {
@@ -79,6 +82,7 @@
         RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::targetsChanged, ::storeAnswered)
     private val domains =
         settings.failureDomains.associateWith { DomainControl(it, settings.daemon, table, thread, lines, clock) }
+    private val startedAt = clock.steady()
     private var storeAnsweredAt = clock.steady()
 
     /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
@@ -119,7 +123,7 @@
     fun message(
         sequence: Long,
         startedAt: Long,
-        strikes: List<org.vanillalink.serving.choice.Strike>,
+        strikes: List<Strike>,
     ): PeerMessage = PeerMessage(
         daemon = settings.daemon,
         failureDomain = settings.failureDomain,
@@ -254,11 +258,14 @@
         domain: DomainControl,
         now: Long,
     ) {
-        val own =
-            org.vanillalink.serving.peers
-                .OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
-        val isWanted = board.controllerFor(domain.failureDomain, own, now) == settings.daemon
+        if (now - startedAt < FIRST_HEARTBEATS_MILLISECONDS) return
+        val own = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
+        val isWanted = board.controllerFor(domain.failureDomain, own, domain.term, now) == settings.daemon
         domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
+        advance(domain)
+    }
+
+    private fun advance(domain: DomainControl) {
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
@@ -266,7 +273,7 @@
     private fun view(failureDomain: FailureDomainId): DomainView? {
         val service = catalog?.configuration?.services?.firstOrNull { it.engine != null } ?: return null
         val entries = directory.entries.filterValues { it.failureDomain == failureDomain && it.service == service.name }
-        return DomainView(entries, service.engine!!, settings.failureDomains.size, traffic.hasTraffic())
+        return DomainView(failureDomain, entries, service.engine!!, settings.failureDomains.size, traffic.hasTraffic())
     }
 
     private fun suspect(key: GroupKey) {
@@ -313,6 +320,7 @@
                 )
                 if (domain.term == term) {
                     carryOut(domain, domain.apply(GroupEvent.OrderAnswered(decision.target.id, decision.order, result)))
+                    advance(domain)
                 }
             }
         }
@@ -325,6 +333,7 @@
         targets.report(decision.target).thenAccept { result ->
             thread.execute {
                 carryOut(domain, domain.apply(GroupEvent.ReportAnswered(decision.target.id, result)))
+                advance(domain)
                 publish()
             }
         }
@@ -385,7 +394,10 @@
     }
 
     private companion object {
-        val TICK: java.time.Duration = java.time.Duration.ofMillis(100)
+        val TICK: Duration = Duration.ofMillis(50)
+
+        /** Long enough to hear of the peers that are there, so that control isn't taken from one that has it. */
+        const val FIRST_HEARTBEATS_MILLISECONDS = 800L
 
         /** How long a broken group is remembered; its name is never used again. */
         const val BROKEN_MILLISECONDS = 5_000L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -65,16 +65,8 @@
     /** The groups that serve, where this daemon has control. */
     fun announced(view: DomainView): ControlledDomain? {
         val current = state ?: return null
-        val broken =
-            current.dissolutions.values
-                .filterNot { it.isGentle }
-                .map { it.key }
-        return ControlledDomain(
-            failureDomain,
-            term,
-            controller.serving(current, view),
-            (broken + current.dissolved.keys).toSet(),
-        )
+        val broken = controller.broken(current, clock.steady())
+        return ControlledDomain(failureDomain, term, controller.serving(current, view), broken)
     }
 
     private fun giveUp(reason: String) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -61,6 +61,7 @@
     protected var attempts = 0
         private set
     protected var mayHaveRun = false
+    private var sent = 0
     private var ended = false
     private val tried = HashSet<HostId>()
     private var exchange: OutgoingExchange? = null
@@ -92,11 +93,10 @@
     /** Tries the next target; [lastEventId] is what the caller has of a stream. */
     protected fun attempt(lastEventId: Long?) {
         val chosen = choose()
-        if (chosen == null) {
+        if (chosen == null || !takeAttempt()) {
             noTarget()
             return
         }
-        attempts += 1
         val entry = chosen.entry
         tried.add(entry.id)
         currentTarget = entry.id
@@ -113,6 +113,18 @@
             context.http.send(entry.endpoint, context.protocol.forward(request.message, marks), options, listener)
     }
 
+    /** Counts the attempt; every arrival at a target beyond a request's first comes out of the shared budget. */
+    private fun takeAttempt(): Boolean {
+        val isFirst = sent == 0
+        if (!isFirst && !context.state.takeRetry(request.service.name, now)) {
+            trail.append("!retry-budget")
+            return false
+        }
+        attempts += 1
+        sent += 1
+        return true
+    }
+
     private fun choose(): ChosenTarget? {
         val model = request.marks.model
         if (request.service.engine == null || model == null) {
@@ -192,13 +204,15 @@
 
     /** The target has proved that it did not run the request. */
     protected fun notRun(countsAsTry: Boolean = true) {
-        if (!countsAsTry) attempts -= 1
+        if (!countsAsTry) {
+            attempts -= 1
+            sent -= 1
+        }
         if (now < request.answerBy && mayTryAgain()) attempt(resumeFrom()) else noTarget()
     }
 
-    /** Whether another target may be tried, by the route's attempts and the shared budget. */
-    protected fun mayTryAgain(): Boolean =
-        attempts < request.route.attempts && context.state.takeRetry(request.service.name, now)
+    /** Whether the route allows another target. */
+    protected fun mayTryAgain(): Boolean = attempts < request.route.attempts
 
     protected open fun resumeFrom(): Long? = null
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -17,7 +17,8 @@
 
     private fun advance(dissolution: Dissolution) {
         val listed = view.entries[dissolution.head.id]
-        if (listed != null && servesNoMore(dissolution, listed)) {
+        val isGone = listed == null && dissolution.unanswered >= work.settings.unansweredBeforeGone
+        if (isGone || (listed != null && servesNoMore(dissolution, listed))) {
             work.dissolved(dissolution.key)
             return
         }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.serving.control
 
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.catalog.EngineDefinition
 import org.vanillalink.serving.targets.GroupKey
@@ -10,6 +11,8 @@
 
 /** What the controller looks at: the failure domain's model targets and the engine's figures. */
 data class DomainView(
+    /** Part of groups' names, which must differ between failure domains. */
+    val failureDomain: FailureDomainId,
     val entries: Map<HostId, TargetEntry>,
     val engine: EngineDefinition,
     /** Over how many failure domains the weight store's allowance is divided. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -25,6 +25,12 @@
     val unansweredBeforeGone: Int = 2,
     /** A target that gave no answer is asked again after this. */
     val silentRetryMilliseconds: Long = 700,
+    /** How long peers are told of a broken group; many heartbeats. */
+    val tellBrokenMilliseconds: Long = 2_000,
+    /** Questions without an answer, one right after the other, before a target is taken as lost. */
+    val questionsBeforeSilent: Int = 2,
+    /** Before the first request, how long no new target must have come before spares are chosen. */
+    val settledMilliseconds: Long = 1_500,
     /** Free targets that a fabric domain keeps before it forms a second group of a model. */
     val reservePerFabricDomain: Int = 2,
 )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -39,8 +39,8 @@
     /** Whether work in progress may finish first. */
     val isGentle: Boolean,
     val lastSentAt: Long = 0,
-    /** Orders to leave without any answer since the head is no longer listed. */
-    val unansweredSinceGone: Int = 0,
+    /** Orders to leave without any answer. */
+    val unanswered: Int = 0,
 )
 
 /** The state of [GroupController]. */
@@ -52,12 +52,19 @@
     val dissolved: Map<GroupKey, Long> = emptyMap(),
     /** Runs of targets that gave no answer, with the time of the last try. */
     val silent: Map<TargetRun, Long> = emptyMap(),
+    /** Questions to runs of targets that had no answer since the last one that had. */
+    val unanswered: Map<TargetRun, Int> = emptyMap(),
     /** When members of a suspected group were last asked. */
     val askedAt: Map<HostId, Long> = emptyMap(),
     /** Models that hosts were told to stage, until when that may take. */
     val staging: Map<HostId, Staging> = emptyMap(),
     /** The last entry of each head, for orders to heads that are no longer listed. */
     val lastHeads: Map<GroupKey, TargetEntry> = emptyMap(),
+    /** The targets listed, and when the last new one came. */
+    val known: Set<HostId> = emptySet(),
+    val lastNewAt: Long = 0,
+    /** Hosts that hold a model in memory without a group, or were told to. */
+    val standby: Map<HostId, Staging> = emptyMap(),
     /** Members of each group as last listed. */
     val lastMembers: Map<GroupKey, List<TargetEntry>> = emptyMap(),
     /** Allowance of loads from the weight store, and when it was last filled. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -60,6 +60,19 @@
         return (opened + listed).distinctBy { it.key }
     }
 
+    /** Groups whose work in progress won't end, as long as somebody may not have heard of it. */
+    fun broken(
+        state: GroupControlState,
+        now: Long,
+    ): Set<GroupKey> {
+        val ending =
+            state.dissolutions.values
+                .filterNot { it.isGentle }
+                .map { it.key }
+        val ended = state.dissolved.filterValues { now - it < settings.tellBrokenMilliseconds }.keys
+        return (ending + ended).toSet()
+    }
+
     private fun isSound(
         state: GroupControlState,
         view: DomainView,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -42,7 +42,24 @@
             standing += StandingGroup(domain, model.name, model.size)
             free = free - members.toSet()
         }
+        if (!view.trafficSeen && work.now - work.state.lastNewAt < work.settings.settledMilliseconds) return
         stage(domain, free)
+        standBy(free)
+    }
+
+    /** A spare that holds its model in memory joins a group in a fraction of the time that one needs that doesn't. */
+    private fun standBy(free: List<TargetEntry>) {
+        free.forEach { target ->
+            val model = view.engine.models.firstOrNull { it.name in target.staged } ?: return@forEach
+            val isHeld =
+                target.model == model.name || target.id in work.state.standby || target.id in work.state.staging
+            if (isHeld) return@forEach
+            val epoch = work.nextEpoch()
+            val key = GroupKey("${view.failureDomain}-standby-$epoch", epoch)
+            val standby = Staging(model.name, work.now + STANDBY_AGAIN_MILLISECONDS)
+            work.state = work.state.copy(standby = work.state.standby + (target.id to standby))
+            work.send(target, GroupOrder.Join(key, model.name, listOf(target.id)))
+        }
     }
 
     private fun nextModel(
@@ -90,7 +107,7 @@
         model: ModelDefinition,
     ) {
         val epoch = work.nextEpoch()
-        val key = GroupKey("${model.name}-$epoch", epoch)
+        val key = GroupKey("${view.failureDomain}-${model.name}-$epoch", epoch)
         val expected = members.maxOf { expectedMilliseconds(it, model) }
         val waiting = if (view.trafficSeen) expected else expected * FIRST_LOADS_SHARE_THE_STORE
         work.update(
@@ -230,6 +247,9 @@
         const val STAGING = 2
         const val EMPTY = 3
         const val OTHER_MODEL = 4
+
+        /** A target that doesn't hold its model by then is told once more. */
+        const val STANDBY_AGAIN_MILLISECONDS = 10_000L
         const val FIRST_LOADS_ARE_FASTER = 10
         const val MILLISECONDS_PER_SECOND = 1_000.0
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -79,13 +79,22 @@
             state.copy(
                 dissolved = state.dissolved.filter { (key, at) -> at > oldest || key in present },
                 silent = state.silent.filterKeys { it in runs },
+                unanswered = state.unanswered.filterKeys { it in runs },
+                standby = state.standby.filter { (id, standby) -> id in view.entries && standby.until > now },
+                known = view.entries.keys,
+                lastNewAt = if (state.known.containsAll(view.entries.keys)) state.lastNewAt else now,
                 askedAt = state.askedAt.filterValues { it > oldest },
-                staging = state.staging.filter { (id, staging) -> id in view.entries && staging.until > now },
+                staging = state.staging.filter { (id, staging) -> isUnderWay(view.entries[id], staging) },
                 lastHeads = state.lastHeads.filterKeys { it in present } + heads,
                 lastMembers = inGroups.groupBy({ it.first }, { it.second }),
             )
     }
 
+    private fun isUnderWay(
+        entry: TargetEntry?,
+        staging: Staging,
+    ): Boolean = entry != null && staging.model !in entry.staged && staging.until > now
+
     private val membersByKey: Map<GroupKey, List<TargetEntry>>
         get() = state.formations.mapValues { it.value.members }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -65,7 +65,7 @@
             work.dissolved(key)
             return
         }
-        val unanswered = dissolution.unansweredSinceGone + 1
+        val unanswered = dissolution.unanswered + 1
         val isListed =
             work.state.lastHeads[key]?.let {
                 work.state.lastMembers[key]
@@ -76,7 +76,7 @@
             work.dissolved(key)
             return
         }
-        val counted = dissolution.copy(unansweredSinceGone = if (isListed) 0 else unanswered)
+        val counted = dissolution.copy(unanswered = unanswered)
         work.state = work.state.copy(dissolutions = work.state.dissolutions + (key to counted))
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -15,7 +15,7 @@
         val entry = entry(event.target) ?: return
         when (val result = event.result) {
             is ReportResult.Answered -> answered(entry, result.report)
-            is ReportResult.Silent -> silent(entry, result.reason)
+            is ReportResult.Silent -> unanswered(entry, result.reason)
         }
     }
 
@@ -29,6 +29,20 @@
         return (forming + listed).firstOrNull { it.id == target }
     }
 
+    /** One lost packet must not cost a group, so a question without an answer is asked once more. */
+    private fun unanswered(
+        entry: TargetEntry,
+        reason: String,
+    ) {
+        val questions = (work.state.unanswered[entry.run] ?: 0) + 1
+        work.state = work.state.copy(unanswered = work.state.unanswered + (entry.run to questions))
+        if (questions >= work.settings.questionsBeforeSilent || entry.run in work.state.silent) {
+            silent(entry, reason)
+        } else {
+            work.ask(entry)
+        }
+    }
+
     private fun silent(
         entry: TargetEntry,
         reason: String,
@@ -45,6 +59,7 @@
             silent(entry, "restarted")
             return
         }
+        work.state = work.state.copy(unanswered = work.state.unanswered - entry.run)
         if (entry.run in work.state.silent) {
             work.note("target-answers-again", "target" to entry.id)
             work.state = work.state.copy(silent = work.state.silent - entry.run)
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -48,23 +48,38 @@
 
     /**
      * The daemon that should control [domain]: one inside it if there is one, and one that reaches the store if any does.
+     * Among those the one that has control keeps it; [ownTerm] is this daemon's term, or 0.
      */
     fun controllerFor(
         domain: FailureDomainId,
         own: OwnState,
+        ownTerm: Long,
         now: Long,
     ): DaemonId? {
-        val others =
-            alive(now).map {
-                OwnState(it.message.daemon, it.message.failureDomain, it.message.storeAge, it.message.isLeaving)
-            }
-        val staying = (others + own).filterNot { it.isLeaving }
-        val reaching = staying.filter { it.storeAge < STORE_AGE_MILLISECONDS }
-        val able = reaching.ifEmpty { staying }
-        val inside = able.filter { it.failureDomain == domain }
-        return inside.minOfOrNull { it.daemon } ?: able.minByOrNull { rank(domain, it.daemon) }?.daemon
+        val others = alive(now).map { it.message }
+        val candidates =
+            others.map { Contender(it.daemon, it.failureDomain, it.storeAge, it.isLeaving, termOf(it, domain)) } +
+                Contender(own.daemon, own.failureDomain, own.storeAge, own.isLeaving, ownTerm)
+        val staying = candidates.filterNot { it.isLeaving }
+        val able = staying.filter { it.storeAge < STORE_AGE_MILLISECONDS }.ifEmpty { staying }
+        val near = able.filter { it.failureDomain == domain }.ifEmpty { able }
+        val holder = near.filter { it.term > 0 }.maxByOrNull { it.term }
+        return (holder ?: near.minByOrNull { rank(domain, it.daemon) })?.daemon
     }
 
+    private class Contender(
+        val daemon: DaemonId,
+        val failureDomain: FailureDomainId,
+        val storeAge: Long,
+        val isLeaving: Boolean,
+        val term: Long,
+    )
+
+    private fun termOf(
+        message: PeerMessage,
+        domain: FailureDomainId,
+    ): Long = message.controlled.firstOrNull { it.failureDomain == domain }?.term ?: 0
+
     /** The greatest term that a live peer claims for [domain], or null. */
     fun claimedTerm(
         domain: FailureDomainId,
--- a/transport/src/main/kotlin/org/vanillalink/transport/DatagramPort.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/DatagramPort.kt
@@ -7,6 +7,8 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -23,6 +25,7 @@
         Bootstrap()
             .group(loops.group)
             .channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(GREATEST_DATAGRAM))
             .handler(Receiver())
             .bind(bind.address, bind.port)
             .syncUninterruptibly()
@@ -44,6 +47,11 @@
         channel.close()
     }
 
+    private companion object {
+        /** Bytes; the greatest payload that UDP over IPv4 carries. Netty's own default cuts at 2,048. */
+        const val GREATEST_DATAGRAM = 65_507
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(
             context: ChannelHandlerContext,
