Take a head as ended only by its own word or silence

A property test over a fleet on virtual time found two more: an earlier controller's order to open that is carried out late, and a second order to open that reopens a closed head. Ruled out: a lower epoch accepted by a runner; two controllers at once. Change: only reports decide (silence twice, or another membership); groups of an earlier term are left before reuse; a closed head is told to leave as well; survivors that are on their way go before loads from the weight store.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -22,9 +22,12 @@
             work.dissolved(dissolution.key)
             return
         }
-        if (work.now - dissolution.lastSentAt < work.settings.resendMilliseconds) return
-        val order = nextOrder(dissolution)
+        val isClosed = dissolution.isGentle && listed?.membership?.state == MemberState.READY
+        val pause = if (isClosed) work.settings.pollMilliseconds else work.settings.resendMilliseconds
+        if (work.now - dissolution.lastSentAt < pause) return
+        val order = nextOrder(dissolution, listed)
         work.send(listed ?: dissolution.head, order)
+        if (listed == null) work.ask(dissolution.head)
         work.state =
             work.state.copy(
                 dissolutions = work.state.dissolutions + (dissolution.key to dissolution.copy(lastSentAt = work.now)),
@@ -38,14 +41,17 @@
         if (listed.run != dissolution.head.run) return true
         val membership = listed.membership ?: return true
         if (GroupKey(membership.group, membership.epoch) != dissolution.key) return true
-        if (membership.state == MemberState.BROKEN) return true
-        val sent = dissolution.lastSentAt > 0
-        return dissolution.isGentle && sent && membership.state == MemberState.READY
+        return membership.state == MemberState.BROKEN
     }
 
-    private fun nextOrder(dissolution: Dissolution): GroupOrder {
-        val waited = work.now - dissolution.startedAt
-        val waitLonger = dissolution.isGentle && waited < work.settings.gentleCloseMilliseconds
-        return if (waitLonger) GroupOrder.Close(dissolution.key) else GroupOrder.Leave(dissolution.key)
+    /** A closed head is told to leave as well: an order to open that comes late would open it again. */
+    private fun nextOrder(
+        dissolution: Dissolution,
+        listed: TargetEntry?,
+    ): GroupOrder {
+        val isOverdue = work.now - dissolution.startedAt >= work.settings.gentleCloseMilliseconds
+        val isClosed = listed?.membership?.state == MemberState.READY
+        val waits = dissolution.isGentle && !isOverdue && !isClosed
+        return if (waits) GroupOrder.Close(dissolution.key) else GroupOrder.Leave(dissolution.key)
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -21,7 +21,7 @@
     val listingLagMilliseconds: Long = 2_500,
     /** How long names of dissolved groups are remembered; longer than an order can be carried out late. */
     val rememberMilliseconds: Long = 20_000,
-    /** Orders without an answer to a head that is no longer listed before it is taken as ended. */
+    /** Questions without an answer to a head that is no longer listed before it is taken as ended. */
     val unansweredBeforeGone: Int = 2,
     /** A target that gave no answer is asked again after this. */
     val silentRetryMilliseconds: Long = 700,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -39,13 +39,15 @@
     /** Whether work in progress may finish first. */
     val isGentle: Boolean,
     val lastSentAt: Long = 0,
-    /** Orders to leave without any answer. */
+    /** Questions to the head without any answer, one right after the other. */
     val unanswered: Int = 0,
 )
 
 /** The state of [GroupController]. */
 data class GroupControlState(
     val nextEpoch: Long,
+    /** The first epoch of this term; groups with a lower one were formed by another controller. */
+    val firstEpoch: Long = nextEpoch,
     val formations: Map<GroupKey, Formation> = emptyMap(),
     val dissolutions: Map<GroupKey, Dissolution> = emptyMap(),
     /** Groups whose head certainly serves no more under this key, with the time of that. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -102,10 +102,24 @@
         work: GroupWork,
         key: GroupKey,
     ) {
-        if (key in work.state.dissolutions) return
+        val dissolution = work.state.dissolutions[key]
+        if (dissolution != null) {
+            hasten(work, dissolution)
+            return
+        }
         work.members(key).forEach { member -> askAgain(work, member) }
     }
 
+    /** Work in progress that stands still isn't waited for. */
+    private fun hasten(
+        work: GroupWork,
+        dissolution: Dissolution,
+    ) {
+        if (!dissolution.isGentle) return
+        val hastened = dissolution.copy(isGentle = false, lastSentAt = 0)
+        work.state = work.state.copy(dissolutions = work.state.dissolutions + (dissolution.key to hastened))
+    }
+
     private fun askAgain(
         work: GroupWork,
         member: TargetEntry,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -35,16 +35,27 @@
             headGone(key)
             return
         }
-        if (head.membership?.state !in SERVING_STATES) return
+        if (head.membership?.state !in SERVING_STATES) {
+            unopened(key, head)
+            return
+        }
         val reason = defect(key, members, head) ?: return
-        work.dissolve(key, head, reason, isGentle = reason == MEMBER_LEAVING)
+        work.dissolve(key, head, reason, isGentle = reason in GENTLE_REASONS)
     }
 
     /** A head that is no longer listed may only be cut off from the registry, and still serve. */
     private fun headGone(key: GroupKey) {
         val head = work.state.lastHeads[key] ?: return
-        if (head.membership?.state !in SERVING_STATES) return
-        work.dissolve(key, head, "head-not-listed", isGentle = false)
+        val mayServe = head.membership?.state in SERVING_STATES || work.mayStillOpen(key, head)
+        if (mayServe) work.dissolve(key, head, "head-not-listed", isGentle = head.run !in work.state.silent)
+    }
+
+    /** An earlier controller's order to open may be carried out late, so its unopened groups are left before reuse. */
+    private fun unopened(
+        key: GroupKey,
+        head: TargetEntry,
+    ) {
+        if (work.mayStillOpen(key, head)) work.dissolve(key, head, "formed-by-an-earlier-controller", isGentle = false)
     }
 
     private fun defect(
@@ -59,7 +70,7 @@
         if (members.any { it.run in work.state.silent }) return "member-silent"
         if (members.size < size) {
             val opened = work.state.formations[key]
-            return if (opened == null) "member-not-listed" else null
+            return if (opened == null) MEMBER_NOT_LISTED else null
         }
         return if (members.any { it.isLeaving }) MEMBER_LEAVING else null
     }
@@ -75,6 +86,10 @@
 
     private companion object {
         const val MEMBER_LEAVING = "member-leaving"
+        const val MEMBER_NOT_LISTED = "member-not-listed"
+
+        /** A target that leaves, announced or not, goes on working for a while. */
+        val GENTLE_REASONS = setOf(MEMBER_LEAVING, MEMBER_NOT_LISTED)
         val SERVING_STATES = setOf(MemberState.OPEN, MemberState.CLOSING)
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -55,7 +55,7 @@
                 target.model == model.name || target.id in work.state.standby || target.id in work.state.staging
             if (isHeld) return@forEach
             val epoch = work.nextEpoch()
-            val key = GroupKey("${view.failureDomain}-standby-$epoch", epoch)
+            val key = StandbyGroups.key(view.failureDomain, epoch)
             val standby = Staging(model.name, work.now + STANDBY_AGAIN_MILLISECONDS)
             work.state = work.state.copy(standby = work.state.standby + (target.id to standby))
             work.send(target, GroupOrder.Join(key, model.name, listOf(target.id)))
@@ -86,6 +86,11 @@
         val chosen = free.sortedWith(compareBy({ readiness(it, model.name) }, { it.id })).take(model.size)
         val cold = chosen.count { readiness(it, model.name) > STAGED }
         if (cold == 0 || !view.trafficSeen) return chosen
+        // The survivors of a group that is being taken apart are ready far sooner than a load.
+        val survivorsComing =
+            work.state.dissolutions.values
+                .any { it.head.fabricDomain == free.first().fabricDomain }
+        if (survivorsComing) return null
         val nobodyServes = standing.none { it.model == model.name }
         if (!nobodyServes || !takeLoads(cold)) return null
         return chosen
@@ -224,6 +229,7 @@
         if (key in work.state.dissolved) return true
         if (key in work.state.dissolutions) return false
         val head = work.state.lastHeads[key]
+        if (head != null && work.mayStillOpen(key, head)) return false
         val headState = head?.membership?.state
         return headState != MemberState.OPEN && headState != MemberState.CLOSING
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.serving.control
 
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
 internal class GroupWork(
@@ -67,6 +68,15 @@
         state = state.copy(formations = state.formations - formation.key)
     }
 
+    /** Whether somebody else may have told [head] to open the group [key]. */
+    fun mayStillOpen(
+        key: GroupKey,
+        head: TargetEntry,
+    ): Boolean {
+        if (key.epoch >= state.firstEpoch || StandbyGroups.isStandby(key)) return false
+        return head.membership?.state == MemberState.READY || head.membership?.state == MemberState.JOINING
+    }
+
     /** Drops what has no more use. */
     fun forget(view: DomainView) {
         val oldest = now - settings.rememberMilliseconds
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -56,28 +56,12 @@
         }
     }
 
+    /** An order without an answer proves nothing of the head: a live one may carry it out late. */
     private fun leaveAnswered(
         key: GroupKey,
         result: OrderResult,
     ) {
-        val dissolution = work.state.dissolutions[key] ?: return
-        if (result != OrderResult.UNKNOWN) {
-            work.dissolved(key)
-            return
-        }
-        val unanswered = dissolution.unanswered + 1
-        val isListed =
-            work.state.lastHeads[key]?.let {
-                work.state.lastMembers[key]
-                    .orEmpty()
-                    .contains(it)
-            } ?: false
-        if (!isListed && unanswered >= work.settings.unansweredBeforeGone) {
-            work.dissolved(key)
-            return
-        }
-        val counted = dissolution.copy(unanswered = unanswered)
-        work.state = work.state.copy(dissolutions = work.state.dissolutions + (key to counted))
+        if (key in work.state.dissolutions && result != OrderResult.UNKNOWN) work.dissolved(key)
     }
 
     private fun stageAnswered(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -12,6 +12,9 @@
     private val work: GroupWork,
 ) {
     fun apply(event: GroupEvent.ReportAnswered) {
+        work.state.dissolutions.values
+            .filter { it.head.id == event.target }
+            .forEach { headAnswered(it, event.result) }
         val entry = entry(event.target) ?: return
         when (val result = event.result) {
             is ReportResult.Answered -> answered(entry, result.report)
@@ -19,6 +22,22 @@
         }
     }
 
+    /** Only a head's own word, or its silence, tells that it serves no more. */
+    private fun headAnswered(
+        dissolution: Dissolution,
+        result: ReportResult,
+    ) {
+        val unanswered = if (result is ReportResult.Silent) dissolution.unanswered + 1 else 0
+        val said = (result as? ReportResult.Answered)?.report?.membership
+        val isOther = said == null || GroupKey(said.group, said.epoch) != dissolution.key
+        if (result is ReportResult.Answered && (isOther || said?.state == MemberState.BROKEN)) {
+            work.dissolved(dissolution.key)
+            return
+        }
+        val counted = dissolution.copy(unanswered = unanswered)
+        work.state = work.state.copy(dissolutions = work.state.dissolutions + (dissolution.key to counted))
+    }
+
     private fun entry(target: HostId): TargetEntry? {
         val forming =
             work.state.formations.values
--- /dev/null
+++ b/serving/src/test/kotlin/org/vanillalink/serving/catalog/RouteTableTest.kt
@@ -0,0 +1,46 @@
+package org.vanillalink.serving.catalog
+
+import org.vanillalink.model.ServiceName
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+internal class RouteTableTest {
+    private val testSubject =
+        RouteTable(listOf(route("all", "/"), route("orders", "/orders/"), route("urgent", "/orders/urgent/")))
+
+    @Test
+    fun `the longest prefix that begins the path decides`() {
+        assertEquals("urgent", testSubject.find("Desk.example:80", "/orders/urgent/1")?.name)
+        assertEquals("orders", testSubject.find("desk.example", "/orders/1")?.name)
+        assertEquals("all", testSubject.find("desk.example", "/ordersurgent")?.name)
+    }
+
+    @Test
+    fun `a prefix without its last slash is not in the path`() {
+        assertEquals("all", testSubject.find("desk.example", "/orders")?.name)
+    }
+
+    @Test
+    fun `another host has no route`() {
+        assertNull(testSubject.find("other.example", "/orders/1"))
+    }
+
+    private fun route(
+        name: String,
+        prefix: String,
+    ) = Route(
+        name = name,
+        host = "desk.example",
+        prefix = prefix,
+        kind = CallKind.IDEMPOTENT,
+        services = listOf(WeightedService(ServiceName("desk"), 1)),
+        timeoutMilliseconds = 800,
+        goalMilliseconds = 100,
+        priority = 1,
+        attempts = 2,
+        isPublic = false,
+        isResumable = false,
+        longestPauseMilliseconds = 0,
+    )
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -0,0 +1,299 @@
+/*
+ * A failure domain's runners on virtual time, with the registry that lists them. Orders take effect as the published
+ * protocol says; single runners can die, go dark, lose answers or carry orders out late.
+ */
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.IKEJA
+import org.vanillalink.serving.catalog.EngineDefinition
+import org.vanillalink.serving.catalog.ModelDefinition
+import org.vanillalink.serving.entry
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.GroupMembership
+import org.vanillalink.serving.targets.MemberState
+import org.vanillalink.serving.targets.TargetEntry
+
+internal class FakeRunner(
+    val id: HostId,
+    val fabricDomain: String,
+    val bornAt: Long,
+) {
+    var staged: String? = null
+    var model: String? = null
+    var membership: GroupMembership? = null
+    var members: List<HostId> = emptyList()
+    var readyAt = 0L
+    var openAt: Long? = null
+    var isDark = false
+    var isDead = false
+    var isLeaving = false
+    var isUnlisted = false
+    var darkSince = 0L
+    var loadingUntil = 0L
+    var highestEpoch = 0L
+
+    fun key() = membership?.let { GroupKey(it.group, it.epoch) }
+
+    fun isOpen() = !isDead && membership?.rank == 0 && membership?.state in setOf(MemberState.OPEN, MemberState.CLOSING)
+}
+
+internal class FakeFleet(
+    runners: Map<String, Int>,
+    private val controller: GroupController = GroupController(),
+) {
+    val runners = LinkedHashMap<HostId, FakeRunner>()
+    var now = 0L
+    var trafficSeen = false
+    var state = GroupControlState(nextEpoch = 1_000_000)
+    val orders = mutableListOf<Pair<HostId, GroupOrder>>()
+    val notes = mutableListOf<String>()
+    val violations = mutableListOf<String>()
+
+    /** Gives the delay of an order's effect and whether it is answered; null for a usual order. */
+    var orderFault: (HostId, GroupOrder) -> Long? = { _, _ -> null }
+    private val later = mutableListOf<Pair<Long, () -> Unit>>()
+
+    val engine =
+        EngineDefinition(
+            slots = 18,
+            models =
+                listOf(
+                    ModelDefinition("large", 4, 0.67, 1.0, 16_000, 1_600),
+                    ModelDefinition("small", 2, 0.33, 0.6, 12_000, 1_100),
+                ),
+            stepMilliseconds = 6.0,
+            perSequenceMilliseconds = 0.35,
+            prefillTokensPerSecond = 46_000.0,
+            stepsPerPass = 5,
+            loadsPerSecond = 4.0,
+            loadsAtOnce = 6,
+            openMilliseconds = 300,
+            modelsKeptByHost = 1,
+        )
+
+    init {
+        runners.forEach { (domain, count) -> repeat(count) { add("$domain-$it", domain) } }
+    }
+
+    fun add(
+        id: String,
+        domain: String,
+    ): FakeRunner = FakeRunner(HostId(id), domain, now + 1).also { runners[it.id] = it }
+
+    fun view() = DomainView(IKEJA, listed(), engine, failureDomains = 1, trafficSeen = trafficSeen)
+
+    /** Lets [milliseconds] pass. */
+    fun run(milliseconds: Long) {
+        val end = now + milliseconds
+        while (now < end) {
+            now += STEP
+            later.filter { it.first <= now }.toList().forEach { due ->
+                later.remove(due)
+                due.second()
+            }
+            runners.values.forEach(::progress)
+            feed(GroupEvent.Tick(view()))
+        }
+    }
+
+    /** Runs until [condition] holds and gives how long that took. */
+    fun runUntil(
+        bound: Long,
+        condition: () -> Boolean,
+    ): Long {
+        val begin = now
+        while (!condition() && now - begin < bound) run(STEP)
+        return now - begin
+    }
+
+    fun feed(event: GroupEvent) {
+        val transition = controller.handle(state, event, now)
+        state = transition.state
+        transition.decisions.forEach { decision ->
+            when (decision) {
+                is GroupDecision.Send -> send(decision.target, decision.order)
+                is GroupDecision.AskReport -> ask(decision.target)
+                is GroupDecision.Note -> notes += "$now ${decision.event} ${decision.fields}"
+            }
+        }
+    }
+
+    fun serving(): List<AnnouncedGroup> = controller.serving(state, view())
+
+    fun goDark(id: HostId) {
+        val runner = runners.getValue(id)
+        runner.isDark = true
+        runner.isDead = true
+        runner.darkSince = now
+    }
+
+    /** What happened to the groups that a violation names. */
+    fun history(): String {
+        val named = Regex("[a-z]+-[a-z]+-\\d+").findAll(violations.joinToString()).map { it.value }.toSet()
+        return notes.filter { note -> named.any { it in note } }.joinToString("\n")
+    }
+
+    /** Another daemon takes control with nothing but a greater epoch. */
+    fun takeOver() {
+        state = GroupControlState(nextEpoch = (state.nextEpoch / 1_000_000 + 1) * 1_000_000)
+    }
+
+    private fun listed(): Map<HostId, TargetEntry> = runners.values
+        .filter { !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE) }
+        .associate { runner -> runner.id to entryOf(runner) }
+
+    private fun entryOf(runner: FakeRunner): TargetEntry =
+        entry(runner.id.value, runner.fabricDomain, runner.bornAt).copy(
+            model = runner.model,
+            staged = setOfNotNull(runner.staged),
+            membership = runner.membership,
+            isLeaving = runner.isLeaving,
+        )
+
+    private fun progress(runner: FakeRunner) {
+        val membership = runner.membership ?: return
+        if (membership.state == MemberState.JOINING && now >= runner.readyAt) {
+            runner.staged = runner.model
+            runner.membership = membership.copy(state = MemberState.READY)
+        }
+        val openAt = runner.openAt
+        if (openAt != null && now >= openAt) {
+            runner.membership = runner.membership?.copy(state = MemberState.OPEN)
+            runner.openAt = null
+        }
+    }
+
+    private fun send(
+        target: TargetEntry,
+        order: GroupOrder,
+    ) {
+        orders += target.id to order
+        notes += "$now order ${target.id} $order"
+        val runner = runners[target.id]
+        if (runner == null || runner.isDark) {
+            later += (now + UNANSWERED) to { feed(GroupEvent.OrderAnswered(target.id, order, OrderResult.UNKNOWN)) }
+            return
+        }
+        val late = orderFault(target.id, order)
+        if (late != null) {
+            later += (now + late) to { apply(runner, order) }
+            later += (now + UNANSWERED) to { feed(GroupEvent.OrderAnswered(target.id, order, OrderResult.UNKNOWN)) }
+            return
+        }
+        later += (now + ROUND_TRIP) to {
+            val result = apply(runner, order)
+            feed(GroupEvent.OrderAnswered(target.id, order, result))
+        }
+    }
+
+    private fun ask(target: TargetEntry) {
+        val runner = runners[target.id]
+        val isSilent = runner == null || runner.isDark
+        later += (now + if (isSilent) UNANSWERED else ROUND_TRIP) to {
+            val result =
+                if (isSilent) {
+                    ReportResult.Silent("no answer")
+                } else {
+                    ReportResult.Answered(
+                        GroupReport(runner!!.bornAt, runner.model, setOfNotNull(runner.staged), runner.membership, 1.0),
+                    )
+                }
+            feed(GroupEvent.ReportAnswered(target.id, result))
+        }
+    }
+
+    private fun apply(
+        runner: FakeRunner,
+        order: GroupOrder,
+    ): OrderResult {
+        if (runner.isDark) return OrderResult.UNKNOWN
+        notes += "$now ${runner.id} takes $order"
+        return when (order) {
+            is GroupOrder.Join -> join(runner, order)
+            is GroupOrder.Open -> open(runner, order)
+            is GroupOrder.Close -> close(runner, order)
+            is GroupOrder.Leave -> leave(runner, order)
+            is GroupOrder.Stage -> stage(runner, order)
+        }
+    }
+
+    private fun join(
+        runner: FakeRunner,
+        order: GroupOrder.Join,
+    ): OrderResult {
+        if (order.key.epoch < runner.highestEpoch) return OrderResult.REFUSED
+        if (runner.key() == order.key) return OrderResult.ACCEPTED
+        val former = runner.key()
+        val openHead = runners.values.firstOrNull { it.isOpen() && it.key() == former }
+        if (former != null && openHead != null) violations += "${runner.id} joined ${order.key} while $former was open"
+        runner.highestEpoch = order.key.epoch
+        val model = engine.models.first { it.name == order.model }
+        val takes =
+            when {
+                runner.model == order.model -> 200
+                runner.staged == order.model -> model.warmMilliseconds
+                else -> if (trafficSeen) model.loadMilliseconds else model.loadMilliseconds / 10
+            }
+        runner.model = order.model
+        runner.members = order.members
+        runner.readyAt = now + takes
+        runner.openAt = null
+        val rank = order.members.indexOf(runner.id)
+        runner.membership = GroupMembership(order.key.group, order.key.epoch, rank, MemberState.JOINING)
+        return OrderResult.ACCEPTED
+    }
+
+    private fun open(
+        runner: FakeRunner,
+        order: GroupOrder.Open,
+    ): OrderResult {
+        if (runner.key() != order.key) return OrderResult.REFUSED
+        val members = runner.members.mapNotNull { runners[it] }
+        val isWhole =
+            members.all {
+                it.isDead || (it.key() == order.key && it.membership?.state != MemberState.JOINING)
+            }
+        if (!isWhole) violations += "${order.key} opened although a member had not been ready"
+        if (runner.membership?.state == MemberState.READY) runner.openAt = now + engine.openMilliseconds
+        return OrderResult.ACCEPTED
+    }
+
+    private fun close(
+        runner: FakeRunner,
+        order: GroupOrder.Close,
+    ): OrderResult {
+        if (runner.key() != order.key) return OrderResult.REFUSED
+        runner.membership = runner.membership?.copy(state = MemberState.READY)
+        return OrderResult.ACCEPTED
+    }
+
+    private fun leave(
+        runner: FakeRunner,
+        order: GroupOrder.Leave,
+    ): OrderResult {
+        if (runner.key() != order.key) return OrderResult.REFUSED
+        runner.membership = null
+        runner.openAt = null
+        return OrderResult.ACCEPTED
+    }
+
+    private fun stage(
+        runner: FakeRunner,
+        order: GroupOrder.Stage,
+    ): OrderResult {
+        val model = engine.models.first { it.name == order.model }
+        val takes = if (trafficSeen) model.loadMilliseconds else model.loadMilliseconds / 10
+        later += (now + takes) to { runner.staged = order.model }
+        return OrderResult.ACCEPTED
+    }
+
+    private companion object {
+        const val STEP = 50L
+        const val ROUND_TRIP = 10L
+        const val UNANSWERED = 300L
+
+        /** Three heartbeats. */
+        const val LAPSE = 3_600L
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -0,0 +1,128 @@
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.MemberState
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+internal class GroupControllerScenarios {
+    @Test
+    fun `each fabric domain gets a group of each model and keeps warm spares`() {
+        val fleet = settled(mapOf("d0" to 8, "d1" to 8))
+        assertEquals(listOf("large", "large", "small", "small"), fleet.serving().map { it.model }.sorted())
+        val spares =
+            fleet.runners.values.filter {
+                it.membership?.state != MemberState.OPEN && it.id !in fleet.members()
+            }
+        assertEquals(4, spares.size)
+        assertTrue(spares.all { it.staged != null && it.model == it.staged })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a member's loss costs about a second when a warm spare stands by`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val lost =
+            fleet
+                .serving()
+                .first { it.model == "large" }
+                .members
+                .last()
+        fleet.loseMember(lost)
+        val took = fleet.runUntil(10_000) { fleet.serving().any { it.model == "large" } }
+        assertTrue(took <= 1_500 + 200 + 300, "took $took ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a dark head holds its members until the registry no longer lists it`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.loseMember(group.members.first())
+        fleet.run(2_000)
+        assertTrue(fleet.serving().none { it.model == "large" })
+        val took = fleet.runUntil(10_000) { fleet.serving().any { it.model == "large" } }
+        assertTrue(took <= 4_000, "took $took ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a daemon that takes over leaves whole groups alone`() {
+        val fleet = settled(mapOf("d0" to 8, "d1" to 8))
+        val before = fleet.serving().map { it.key }.toSet()
+        fleet.takeOver()
+        fleet.run(3_000)
+        assertEquals(before, fleet.serving().map { it.key }.toSet())
+    }
+
+    @Test
+    fun `a leaving member is replaced after work in progress has ended`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "small" }
+        fleet.runners.getValue(group.members.last()).isLeaving = true
+        fleet.run(100)
+        assertTrue(fleet.serving().none { it.key == group.key })
+        assertTrue(fleet.orders.any { it.second == GroupOrder.Close(group.key) })
+        fleet.runUntil(5_000) { fleet.serving().any { it.model == "small" } }
+        assertTrue(fleet.serving().none { group.members.last() in it.members })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a head that is no longer listed but lives is not taken as ended when it swallows orders`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "small" }
+        fleet.orderFault = { _, _ -> 6_000 }
+        fleet.runners.getValue(group.members.first()).isUnlisted = true
+        fleet.run(4_000)
+        assertTrue(fleet.serving().none { it.key == group.key })
+        fleet.orderFault = { _, _ -> null }
+        fleet.runUntil(10_000) { fleet.serving().any { it.model == "small" } }
+        assertEquals(emptyList(), fleet.violations)
+        assertTrue(fleet.serving().any { it.model == "small" })
+    }
+
+    @Test
+    fun `nothing breaks the rules while members drop out, orders come late and control changes hands`() {
+        repeat(SEEDS) { seed -> turbulentDay(seed) }
+    }
+
+    private fun turbulentDay(seed: Int) {
+        val random = Random(seed)
+        val fleet = settled(mapOf("d0" to 8, "d1" to 8))
+        fleet.orderFault = { _, _ -> if (random.nextInt(6) == 0) random.nextLong(500, 12_000) else null }
+        repeat(12) { round ->
+            val alive = fleet.runners.values.filter { !it.isDead }
+            fleet.loseMember(alive[random.nextInt(alive.size)].id)
+            fleet.add("new-$round", "d${round % 2}")
+            if (random.nextInt(4) == 0) fleet.takeOver()
+            fleet.run(random.nextLong(500, 4_000))
+        }
+        assertEquals(emptyList(), fleet.violations, "seed $seed\n" + fleet.history())
+    }
+
+    private fun settled(domains: Map<String, Int>): FakeFleet {
+        val fleet = FakeFleet(domains)
+        fleet.run(12_000)
+        fleet.trafficSeen = true
+        fleet.run(1_000)
+        fleet.orders.clear()
+        return fleet
+    }
+
+    private fun FakeFleet.members(): Set<HostId> = serving().flatMap { it.members }.toSet()
+
+    /** The member goes dark, and daemons notice after a moment that its group stands still. */
+    private fun FakeFleet.loseMember(id: HostId) {
+        val group = serving().firstOrNull { id in it.members }
+        goDark(id)
+        run(300)
+        group?.let { feed(GroupEvent.Suspected(it.key)) }
+    }
+
+    private companion object {
+        const val SEEDS = 100
+    }
+}
