Let silence count only while another target answers

Ruled out: two controllers at once; late orders. Change: rosters remember members that are no longer listed; a lapsed entry is a reason to ask; silence counts only if another target of the failure domain answers meanwhile; members of a head that was never seen are left alone for 6 s; a member cut off from the registry alone stays in its group. Stand-ins of the store and of runners speak the published protocol, and a daemon is tested whole against them.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -44,7 +44,7 @@
     private val settings: EntrySettings,
     private val loops: NettyEventLoops,
     ports: EntryPorts,
-) {
+) : AutoCloseable {
     private val clock = SystemEntryClock
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val lines = EventLines(settings.daemon, clock::steady)
@@ -98,6 +98,13 @@
         lines.record("stopped", "inProgress" to callers.requestsInProgress, "tookMs" to clock.steady() - began)
     }
 
+    /** Ends at once, without finishing anything. */
+    override fun close() {
+        thread.close()
+        peers.close()
+        listOf(callers, readiness, metricsServer).forEach { it.close() }
+    }
+
     private fun sleepUntil(
         end: Long,
         isDone: () -> Boolean,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -29,6 +29,7 @@
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.ServingGroups
 import org.vanillalink.serving.targets.TargetDirectory
+import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.store.TableStore
 import java.time.Duration
 
@@ -224,12 +225,12 @@
 
     private fun removed(target: HostId) {
         if (target in directory.entries) lines.record("target-removed", "target" to target)
-        directory = directory.removed(target)
+        directory = directory.removed(target, clock.steady())
     }
 
     private fun unreadable(record: RegistryRecord.Unreadable) {
         lines.record("record-unreadable", "key" to record.key, "reason" to record.reason)
-        directory = directory.removed(HostId(record.key))
+        directory = directory.removed(HostId(record.key), clock.steady())
     }
 
     private fun storeAnswered(
@@ -272,12 +273,24 @@
 
     private fun view(failureDomain: FailureDomainId): DomainView? {
         val service = catalog?.configuration?.services?.firstOrNull { it.engine != null } ?: return null
-        val entries = directory.entries.filterValues { it.failureDomain == failureDomain && it.service == service.name }
-        return DomainView(failureDomain, entries, service.engine!!, settings.failureDomains.size, traffic.hasTraffic())
+        val isInside = { entry: TargetEntry -> entry.failureDomain == failureDomain && entry.service == service.name }
+        val entries = directory.entries.filterValues(isInside)
+        val former = directory.former.filterValues(isInside)
+        return DomainView(
+            failureDomain,
+            entries,
+            former,
+            service.engine!!,
+            settings.failureDomains.size,
+            traffic.hasTraffic(),
+        )
     }
 
     private fun suspect(key: GroupKey) {
-        domains.values.forEach { domain -> carryOut(domain, domain.apply(GroupEvent.Suspected(key))) }
+        domains.values.forEach { domain ->
+            val view = view(domain.failureDomain) ?: return@forEach
+            carryOut(domain, domain.apply(GroupEvent.Suspected(key, view)))
+        }
     }
 
     private fun carryOut(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlThread.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlThread.kt
@@ -15,13 +15,16 @@
         ScheduledThreadPoolExecutor(1) { action -> Thread(action, "control").apply { isDaemon = true } }
 
     /** Runs [action] soon. */
-    fun execute(action: () -> Unit) = executor.execute(guarded(action))
+    fun execute(action: () -> Unit) {
+        if (!executor.isShutdown) executor.execute(guarded(action))
+    }
 
     /** Runs [action] after [delay]. */
     fun after(
         delay: Duration,
         action: () -> Unit,
     ) {
+        if (executor.isShutdown) return
         executor.schedule(guarded(action), delay.toMillis(), TimeUnit.MILLISECONDS)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -48,6 +48,8 @@
         thread.every(HEARTBEAT, ::tell)
     }
 
+    fun close() = port.close()
+
     private fun tell() {
         if (peers.isEmpty()) return
         sequence += 1
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -27,7 +27,10 @@
         if (work.now - dissolution.lastSentAt < pause) return
         val order = nextOrder(dissolution, listed)
         work.send(listed ?: dissolution.head, order)
-        if (listed == null) work.ask(dissolution.head)
+        if (order is GroupOrder.Leave) {
+            work.ask(dissolution.head)
+            work.askWitness(view, setOf(dissolution.head.id))
+        }
         work.state =
             work.state.copy(
                 dissolutions = work.state.dissolutions + (dissolution.key to dissolution.copy(lastSentAt = work.now)),
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -14,6 +14,8 @@
     /** Part of groups' names, which must differ between failure domains. */
     val failureDomain: FailureDomainId,
     val entries: Map<HostId, TargetEntry>,
+    /** Entries that are no longer listed, as they last stood. */
+    val former: Map<HostId, TargetEntry>,
     val engine: EngineDefinition,
     /** Over how many failure domains the weight store's allowance is divided. */
     val failureDomains: Int,
@@ -31,6 +33,7 @@
     /** A daemon has seen all work of a group stand still. */
     data class Suspected(
         val key: GroupKey,
+        val view: DomainView,
     ) : GroupEvent
 
     /** An order was answered, or not. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -9,6 +9,13 @@
     val askAgainMilliseconds: Long = 300,
     /** An order without an answer is sent again after this; longer than any round trip inside a region. */
     val resendMilliseconds: Long = 500,
+    /** How long members of a group whose head was never seen are left alone; longer than entries take to come back. */
+    val unknownHeadMilliseconds: Long = 6_000,
+    /**
+     * How long another target's answer proves the path. Covers the second of two questions, and is shorter than the pause
+     * after which a stall is noticed together with the first question's timeout.
+     */
+    val pathProofMilliseconds: Long = 400,
     /** Pause between two questions whether a member is ready. */
     val pollMilliseconds: Long = 100,
     /** How long members with the model in memory take to join. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -60,15 +60,15 @@
     val askedAt: Map<HostId, Long> = emptyMap(),
     /** Models that hosts were told to stage, until when that may take. */
     val staging: Map<HostId, Staging> = emptyMap(),
-    /** The last entry of each head, for orders to heads that are no longer listed. */
-    val lastHeads: Map<GroupKey, TargetEntry> = emptyMap(),
+    /** Members of each group as last listed, those too that are no longer listed. */
+    val rosters: Map<GroupKey, Roster> = emptyMap(),
+    /** When a target of the failure domain last answered anything: while none does, silence proves nothing. */
+    val answeredAt: Long = Long.MIN_VALUE,
     /** The targets listed, and when the last new one came. */
     val known: Set<HostId> = emptySet(),
     val lastNewAt: Long = 0,
     /** Hosts that hold a model in memory without a group, or were told to. */
     val standby: Map<HostId, Staging> = emptyMap(),
-    /** Members of each group as last listed. */
-    val lastMembers: Map<GroupKey, List<TargetEntry>> = emptyMap(),
     /** Allowance of loads from the weight store, and when it was last filled. */
     val loadAllowance: Double = 0.0,
     val loadAllowanceAt: Long = 0,
@@ -79,3 +79,13 @@
     val model: String,
     val until: Long,
 )
+
+/** The members of one group, as far as they have ever been listed in it and aren't known to be elsewhere. */
+data class Roster(
+    val members: Map<HostId, TargetEntry>,
+    val firstSeenAt: Long,
+    val seenAt: Long,
+) {
+    /** The member that takes the group's requests, or null where it has not been seen. */
+    val head: TargetEntry? get() = members.values.firstOrNull { it.membership?.rank == 0 }
+}
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -14,7 +14,7 @@
 
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.targets.GroupKey
-import org.vanillalink.serving.targets.ServingGroups
+import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
 /** The result of one event. */
@@ -36,7 +36,7 @@
         val work = GroupWork(state, settings, now)
         when (event) {
             is GroupEvent.Tick -> tick(work, event.view)
-            is GroupEvent.Suspected -> suspected(work, event.key)
+            is GroupEvent.Suspected -> suspected(work, event.key, event.view)
             is GroupEvent.OrderAnswered -> OrderAnswers(work).apply(event)
             is GroupEvent.ReportAnswered -> ReportAnswers(work).apply(event)
         }
@@ -48,16 +48,26 @@
         state: GroupControlState,
         view: DomainView,
     ): List<AnnouncedGroup> {
-        val listed =
-            ServingGroups
-                .open(view.entries.values)
-                .filter { group -> isSound(state, view, group.key, group.members) }
-                .map { group -> AnnouncedGroup(group.key, group.model, group.members.map { it.id }) }
-        val opened =
-            state.formations.values
-                .filter { it.phase == FormationPhase.OPENED }
-                .map { AnnouncedGroup(it.key, it.model, it.members.map(TargetEntry::id)) }
-        return (opened + listed).distinctBy { it.key }
+        val standing = state.rosters.filter { (key, roster) -> isSound(state, view, key, roster) }
+        val listed = standing.map { (key, roster) -> announced(key, roster.members.values) }
+        val opened = state.formations.values.filter { it.phase == FormationPhase.OPENED }
+        return (
+            opened.map {
+                AnnouncedGroup(
+                    it.key,
+                    it.model,
+                    it.members.map(TargetEntry::id),
+                )
+            } + listed
+        ).distinctBy { it.key }
+    }
+
+    private fun announced(
+        key: GroupKey,
+        members: Collection<TargetEntry>,
+    ): AnnouncedGroup {
+        val ordered = members.sortedBy { it.membership?.rank }
+        return AnnouncedGroup(key, ordered.first().model.orEmpty(), ordered.map { it.id })
     }
 
     /** Groups whose work in progress won't end, as long as somebody may not have heard of it. */
@@ -77,21 +87,23 @@
         state: GroupControlState,
         view: DomainView,
         key: GroupKey,
-        members: List<TargetEntry>,
+        roster: Roster,
     ): Boolean {
         if (key in state.dissolutions || key in state.dissolved) return false
+        val head = roster.head ?: return false
+        val isOpen = view.entries[head.id]?.membership?.state == MemberState.OPEN
         val size =
             view.engine.models
-                .firstOrNull { it.name == members.first().model }
+                .firstOrNull { it.name == head.model }
                 ?.size
-        return members.size == size && members.none { it.run in state.silent }
+        return isOpen && roster.members.size == size && roster.members.values.none { it.run in state.silent }
     }
 
     private fun tick(
         work: GroupWork,
         view: DomainView,
     ) {
-        work.forget(view)
+        work.refresh(view)
         GroupHealth(work, view).check()
         DissolutionSteps(work, view).advance()
         FormationSteps(work, view).advance()
@@ -101,13 +113,16 @@
     private fun suspected(
         work: GroupWork,
         key: GroupKey,
+        view: DomainView,
     ) {
         val dissolution = work.state.dissolutions[key]
         if (dissolution != null) {
             hasten(work, dissolution)
             return
         }
-        work.members(key).forEach { member -> askAgain(work, member) }
+        val members = work.members(key)
+        val asked = members.count { member -> askAgain(work, member) }
+        if (asked > 0) work.askWitness(view, members.map { it.id }.toSet())
     }
 
     /** Work in progress that stands still isn't waited for. */
@@ -123,10 +138,11 @@
     private fun askAgain(
         work: GroupWork,
         member: TargetEntry,
-    ) {
+    ): Boolean {
         val last = work.state.askedAt[member.id]
-        if (last != null && work.now - last < settings.askAgainMilliseconds) return
+        if (last != null && work.now - last < settings.askAgainMilliseconds) return false
         work.ask(member)
+        return true
     }
 }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -1,5 +1,8 @@
 /*
  * Finds groups that can't go on, and begins to take them apart.
+ *
+ * An entry that is gone from the registry is a reason to ask, not a proof: its target may be dead, leaving, or just cut off
+ * from the registry while it works on.
  */
 package org.vanillalink.serving.control
 
@@ -12,42 +15,33 @@
     private val view: DomainView,
 ) {
     fun check() {
-        view.entries.values
-            .filter { it.membership != null }
-            .groupBy { entry -> entry.membership!!.let { GroupKey(it.group, it.epoch) } }
-            .forEach { (key, members) -> check(key, members) }
+        work.state.rosters.forEach { (key, roster) -> check(key, roster) }
         askSilentAgain()
     }
 
     private fun check(
         key: GroupKey,
-        members: List<TargetEntry>,
+        roster: Roster,
     ) {
-        if (key in work.state.dissolutions || key in work.state.dissolved) return
-        if (work.state.formations[key]
-                ?.phase
-                .let { it == FormationPhase.JOINING || it == FormationPhase.OPENING }
-        ) {
-            return
-        }
-        val head = members.firstOrNull { it.membership?.rank == 0 }
-        if (head == null) {
-            headGone(key)
-            return
-        }
+        if (key in work.state.dissolutions || key in work.state.dissolved || isForming(key)) return
+        val head = roster.head ?: return
         if (head.membership?.state !in SERVING_STATES) {
             unopened(key, head)
             return
         }
-        val reason = defect(key, members, head) ?: return
-        work.dissolve(key, head, reason, isGentle = reason in GENTLE_REASONS)
+        val reason = defect(key, roster, head)
+        if (reason ==
+            null
+        ) {
+            askUnlisted(roster)
+        } else {
+            work.dissolve(key, head, reason, isGentle = reason != MEMBER_SILENT)
+        }
     }
 
-    /** A head that is no longer listed may only be cut off from the registry, and still serve. */
-    private fun headGone(key: GroupKey) {
-        val head = work.state.lastHeads[key] ?: return
-        val mayServe = head.membership?.state in SERVING_STATES || work.mayStillOpen(key, head)
-        if (mayServe) work.dissolve(key, head, "head-not-listed", isGentle = head.run !in work.state.silent)
+    private fun isForming(key: GroupKey): Boolean {
+        val phase = work.state.formations[key]?.phase
+        return phase == FormationPhase.JOINING || phase == FormationPhase.OPENING
     }
 
     /** An earlier controller's order to open may be carried out late, so its unopened groups are left before reuse. */
@@ -60,19 +54,30 @@
 
     private fun defect(
         key: GroupKey,
-        members: List<TargetEntry>,
+        roster: Roster,
         head: TargetEntry,
     ): String? {
+        val members = roster.members.values
         val size =
             view.engine.models
                 .firstOrNull { it.name == head.model }
                 ?.size ?: return "model-unknown"
-        if (members.any { it.run in work.state.silent }) return "member-silent"
-        if (members.size < size) {
-            val opened = work.state.formations[key]
-            return if (opened == null) MEMBER_NOT_LISTED else null
-        }
-        return if (members.any { it.isLeaving }) MEMBER_LEAVING else null
+        if (members.any { it.run in work.state.silent }) return MEMBER_SILENT
+        val isNew = work.now - roster.firstSeenAt < work.settings.listingLagMilliseconds
+        val isIncomplete = members.size < size && !isNew && key !in work.state.formations
+        if (isIncomplete) return "member-lost"
+        return if (members.any { view.entries[it.id]?.isLeaving == true }) "member-leaving" else null
+    }
+
+    private fun askUnlisted(roster: Roster) {
+        val unlisted = roster.members.values.filter { it.id !in view.entries }
+        val due =
+            unlisted.filter {
+                work.now - (work.state.askedAt[it.id] ?: 0) >= work.settings.silentRetryMilliseconds
+            }
+        if (due.isEmpty()) return
+        due.forEach(work::ask)
+        work.askWitness(view, due.map { it.id }.toSet())
     }
 
     private fun askSilentAgain() {
@@ -85,11 +90,7 @@
     }
 
     private companion object {
-        const val MEMBER_LEAVING = "member-leaving"
-        const val MEMBER_NOT_LISTED = "member-not-listed"
-
-        /** A target that leaves, announced or not, goes on working for a while. */
-        val GENTLE_REASONS = setOf(MEMBER_LEAVING, MEMBER_NOT_LISTED)
+        const val MEMBER_SILENT = "member-silent"
         val SERVING_STATES = setOf(MemberState.OPEN, MemberState.CLOSING)
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -192,15 +192,12 @@
                     it.members.size,
                 )
             }
-        val listed =
-            view.entries.values.filter { entry ->
-                val membership = entry.membership
-                membership != null && membership.rank == 0 && membership.state == MemberState.OPEN &&
-                    !isOver(GroupKey(membership.group, membership.epoch)) &&
-                    GroupKey(membership.group, membership.epoch) !in work.state.formations
+        val open =
+            work.state.rosters.filter { (key, roster) ->
+                roster.head?.membership?.state == MemberState.OPEN && !isOver(key) && key !in work.state.formations
             }
         return forming +
-            listed.map { head ->
+            open.values.mapNotNull { it.head }.map { head ->
                 val size =
                     view.engine.models
                         .firstOrNull { it.name == head.model }
@@ -228,9 +225,10 @@
         val key = GroupKey(membership.group, membership.epoch)
         if (key in work.state.dissolved) return true
         if (key in work.state.dissolutions) return false
-        val head = work.state.lastHeads[key]
-        if (head != null && work.mayStillOpen(key, head)) return false
-        val headState = head?.membership?.state
+        val roster = work.state.rosters[key] ?: return true
+        val head = roster.head ?: return work.now - roster.firstSeenAt > work.settings.unknownHeadMilliseconds
+        if (work.mayStillOpen(key, head)) return false
+        val headState = head.membership?.state
         return headState != MemberState.OPEN && headState != MemberState.CLOSING
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.serving.control
 
+import org.vanillalink.model.HostId
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
@@ -40,7 +41,11 @@
     }
 
     /** The members of [key] as last seen by a tick. */
-    fun members(key: GroupKey): List<TargetEntry> = membersByKey[key] ?: lastMembers(key)
+    fun members(key: GroupKey): List<TargetEntry> = state.formations[key]?.members ?: state.rosters[key]
+        ?.members
+        ?.values
+        ?.toList()
+        .orEmpty()
 
     fun dissolve(
         key: GroupKey,
@@ -77,17 +82,24 @@
         return head.membership?.state == MemberState.READY || head.membership?.state == MemberState.JOINING
     }
 
-    /** Drops what has no more use. */
-    fun forget(view: DomainView) {
+    /** Asks some other target of the failure domain, so that a broken path isn't taken for a silent target. */
+    fun askWitness(
+        view: DomainView,
+        except: Set<HostId>,
+    ) {
+        val others = view.entries.values.filter { it.id !in except && it.run !in state.silent }
+        others.minWithOrNull(compareBy({ state.askedAt[it.id] ?: 0L }, { it.id }))?.let(::ask)
+    }
+
+    /** Takes over what the view lists, and drops what has no more use. */
+    fun refresh(view: DomainView) {
         val oldest = now - settings.rememberMilliseconds
-        val listed = view.entries.values
-        val runs = listed.map { it.run }.toSet()
-        val inGroups = listed.mapNotNull { entry -> entry.membership?.let { GroupKey(it.group, it.epoch) to entry } }
-        val heads = inGroups.filter { it.second.membership?.rank == 0 }.toMap()
-        val present = inGroups.map { it.first }.toSet()
+        val rosters = Rosters.update(state.rosters, view, now, oldest)
+        val runs = (view.entries.values + rosters.values.flatMap { it.members.values }).map { it.run }.toSet()
         state =
             state.copy(
-                dissolved = state.dissolved.filter { (key, at) -> at > oldest || key in present },
+                rosters = rosters,
+                dissolved = state.dissolved.filter { (key, at) -> at > oldest || key in rosters },
                 silent = state.silent.filterKeys { it in runs },
                 unanswered = state.unanswered.filterKeys { it in runs },
                 standby = state.standby.filter { (id, standby) -> id in view.entries && standby.until > now },
@@ -95,8 +107,6 @@
                 lastNewAt = if (state.known.containsAll(view.entries.keys)) state.lastNewAt else now,
                 askedAt = state.askedAt.filterValues { it > oldest },
                 staging = state.staging.filter { (id, staging) -> isUnderWay(view.entries[id], staging) },
-                lastHeads = state.lastHeads.filterKeys { it in present } + heads,
-                lastMembers = inGroups.groupBy({ it.first }, { it.second }),
             )
     }
 
@@ -104,9 +114,4 @@
         entry: TargetEntry?,
         staging: Staging,
     ): Boolean = entry != null && staging.model !in entry.staged && staging.until > now
-
-    private val membersByKey: Map<GroupKey, List<TargetEntry>>
-        get() = state.formations.mapValues { it.value.members }
-
-    private fun lastMembers(key: GroupKey): List<TargetEntry> = state.lastMembers[key].orEmpty()
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -10,6 +10,7 @@
     private val work: GroupWork,
 ) {
     fun apply(event: GroupEvent.OrderAnswered) {
+        if (event.result in ANSWERS) work.state = work.state.copy(answeredAt = work.now)
         when (val order = event.order) {
             is GroupOrder.Join -> joinAnswered(event.target, order.key, event.result)
             is GroupOrder.Open -> openAnswered(order.key, event.result)
@@ -61,7 +62,7 @@
         key: GroupKey,
         result: OrderResult,
     ) {
-        if (key in work.state.dissolutions && result != OrderResult.UNKNOWN) work.dissolved(key)
+        if (key in work.state.dissolutions && result in ANSWERS) work.dissolved(key)
     }
 
     private fun stageAnswered(
@@ -71,4 +72,9 @@
         if (result == OrderResult.ACCEPTED || result == OrderResult.UNKNOWN) return
         work.state = work.state.copy(staging = work.state.staging - target)
     }
+
+    private companion object {
+        /** Results that only the target's own answer can give. */
+        val ANSWERS = setOf(OrderResult.ACCEPTED, OrderResult.REFUSED, OrderResult.OTHER_TARGET)
+    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -12,6 +12,12 @@
     private val work: GroupWork,
 ) {
     fun apply(event: GroupEvent.ReportAnswered) {
+        if (event.result is ReportResult.Answered) work.state = work.state.copy(answeredAt = work.now)
+        if (event.result is ReportResult.Silent &&
+            !isPathProved(event.target, work.settings.pathProofMilliseconds)
+        ) {
+            return
+        }
         work.state.dissolutions.values
             .filter { it.head.id == event.target }
             .forEach { headAnswered(it, event.result) }
@@ -22,11 +28,21 @@
         }
     }
 
+    /** Whether another target has answered about when [target] was asked, so that its silence is its own. */
+    private fun isPathProved(
+        target: HostId,
+        slack: Long,
+    ): Boolean {
+        val askedAt = work.state.askedAt[target] ?: return false
+        return work.state.answeredAt >= askedAt - slack
+    }
+
     /** Only a head's own word, or its silence, tells that it serves no more. */
     private fun headAnswered(
         dissolution: Dissolution,
         result: ReportResult,
     ) {
+        if (result is ReportResult.Silent && !isPathProved(dissolution.head.id, slack = 0)) return
         val unanswered = if (result is ReportResult.Silent) dissolution.unanswered + 1 else 0
         val said = (result as? ReportResult.Answered)?.report?.membership
         val isOther = said == null || GroupKey(said.group, said.epoch) != dissolution.key
@@ -43,8 +59,8 @@
             work.state.formations.values
                 .flatMap { it.members }
         val listed =
-            work.state.lastMembers.values
-                .flatten()
+            work.state.rosters.values
+                .flatMap { it.members.values }
         return (forming + listed).firstOrNull { it.id == target }
     }
 
@@ -87,6 +103,15 @@
             .filter { formation -> formation.members.any { it.id == entry.id } }
             .forEach { progress(it, entry, report) }
         strayed(entry, report)
+        unlistedHead(entry)
+    }
+
+    /** A head that isn't listed takes nothing new, but lives: it finishes its work, and its members are used elsewhere. */
+    private fun unlistedHead(entry: TargetEntry) {
+        val membership = entry.membership ?: return
+        val serves = membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING
+        if (entry.id in work.state.known || membership.rank != 0 || !serves) return
+        work.dissolve(GroupKey(membership.group, membership.epoch), entry, "head-not-listed", isGentle = true)
     }
 
     /** A member that says it is in another group than the registry lists is lost to the listed one. */
@@ -100,7 +125,7 @@
         val said = report.membership
         val isBroken = said?.state == MemberState.BROKEN
         if (said != null && GroupKey(said.group, said.epoch) == key && !isBroken) return
-        val head = work.state.lastHeads[key] ?: return
+        val head = work.state.rosters[key]?.head ?: return
         if (head.membership?.state == MemberState.OPEN) work.dissolve(key, head, "member-strayed", isGentle = false)
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
@@ -12,13 +12,30 @@
 data class TargetDirectory(
     val entries: Map<HostId, TargetEntry> = emptyMap(),
     private val missingUntil: Map<HostId, Long> = emptyMap(),
+    /** Entries that were removed lately, as they last stood. Their targets may still work. */
+    val former: Map<HostId, TargetEntry> = emptyMap(),
+    private val formerUntil: Map<HostId, Long> = emptyMap(),
 ) {
     /** An entry was written or changed. */
-    fun listed(entry: TargetEntry): TargetDirectory =
-        copy(entries = entries + (entry.id to entry), missingUntil = missingUntil - entry.id)
+    fun listed(entry: TargetEntry): TargetDirectory = copy(
+        entries = entries + (entry.id to entry),
+        missingUntil = missingUntil - entry.id,
+        former = former - entry.id,
+    )
 
-    /** An entry was removed while the registry was in good order. */
-    fun removed(id: HostId): TargetDirectory = copy(entries = entries - id, missingUntil = missingUntil - id)
+    /** An entry was removed at [now], while the registry was in good order. */
+    fun removed(
+        id: HostId,
+        now: Long,
+    ): TargetDirectory {
+        val entry = entries[id] ?: return this
+        return copy(
+            entries = entries - id,
+            missingUntil = missingUntil - id,
+            former = former + (id to entry),
+            formerUntil = formerUntil + (id to now + FORMER_MILLISECONDS),
+        )
+    }
 
     /** The whole list was read after an outage; entries missing from it are kept until [until]. */
     fun replaced(
@@ -27,19 +44,23 @@
     ): TargetDirectory {
         val present = listed.associateBy { it.id }
         val missing = entries.keys - present.keys
-        return TargetDirectory(
+        return copy(
             entries = entries.filterKeys { it in missing } + present,
             missingUntil = missing.associateWith { minOf(until, missingUntil[it] ?: until) },
         )
     }
 
-    /** Drops what has been missing until [now]. */
+    /** Drops what has been missing until [now], and forgets what was removed long ago. */
     fun expired(now: Long): TargetDirectory {
         val gone = missingUntil.filterValues { it <= now }.keys
-        if (gone.isEmpty()) return this
-        return TargetDirectory(entries - gone, missingUntil - gone)
+        val old = formerUntil.filterValues { it <= now }.keys
+        if (gone.isEmpty() && old.isEmpty()) return this
+        val forgotten = copy(former = former - old, formerUntil = formerUntil - old)
+        return gone.fold(forgotten) { directory, id -> directory.removed(id, now) }
     }
 
-    /** Whether [id] is kept although the list lacks it. */
-    fun isMissing(id: HostId): Boolean = id in missingUntil
+    private companion object {
+        /** Longer than any cut between a target and the registry is likely to last. */
+        const val FORMER_MILLISECONDS = 30_000L
+    }
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -47,6 +47,14 @@
     var trafficSeen = false
     var state = GroupControlState(nextEpoch = 1_000_000)
     val orders = mutableListOf<Pair<HostId, GroupOrder>>()
+
+    /** The whole failure domain is cut off from the controller and from the registry. */
+    var isCutOff = false
+    var cutOffAt = 0L
+
+    /** Whether the controller has followed the registry for long. */
+    var knowsFormer = true
+    private val lastListed = HashMap<HostId, TargetEntry>()
     val notes = mutableListOf<String>()
     val violations = mutableListOf<String>()
 
@@ -81,7 +89,7 @@
         domain: String,
     ): FakeRunner = FakeRunner(HostId(id), domain, now + 1).also { runners[it.id] = it }
 
-    fun view() = DomainView(IKEJA, listed(), engine, failureDomains = 1, trafficSeen = trafficSeen)
+    fun view() = DomainView(IKEJA, listed(), former(), engine, failureDomains = 1, trafficSeen = trafficSeen)
 
     /** Lets [milliseconds] pass. */
     fun run(milliseconds: Long) {
@@ -139,9 +147,19 @@
         state = GroupControlState(nextEpoch = (state.nextEpoch / 1_000_000 + 1) * 1_000_000)
     }
 
+    private fun former(): Map<HostId, TargetEntry> = if (knowsFormer) {
+        lastListed.filterKeys {
+            it !in listed()
+        }
+    } else {
+        emptyMap()
+    }
+
     private fun listed(): Map<HostId, TargetEntry> = runners.values
-        .filter { !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE) }
-        .associate { runner -> runner.id to entryOf(runner) }
+        .filter {
+            !(isCutOff && now - cutOffAt > LAPSE) && !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE)
+        }.associate { runner -> runner.id to entryOf(runner) }
+        .also { lastListed.putAll(it) }
 
     private fun entryOf(runner: FakeRunner): TargetEntry =
         entry(runner.id.value, runner.fabricDomain, runner.bornAt).copy(
@@ -171,7 +189,7 @@
         orders += target.id to order
         notes += "$now order ${target.id} $order"
         val runner = runners[target.id]
-        if (runner == null || runner.isDark) {
+        if (runner == null || runner.isDark || isCutOff) {
             later += (now + UNANSWERED) to { feed(GroupEvent.OrderAnswered(target.id, order, OrderResult.UNKNOWN)) }
             return
         }
@@ -189,7 +207,7 @@
 
     private fun ask(target: TargetEntry) {
         val runner = runners[target.id]
-        val isSilent = runner == null || runner.isDark
+        val isSilent = runner == null || runner.isDark || isCutOff
         later += (now + if (isSilent) UNANSWERED else ROUND_TRIP) to {
             val result =
                 if (isSilent) {
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -84,6 +84,54 @@
         assertTrue(fleet.serving().any { it.model == "small" })
     }
 
+    @Test
+    fun `a failure domain that was cut off finds its groups as they were`() {
+        val fleet = settled(mapOf("d0" to 8, "d1" to 8))
+        val before = fleet.serving().map { it.key }.toSet()
+        fleet.cutOff(6_000)
+        fleet.run(3_000)
+        assertEquals(before, fleet.serving().map { it.key }.toSet())
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a daemon that began during a cut leaves members of unseen heads alone at first`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val head =
+            fleet
+                .serving()
+                .first { it.model == "large" }
+                .members
+                .first()
+        fleet.runners.getValue(head).isUnlisted = true
+        fleet.knowsFormer = false
+        fleet.takeOver()
+        fleet.run(2_000)
+        fleet.runners.getValue(head).isUnlisted = false
+        fleet.run(3_000)
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a member that is only cut off from the registry stays in its group`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.last()).isUnlisted = true
+        fleet.run(5_000)
+        assertTrue(fleet.serving().any { it.key == group.key })
+    }
+
+    @Test
+    fun `a member that goes dark after it was removed from the list is lost`() {
+        val fleet = settled(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.last()).isUnlisted = true
+        fleet.run(2_000)
+        fleet.goDark(group.members.last())
+        val took = fleet.runUntil(10_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+        assertTrue(took <= 4_000, "took $took ms")
+    }
+
     @Test
     fun `nothing breaks the rules while members drop out, orders come late and control changes hands`() {
         repeat(SEEDS) { seed -> turbulentDay(seed) }
@@ -98,6 +146,10 @@
             fleet.loseMember(alive[random.nextInt(alive.size)].id)
             fleet.add("new-$round", "d${round % 2}")
             if (random.nextInt(4) == 0) fleet.takeOver()
+            if (random.nextInt(6) == 0) fleet.cutOff(random.nextLong(1_000, 7_000))
+            val listedAgain = fleet.runners.values.filter { it.isUnlisted }
+            alive.filter { random.nextInt(20) == 0 }.forEach { it.isUnlisted = true }
+            listedAgain.forEach { it.isUnlisted = false }
             fleet.run(random.nextLong(500, 4_000))
         }
         assertEquals(emptyList(), fleet.violations, "seed $seed\n" + fleet.history())
@@ -119,7 +171,18 @@
         val group = serving().firstOrNull { id in it.members }
         goDark(id)
         run(300)
-        group?.let { feed(GroupEvent.Suspected(it.key)) }
+        group?.let { feed(GroupEvent.Suspected(it.key, view())) }
+    }
+
+    /** Cut off for [milliseconds], while daemons see all groups stand still. */
+    private fun FakeFleet.cutOff(milliseconds: Long) {
+        isCutOff = true
+        cutOffAt = now
+        val groups = serving()
+        run(400)
+        groups.forEach { feed(GroupEvent.Suspected(it.key, view())) }
+        run(milliseconds - 400)
+        isCutOff = false
     }
 
     private companion object {
--- a/serving/src/test/kotlin/org/vanillalink/serving/targets/TargetDirectoryTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/targets/TargetDirectoryTest.kt
@@ -10,7 +10,7 @@
 
     @Test
     fun `a removed entry is gone at once`() {
-        assertEquals(setOf(HostId("b")), testSubject.removed(HostId("a")).entries.keys)
+        assertEquals(setOf(HostId("b")), testSubject.removed(HostId("a"), now = 0).entries.keys)
     }
 
     @Test
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -0,0 +1,151 @@
+/*
+ * A runner's published HTTP protocol: reports, orders, health, and requests with signed answers or streams of events.
+ */
+package org.vanillalink.standins.runner
+
+import com.fasterxml.jackson.databind.JsonNode
+import org.vanillalink.standins.BAD_REQUEST
+import org.vanillalink.standins.OK
+import org.vanillalink.standins.answerJson
+import org.vanillalink.transport.AnswerWriter
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpRequestHandler
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.read
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Ways to misbehave. */
+enum class RunnerTrouble {
+    NONE,
+
+    /** Takes requests and says nothing; nor does it answer questions or orders. */
+    DARK,
+
+    /** Breaks streams off in the middle of an event. */
+    TORN,
+
+    /** Answers with another request's id. */
+    CROSSED,
+
+    /** Says that it is full. */
+    FULL,
+}
+
+/** Serves one runner. [changed] is called when its entry has changed. */
+class RunnerHandler(
+    private val settings: RunnerSettings,
+    private val state: RunnerState,
+    private val changed: () -> Unit = {},
+) : HttpRequestHandler {
+    private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, settings.id).apply { isDaemon = true } }
+
+    /** How it misbehaves now. */
+    @Volatile
+    var trouble = RunnerTrouble.NONE
+
+    /** The ids of the requests that ran here. */
+    val ran = CopyOnWriteArrayList<String>()
+
+    /** The last request that ran here. */
+    @Volatile
+    var lastRequest: HttpRequestMessage? = null
+
+    override fun handle(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        if (trouble == RunnerTrouble.DARK) return
+        val expected = request.headers["expect-instance"]
+        when {
+            expected != null && expected != settings.id -> {
+                answer.answer(
+                    MISDIRECTED,
+                    HeaderFields.of("instance-id" to settings.id),
+                )
+            }
+
+            request.path == "/api/report" -> {
+                answer.answerJson(state.report())
+            }
+
+            request.path == "/api/order" -> {
+                order(request, answer)
+            }
+
+            request.path == "/health" -> {
+                answer.answer(OK, HeaderFields.of("instance-id" to settings.id))
+            }
+
+            !state.takesRequests() -> {
+                answer.answer(MISDIRECTED, HeaderFields.of("instance-id" to settings.id))
+            }
+
+            trouble == RunnerTrouble.FULL -> {
+                answer.answer(UNAVAILABLE, HeaderFields.of("not-executed" to "1"))
+            }
+
+            else -> {
+                run(request, answer)
+            }
+        }
+    }
+
+    private fun order(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val order = Json.read<JsonNode>(request.body).getOrNull()
+        answer.answer(if (order == null) BAD_REQUEST else state.order(order))
+        changed()
+        val settled = settings.joinMilliseconds + settings.openMilliseconds
+        timer.schedule(changed, settings.joinMilliseconds, TimeUnit.MILLISECONDS)
+        timer.schedule(changed, settled, TimeUnit.MILLISECONDS)
+    }
+
+    private fun run(
+        request: HttpRequestMessage,
+        answer: AnswerWriter,
+    ) {
+        val id = request.headers["request-id"].orEmpty()
+        ran += id
+        lastRequest = request
+        val echoed = if (trouble == RunnerTrouble.CROSSED) "another" else id
+        val fields = HeaderFields.of("request-id" to echoed, "response-signature" to "${settings.id}.$id")
+        val tokens = request.headers["token-usage"]
+        if (tokens == null) {
+            answer.answer(OK, fields, request.body)
+            return
+        }
+        val events = tokens.substringAfter(',').trim().toInt()
+        val first = (request.headers["last-event-id"]?.toInt() ?: -1) + 1
+        answer.start(OK, fields.with("content-type", "text/event-stream"))
+        next(answer, first, events)
+    }
+
+    private fun next(
+        answer: AnswerWriter,
+        event: Int,
+        events: Int,
+    ) {
+        if (trouble == RunnerTrouble.DARK) return
+        if (event >= events) {
+            answer.finish()
+            return
+        }
+        if (trouble == RunnerTrouble.TORN && event == events / 2) {
+            answer.write("id: $event\nda".toByteArray())
+            answer.abort()
+            return
+        }
+        answer.write("id: $event\ndata: token-$event\n\n".toByteArray())
+        timer.schedule({ next(answer, event + 1, events) }, settings.tokenMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val MISDIRECTED = 421
+        const val UNAVAILABLE = 503
+    }
+}
