Leave a failure domain that can't be reached, and say better when to come back

Change: a failure domain whose targets all stand still while its daemons are silent is passed over at once; calls there go on elsewhere. A refusal for want of room says 1.5 s for engines (a group's formation, a batch), 0.2 s for plain services, at most a third of what is left.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -61,7 +61,7 @@
         Json.read<PeerMessage>(content).fold(
             { lines.record("peer-message-unreadable", "reason" to it.detail) },
             { message ->
-                traffic.heard(message.daemon, message.inFlight, message.strikes)
+                traffic.heard(message.daemon, message.failureDomain, message.inFlight, message.strikes)
                 thread.execute { control.heard(message) }
             },
         )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -27,14 +27,13 @@
         calls.filter { it.currentGroup in broken }.forEach { it.groupBroken("group-broken") }
     }
 
-    /** Tells calls that have waited at one of [targets] since before it stood still to go elsewhere. */
-    fun stalled(targets: Set<HostId>) {
+    /** Tells calls at groups whose heads are [targets] to go elsewhere. */
+    fun stalled(
+        targets: Set<HostId>,
+        reason: String,
+    ) {
         if (targets.isEmpty()) return
-        calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach {
-            it.groupBroken(
-                "group-stalled",
-            )
-        }
+        calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.groupBroken(reason) }
     }
 
     /** Groups of calls at [targets]. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -47,7 +47,7 @@
         val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, marks, now, answer)
         if (rejection == null) return
         val outcome = RefusalOutcome.NOT_RUN
-        val retryAfter = if (rejection.reason.status == STATUS_UNAVAILABLE) ProxiedCall.RETRY_AFTER else null
+        val retryAfter = if (rejection.reason.status == STATUS_UNAVAILABLE) ProxiedCall.ELSEWHERE_RETRY_AFTER else null
         context.log.rejected(marks, request.path, rejection.reason, rejection.detail)
         answer.refuse(
             Refusal(rejection.reason, outcome, rejection.detail, retryAfter),
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.gateway.control.TrafficSummary
 import org.vanillalink.gateway.ports.EntryBounds
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.choice.Strike
 import org.vanillalink.serving.targets.GroupKey
@@ -64,19 +65,22 @@
     /** A peer has told of its requests and of requests that took targets down. */
     fun heard(
         peer: DaemonId,
+        failureDomain: FailureDomainId,
         inFlight: Map<HostId, Int>,
         struck: List<Strike>,
     ) = loops.execute {
         val at = now()
         state.inFlight.heard(peer, inFlight, at)
+        state.paths.heard(failureDomain, at)
         struck.forEach { state.failures.struck(it, at) }
     }
 
     private fun watch() {
         val at = now()
-        val stalled = state.stalls.stalled(at)
+        val stalled = state.watch(at)
         standing = active.groupsAt(stalled.keys)
-        active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys)
+        active.stalled(state.unreachableTargets(), "path-cut")
+        active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys, "group-stalled")
         counts = state.inFlight.own()
         strikes = state.failures.since(at - STRIKES_TOLD_MILLISECONDS)
         if (at - tidiedAt > TIDY_MILLISECONDS) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -101,7 +101,7 @@
         tried.add(entry.id)
         currentTarget = entry.id
         currentGroup = chosen.group?.key
-        context.state.begun(entry.id, now)
+        context.state.begun(entry, now)
         val place = chosen.group?.key?.group ?: entry.id.value
         trail.append(if (trail.isEmpty()) "" else ",").append("$place/${chosen.inFlight}of${chosen.candidates}")
         val left = maxOf(1, request.callerDeadline - now)
@@ -232,11 +232,18 @@
     ) {
         if (ended) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) RETRY_AFTER else null
+        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) comeBack() else null
         finish(reason.problemType, reason.status)
         answer.refuse(Refusal(reason, outcome, detail, retryAfter), request.marks.requestId, RetryAfterPrecision.TENTHS)
     }
 
+    /** When room is likely: engines work off a batch, or groups form anew, in a second or two; plain services sooner. */
+    private fun comeBack(): Duration {
+        val usual = if (request.service.engine == null) PLAIN_RETRY_AFTER else ENGINE_RETRY_AFTER
+        val left = Duration.ofMillis(maxOf(0, request.callerDeadline - now))
+        return minOf(usual, left.dividedBy(RETRY_AFTER_SHARE_OF_REST))
+    }
+
     /** Ends the call; [outcome] goes into the log. */
     protected fun finish(
         outcome: String,
@@ -281,8 +288,13 @@
     }
 
     companion object {
-        /** Long enough for a group to form anew, short enough that a caller can still come back in time. */
-        val RETRY_AFTER: Duration = Duration.ofMillis(600)
+        /** Another daemon may know better at once. */
+        val ELSEWHERE_RETRY_AFTER: Duration = Duration.ofMillis(300)
+        private val ENGINE_RETRY_AFTER: Duration = Duration.ofMillis(1_500)
+        private val PLAIN_RETRY_AFTER: Duration = Duration.ofMillis(200)
+
+        /** Callers wait at most a third of the time that they have left. */
+        private const val RETRY_AFTER_SHARE_OF_REST = 3L
 
         private val SUCCESS = 200..299
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -5,12 +5,15 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.gateway.ports.EntryBounds
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.choice.Candidate
 import org.vanillalink.serving.choice.ColdAllowance
 import org.vanillalink.serving.choice.InFlightCounts
+import org.vanillalink.serving.choice.OutstandingWork
+import org.vanillalink.serving.choice.PathWatch
 import org.vanillalink.serving.choice.RepeatedFailures
 import org.vanillalink.serving.choice.RetryBudget
 import org.vanillalink.serving.choice.RetryBudgetSettings
@@ -42,6 +45,10 @@
     private val choice = TargetChoice(random)
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val avoidedUntil = HashMap<HostId, Long>()
+    private val domainOf = HashMap<HostId, FailureDomainId>()
+    private var stalled: Set<HostId> = emptySet()
+    private var unreachable: Set<FailureDomainId> = emptySet()
+    val paths = PathWatch()
 
     /** The best target for a call of [model] at [service], or null. */
     fun chooseGroup(
@@ -80,10 +87,30 @@
     ): Candidate? {
         val current = view
         val usable = targets.filter { it.id !in excluded && it.failureDomain !in current.evacuated && !it.isLeaving }
-        val sound = usable.filter { (avoidedUntil[it.id] ?: 0) <= now }.ifEmpty { usable }
+        val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
         return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) })
     }
 
+    private fun isSound(
+        target: TargetEntry,
+        now: Long,
+    ): Boolean =
+        (avoidedUntil[target.id] ?: 0) <= now && target.id !in stalled && target.failureDomain !in unreachable
+
+    /** Looks for targets and failure domains that stand still; gives the targets, with how long they have. */
+    fun watch(now: Long): Map<HostId, Long> {
+        val standing = stalls.stalled(now)
+        val work =
+            stalls.outstanding().mapNotNull { id -> domainOf[id]?.let { it to id } }.groupBy({ it.first }, { it.second })
+        unreachable =
+            paths.unreachable(work.mapValues { (_, ids) -> OutstandingWork(ids.size, ids.count { it in standing }) }, now)
+        stalled = standing.keys
+        return standing
+    }
+
+    /** Targets of failure domains that can't be reached. */
+    fun unreachableTargets(): Set<HostId> = domainOf.filterValues { it in unreachable }.keys
+
     private fun candidate(
         service: ServiceDefinition,
         target: TargetEntry,
@@ -104,14 +131,15 @@
         avoidedUntil[target] = now + AVOID_MILLISECONDS
     }
 
-    /** A request leaves for [target]. */
+    /** A request leaves for [entry]. */
     fun begun(
-        target: HostId,
+        entry: TargetEntry,
         now: Long,
     ) {
-        inFlight.begun(target)
-        stalls.begun(target, now)
-        cold.sent(target, now)
+        inFlight.begun(entry.id)
+        stalls.begun(entry.id, now)
+        cold.sent(entry.id, now)
+        domainOf[entry.id] = entry.failureDomain
     }
 
     /** A request at [target] has ended, however. */
@@ -136,7 +164,9 @@
     fun tidy(now: Long) {
         avoidedUntil.values.removeIf { it <= now }
         val current = view
-        cold.keep((current.groups.map { it.head } + current.plainTargets.values.flatten()).map { it.id }.toSet())
+        val known = (current.groups.map { it.head } + current.plainTargets.values.flatten()).map { it.id }.toSet()
+        domainOf.keys.retainAll(known + stalls.outstanding())
+        cold.keep(known)
     }
 
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/StallWatch.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/StallWatch.kt
@@ -42,6 +42,9 @@
         if (current.outstanding <= 0) progress.remove(target)
     }
 
+    /** Targets with requests under way. */
+    fun outstanding(): Set<HostId> = progress.keys.toSet()
+
     /** Targets with requests under way and nothing heard for too long, and how long. */
     fun stalled(now: Long): Map<HostId, Long> = progress
         .mapValues { now - it.value.lastByteAt }
