--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -1,6 +1,7 @@
 /*
  * The one thread that holds control state: the directory of targets, the configuration, peers, and the groups of the
- * failure domains that this daemon controls. Everything that happens is brought to it; it publishes a picture for traffic.
+ * failure domains that this daemon controls. Everything that happens is brought to it; it publishes a picture for
+ * traffic.
  */
 package org.vanillalink.gateway.control
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -1,6 +1,6 @@
 /*
- * This daemon's part in the control of one failure domain: winning it by a conditional write, and the groups while it has
- * it. Each term begins with a greater epoch than any of the term before.
+ * This daemon's part in the control of one failure domain: winning it by a conditional write, and the groups while it
+ * has it. Each term begins with a greater epoch than any of the term before.
  */
 package org.vanillalink.gateway.control
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -1,6 +1,6 @@
 /*
- * Follows one part of the registry: reads all of it once, then change by change; reads all of it again after an outage or
- * when the history has been dropped.
+ * Follows one part of the registry: reads all of it once, then change by change; reads all of it again after an outage
+ * or when the history has been dropped.
  */
 package org.vanillalink.gateway.control
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -93,6 +93,7 @@
     /** Tries the next target; [lastEventId] is what the caller has of a stream. */
     protected fun attempt(lastEventId: Long?) {
         val chosen = choose()
+        if (chosen == null) trail.append('!').append(context.state.describe(request.service, request.marks.model, now))
         if (chosen == null || !takeAttempt()) {
             noTarget()
             return
@@ -237,7 +238,9 @@
         answer.refuse(Refusal(reason, outcome, detail, retryAfter), request.marks.requestId, RetryAfterPrecision.TENTHS)
     }
 
-    /** When room is likely: engines work off a batch, or groups form anew, in a second or two; plain services sooner. */
+    /**
+     * When room is likely: engines work off a batch, or groups form anew, in a second or two; plain services sooner.
+     */
     private fun comeBack(): Duration {
         val usual = if (request.service.engine == null) PLAIN_RETRY_AFTER else ENGINE_RETRY_AFTER
         val left = Duration.ofMillis(maxOf(0, request.callerDeadline - now))
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -1,6 +1,6 @@
 /*
- * A request whose answer is a stream of events. Whole events are passed on as they come. When a group breaks, the stream
- * goes on at another one after the last event that the caller has, within the same answer.
+ * A request whose answer is a stream of events. Whole events are passed on as they come. When a group breaks, the
+ * stream goes on at another one after the last event that the caller has, within the same answer.
  */
 package org.vanillalink.gateway.traffic
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -91,19 +91,41 @@
         return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) })
     }
 
+    /** What stands against sending a call of [model] to [service] now, for the log. */
+    fun describe(
+        service: ServiceDefinition,
+        model: String?,
+        now: Long,
+    ): String {
+        val groups = view.groups(service.name, model.orEmpty()).map { it.head }
+        val targets = if (service.engine == null) view.plainTargets[service.name].orEmpty() else groups
+        val least = targets.minOfOrNull { inFlight.at(it.id, now) }
+        val unsound = targets.count { !isSound(it, now) }
+        val closed = targets.count { it.failureDomain in view.evacuated || it.isLeaving }
+        return "full(targets=${targets.size},least=$least,unsound=$unsound,closed=$closed)"
+    }
+
     private fun isSound(
         target: TargetEntry,
         now: Long,
-    ): Boolean =
-        (avoidedUntil[target.id] ?: 0) <= now && target.id !in stalled && target.failureDomain !in unreachable
+    ): Boolean = (avoidedUntil[target.id] ?: 0) <= now && target.id !in stalled && target.failureDomain !in unreachable
 
     /** Looks for targets and failure domains that stand still; gives the targets, with how long they have. */
     fun watch(now: Long): Map<HostId, Long> {
         val standing = stalls.stalled(now)
         val work =
-            stalls.outstanding().mapNotNull { id -> domainOf[id]?.let { it to id } }.groupBy({ it.first }, { it.second })
+            stalls
+                .outstanding()
+                .mapNotNull { id ->
+                    domainOf[id]?.let { it to id }
+                }.groupBy({ it.first }, { it.second })
         unreachable =
-            paths.unreachable(work.mapValues { (_, ids) -> OutstandingWork(ids.size, ids.count { it in standing }) }, now)
+            paths.unreachable(
+                work.mapValues { (_, ids) ->
+                    OutstandingWork(ids.size, ids.count { it in standing })
+                },
+                now,
+            )
         stalled = standing.keys
         return standing
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/PathWatch.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/PathWatch.kt
@@ -1,9 +1,9 @@
 /*
- * Notices a failure domain that this daemon can't reach: several of its targets stand still at once and none of the others
- * moves, or one does and no daemon there is heard of either.
+ * Notices a failure domain that this daemon can't reach: several of its targets stand still at once and none of the
+ * others moves, or one does and no daemon there is heard of either.
  *
- * A cut looks like stalled groups, but no controller inside the failure domain will say so, and new requests there would be
- * lost time. What is heard from inside ends the suspicion.
+ * A cut looks like stalled groups, but no controller inside the failure domain will say so, and new requests there
+ * would be lost time. What is heard from inside ends the suspicion.
  */
 package org.vanillalink.serving.choice
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -12,8 +12,8 @@
     /** How long members of a group whose head was never seen are left alone; longer than entries take to come back. */
     val unknownHeadMilliseconds: Long = 6_000,
     /**
-     * How long another target's answer proves the path. Covers the second of two questions, and is shorter than the pause
-     * after which a stall is noticed together with the first question's timeout.
+     * How long another target's answer proves the path. Covers the second of two questions, and is shorter than the
+     * pause after which a stall is noticed together with the first question's timeout.
      */
     val pathProofMilliseconds: Long = 400,
     /** Pause between two questions whether a member is ready. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -7,8 +7,8 @@
  * from its predecessor but a greater epoch.
  *
  * Two rules carry the safety. A group is opened only after each member has itself reported that it is ready under the
- * group's name and epoch. And members of a group are used elsewhere only after its head has left, has ended, or was never
- * told to open.
+ * group's name and epoch. And members of a group are used elsewhere only after its head has left, has ended, or was
+ * never told to open.
  */
 package org.vanillalink.serving.control
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -1,8 +1,8 @@
 /*
  * Finds groups that can't go on, and begins to take them apart.
  *
- * An entry that is gone from the registry is a reason to ask, not a proof: its target may be dead, leaving, or just cut off
- * from the registry while it works on.
+ * An entry that is gone from the registry is a reason to ask, not a proof: its target may be dead, leaving, or just cut
+ * off from the registry while it works on.
  */
 package org.vanillalink.serving.control
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
@@ -1,8 +1,9 @@
 /*
  * Orders that form, open and dissolve serving groups, and what a target answers.
  *
- * An order without an answer may have been carried out, or may be carried out later. Epochs make that harmless: a target
- * refuses to join with a lower epoch than one that it has seen, and the other orders name the group that they mean.
+ * An order without an answer may have been carried out, or may be carried out later. Epochs make that harmless: a
+ * target refuses to join with a lower epoch than one that it has seen, and the other orders name the group that they
+ * mean.
  */
 package org.vanillalink.serving.control
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -2,8 +2,8 @@
  * Chooses which groups to form from free targets, and which models free hosts keep ready.
  *
  * Each fabric domain gets one group of each model first, the model with the greatest lack first; more groups only
- * beyond a reserve. The reserve is what makes repairs fast: a spare that has the right model stands in for a lost member
- * within a fraction of a load from the weight store.
+ * beyond a reserve. The reserve is what makes repairs fast: a spare that has the right model stands in for a lost
+ * member within a fraction of a load from the weight store.
  */
 package org.vanillalink.serving.control
 
@@ -34,19 +34,24 @@
         domain: String?,
         targets: List<TargetEntry>,
     ) {
-        var free = targets
-        while (true) {
-            val model = nextModel(domain, free.size) ?: break
-            val members = choose(free, model) ?: break
-            form(members, model)
-            standing += StandingGroup(domain, model.name, model.size)
-            free = free - members.toSet()
-        }
+        val free = formGroups(domain, targets)
         if (!view.trafficSeen && work.now - work.state.lastNewAt < work.settings.settledMilliseconds) return
         stage(domain, free)
         standBy(free)
     }
 
+    /** Forms what can be formed of [targets], and gives those that are left. */
+    private fun formGroups(
+        domain: String?,
+        targets: List<TargetEntry>,
+    ): List<TargetEntry> {
+        val model = nextModel(domain, targets.size) ?: return targets
+        val members = choose(targets, model) ?: return targets
+        form(members, model)
+        standing += StandingGroup(domain, model.name, model.size)
+        return formGroups(domain, targets - members.toSet())
+    }
+
     /** A spare that holds its model in memory joins a group in a fraction of the time that one needs that doesn't. */
     private fun standBy(free: List<TargetEntry>) {
         free.forEach { target ->
@@ -221,15 +226,21 @@
 
     /** Members are unused once their group's head serves no more; members of a group that never opened always are. */
     private fun isUnused(entry: TargetEntry): Boolean {
-        val membership = entry.membership ?: return true
-        val key = GroupKey(membership.group, membership.epoch)
-        if (key in work.state.dissolved) return true
-        if (key in work.state.dissolutions) return false
-        val roster = work.state.rosters[key] ?: return true
+        val key = entry.membership?.let { GroupKey(it.group, it.epoch) }
+        return when {
+            key == null || key in work.state.dissolved -> true
+            key in work.state.dissolutions -> false
+            else -> work.state.rosters[key]?.let { isReleased(key, it) } ?: true
+        }
+    }
+
+    private fun isReleased(
+        key: GroupKey,
+        roster: Roster,
+    ): Boolean {
         val head = roster.head ?: return work.now - roster.firstSeenAt > work.settings.unknownHeadMilliseconds
-        if (work.mayStillOpen(key, head)) return false
-        val headState = head.membership?.state
-        return headState != MemberState.OPEN && headState != MemberState.CLOSING
+        val serves = head.membership?.state == MemberState.OPEN || head.membership?.state == MemberState.CLOSING
+        return !serves && !work.mayStillOpen(key, head)
     }
 
     private fun fillAllowance() {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -106,7 +106,9 @@
         unlistedHead(entry)
     }
 
-    /** A head that isn't listed takes nothing new, but lives: it finishes its work, and its members are used elsewhere. */
+    /**
+     * A head that isn't listed takes nothing new, but lives: it finishes its work, and its members are used elsewhere.
+     */
     private fun unlistedHead(entry: TargetEntry) {
         val membership = entry.membership ?: return
         val serves = membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/Rosters.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/Rosters.kt
@@ -1,6 +1,6 @@
 /*
- * Keeps track of who belongs to which group, beyond what the registry lists right now: a member that is no longer listed
- * may only be cut off from the registry, and still work.
+ * Keeps track of who belongs to which group, beyond what the registry lists right now: a member that is no longer
+ * listed may only be cut off from the registry, and still work.
  */
 package org.vanillalink.serving.control
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -47,8 +47,8 @@
     fun sharers(now: Long): Int = 1 + peers.values.count { now - it.heardAt < SHARER_MILLISECONDS }
 
     /**
-     * The daemon that should control [domain]: one inside it if there is one, and one that reaches the store if any does.
-     * Among those the one that has control keeps it; [ownTerm] is this daemon's term, or 0.
+     * The daemon that should control [domain]: one inside it if there is one, and one that reaches the store if any
+     * does. Among those the one that has control keeps it; [ownTerm] is this daemon's term, or 0.
      */
     fun controllerFor(
         domain: FailureDomainId,
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStore.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStore.kt
@@ -1,6 +1,6 @@
 /*
- * A metadata store in memory: rows with versions from one counter, transactions under conditions, and a feed of changes.
- * It can be told to fail in the ways that the published protocol allows.
+ * A metadata store in memory: rows with versions from one counter, transactions under conditions, and a feed of
+ * changes. It can be told to fail in the ways that the published protocol allows.
  */
 package org.vanillalink.standins.rows
 
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -49,6 +49,9 @@
     /** The ids of the requests that ran here. */
     val ran = CopyOnWriteArrayList<String>()
 
+    /** The ids of the requests whose caller left before their answer was whole. */
+    val abandoned = CopyOnWriteArrayList<String>()
+
     /** The last request that ran here. */
     @Volatile
     var lastRequest: HttpRequestMessage? = null
@@ -111,6 +114,7 @@
     ) {
         val id = request.headers["request-id"].orEmpty()
         ran += id
+        answer.onCallerGone { abandoned += id }
         lastRequest = request
         val echoed = if (trouble == RunnerTrouble.CROSSED) "another" else id
         val fields = HeaderFields.of("request-id" to echoed, "response-signature" to "${settings.id}.$id")
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerStandIn.kt
@@ -20,6 +20,9 @@
 ) {
     private val state = RunnerState(settings)
 
+    /** Where it listens. */
+    val address: String get() = settings.address
+
     /** What it does with requests. */
     val handler = RunnerHandler(settings, state, ::list)
     private val server = NettyHttpServer(loops, listen, ServerLimits(), handler)
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
@@ -108,8 +108,8 @@
         order: JsonNode,
         epoch: Long,
     ): Int {
-        val current = membership
-        if (current == null || !isIn(order, epoch) || current.rank != 0 || state() == "joining") return DOES_NOT_FIT
+        val current = membership?.takeIf { isIn(order, epoch) && it.rank == 0 } ?: return DOES_NOT_FIT
+        if (state() == "joining") return DOES_NOT_FIT
         if (current.openAt != null) return DONE
         current.openAt = now() + settings.openMilliseconds
         return ACCEPTED
