--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -84,7 +84,8 @@
         RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::targetsChanged, ::storeAnswered)
     private val domains =
         settings.failureDomains.associateWith { DomainControl(it, settings.daemon, table, thread, lines, clock) }
-    private val startedAt = clock.steady()
+    private var electionsFrom = clock.steady() + FIRST_HEARTBEATS_MILLISECONDS
+    private var lastTickAt = clock.steady()
     private var storeAnsweredAt = clock.steady()
 
     /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
@@ -246,6 +247,9 @@
 
     private fun tick() {
         val now = clock.steady()
+        // After a pause of the process no peer seems alive until its next heartbeat has been read.
+        if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
+        lastTickAt = now
         val expired = directory.expired(now)
         if (expired !== directory) {
             (directory.entries.keys - expired.entries.keys).forEach { lines.record("target-expired", "target" to it) }
@@ -260,7 +264,7 @@
         domain: DomainControl,
         now: Long,
     ) {
-        if (now - startedAt < FIRST_HEARTBEATS_MILLISECONDS) return
+        if (now < electionsFrom) return
         val own = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
         val isWanted = board.controllerFor(domain.failureDomain, own, domain.term, now) == settings.daemon
         domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
@@ -410,8 +414,9 @@
     private companion object {
         val TICK: Duration = Duration.ofMillis(50)
 
-        /** Long enough to hear of the peers that are there, so that control isn't taken from one that has it. */
-        const val FIRST_HEARTBEATS_MILLISECONDS = 800L
+        /** Long enough to hear of the peers that are known, so that control isn't taken from one that has it. */
+        const val FIRST_HEARTBEATS_MILLISECONDS = 400L
+        const val PAUSE_MILLISECONDS = 500L
 
         /** How long a broken group is remembered; its name is never used again. */
         const val BROKEN_MILLISECONDS = 5_000L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -4,6 +4,7 @@
  */
 package org.vanillalink.gateway.control
 
+import arrow.core.Either
 import org.vanillalink.gateway.logs.EventLines
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
@@ -35,6 +36,9 @@
     private var isAsking = false
     private var askAgainAt = 0L
 
+    /** The greatest term that this daemon has heard of. */
+    private var knownTerm = 0L
+
     /** The term that this daemon holds, or 0. */
     var term = 0L
         private set
@@ -44,8 +48,8 @@
         isWanted: Boolean,
         claimed: Long?,
     ) {
-        val current = state
-        if (current != null) {
+        if (claimed != null) knownTerm = maxOf(knownTerm, claimed)
+        if (state != null) {
             if (claimed != null && claimed > term) giveUp("peer-holds-term-$claimed")
             if (!isWanted && state != null) giveUp("another-daemon-should-control")
             return
@@ -83,20 +87,29 @@
     }
 
     private fun write(row: Row?) {
-        val next = (row?.value?.substringBefore(' ')?.toLongOrNull() ?: 0) + 1
+        val standing = row?.value?.substringBefore(' ')?.toLongOrNull() ?: 0
+        if (standing > knownTerm) {
+            // Its holder may live and not have been heard of yet.
+            knownTerm = standing
+            isAsking = false
+            askAgainAt = clock.steady() + HEAR_HOLDER_MILLISECONDS
+            return
+        }
+        val next = standing + 1
         val mark = "$next $daemon ${clock.wall()}"
         val write = ConditionalWrite(key, row?.version ?: ConditionalWrite.ABSENT, mark)
-        table.transact(listOf(write)).thenAccept { result ->
-            thread.execute {
-                result.fold(
-                    { failure -> if (failure is StoreFailure.AnswerLost) readBack(next, mark) else failed(failure) },
-                ) {
-                    if (it is TransactionResult.Committed) won(next) else failed(StoreFailure.Unavailable)
-                }
-            }
-        }
+        table.transact(listOf(write)).thenAccept { result -> thread.execute { written(next, mark, result) } }
     }
 
+    private fun written(
+        next: Long,
+        mark: String,
+        result: Either<StoreFailure, TransactionResult>,
+    ) = result.fold(
+        { failure -> if (failure is StoreFailure.AnswerLost) readBack(next, mark) else failed(failure) },
+        { if (it is TransactionResult.Committed) won(next) else failed(StoreFailure.Unavailable) },
+    )
+
     /** The write may have taken effect although its answer was lost. */
     private fun readBack(
         next: Long,
@@ -105,13 +118,7 @@
         table.read(setOf(key)).thenAccept { result ->
             thread.execute {
                 result.fold(::failed) { rows ->
-                    if (rows[key]?.value ==
-                        mark
-                    ) {
-                        won(next)
-                    } else {
-                        failed(StoreFailure.Unavailable)
-                    }
+                    if (rows[key]?.value == mark) won(next) else failed(StoreFailure.Unavailable)
                 }
             }
         }
@@ -134,5 +141,8 @@
         /** More than a term can use at one formation a millisecond for a quarter of an hour. */
         const val EPOCHS_PER_TERM = 1_000_000L
         const val ASK_AGAIN_MILLISECONDS = 500L
+
+        /** Several heartbeats and the time in which daemons find each other. */
+        const val HEAR_HOLDER_MILLISECONDS = 900L
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -86,7 +86,7 @@
         val PAUSE: Duration = Duration.ofMillis(200)
 
         /** Bounds the age of what is known when nothing changes. */
-        val WAIT: Duration = Duration.ofMillis(1_500)
+        val WAIT: Duration = Duration.ofMillis(1_000)
         const val BACKOFF_AT_MOST = 4
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -36,6 +36,7 @@
     @Volatile
     private var hasTraffic = false
     private var tidiedAt = 0L
+    private var watchedAt = 0L
 
     init {
         loops.schedule(WATCH, ::watch)
@@ -77,6 +78,8 @@
 
     private fun watch() {
         val at = now()
+        if (at - watchedAt > PAUSE_MILLISECONDS) state.stalls.resumed(at)
+        watchedAt = at
         val stalled = state.watch(at)
         standing = active.groupsAt(stalled.keys)
         active.stalled(state.unreachableTargets(), "path-cut")
@@ -93,6 +96,9 @@
     private companion object {
         val WATCH: Duration = Duration.ofMillis(50)
 
+        /** A process that paused so long has not read what came meanwhile. */
+        const val PAUSE_MILLISECONDS = 250L
+
         /** A group that no controller has judged by now is left all the same: callers leave a stream after 2 s. */
         const val GIVEN_UP_MILLISECONDS = 1_200L
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/StallWatch.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/StallWatch.kt
@@ -42,6 +42,11 @@
         if (current.outstanding <= 0) progress.remove(target)
     }
 
+    /** This process has paused until [now]: what came meanwhile is still to be read. */
+    fun resumed(now: Long) {
+        progress.values.forEach { it.lastByteAt = now }
+    }
+
     /** Targets with requests under way. */
     fun outstanding(): Set<HostId> = progress.keys.toSet()
 
@@ -52,6 +57,6 @@
 
     private companion object {
         /** A pass of five steps with a full batch and a piece of prompt takes up to 150 ms by the engine's figures. */
-        const val STALL_MILLISECONDS = 300L
+        const val STALL_MILLISECONDS = 250L
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -16,6 +16,12 @@
      * pause after which a stall is noticed together with the first question's timeout.
      */
     val pathProofMilliseconds: Long = 400,
+    /**
+     * How long entries that lapsed together may take to come back once their targets answer: two heartbeats and a bit.
+     */
+    val relistMilliseconds: Long = 3_000,
+    /** How many members unlisted at once may mean that the failure domain was cut off. */
+    val massLapse: Int = 4,
     /** Pause between two questions whether a member is ready. */
     val pollMilliseconds: Long = 100,
     /** How long members with the model in memory take to join. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -64,6 +64,9 @@
     val rosters: Map<GroupKey, Roster> = emptyMap(),
     /** When a target of the failure domain last answered anything: while none does, silence proves nothing. */
     val answeredAt: Long = Long.MIN_VALUE,
+    /** Since when unlisted heads have answered, and when many members were last unlisted at once. */
+    val unlistedAliveSince: Map<TargetRun, Long> = emptyMap(),
+    val massLapseAt: Long = Long.MIN_VALUE / 2,
     /** The targets listed, and when the last new one came. */
     val known: Set<HostId> = emptySet(),
     val lastNewAt: Long = 0,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -102,6 +102,7 @@
                 dissolved = state.dissolved.filter { (key, at) -> at > oldest || key in rosters },
                 silent = state.silent.filterKeys { it in runs },
                 unanswered = state.unanswered.filterKeys { it in runs },
+                unlistedAliveSince = state.unlistedAliveSince.filterKeys { it in runs && it.id !in view.entries },
                 standby = state.standby.filter { (id, standby) -> id in view.entries && standby.until > now },
                 known = view.entries.keys,
                 lastNewAt = if (state.known.containsAll(view.entries.keys)) state.lastNewAt else now,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -112,7 +112,7 @@
     private fun unlistedHead(entry: TargetEntry) {
         val membership = entry.membership ?: return
         val serves = membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING
-        if (entry.id in work.state.known || membership.rank != 0 || !serves) return
+        if (entry.id in work.state.known || membership.rank != 0 || !serves || isRelisting(entry)) return
         work.dissolve(GroupKey(membership.group, membership.epoch), entry, "head-not-listed", isGentle = true)
     }
 
@@ -131,6 +131,20 @@
         if (head.membership?.state == MemberState.OPEN) work.dissolve(key, head, "member-strayed", isGentle = false)
     }
 
+    /** After a cut of the whole failure domain its entries come back one by one. */
+    private fun isRelisting(entry: TargetEntry): Boolean {
+        val since = work.state.unlistedAliveSince[entry.run] ?: work.now
+        work.state = work.state.copy(unlistedAliveSince = work.state.unlistedAliveSince + (entry.run to since))
+        val members =
+            work.state.rosters.values
+                .flatMap { it.members.keys }
+        val unlisted = members.count { it !in work.state.known }
+        val isMassLapse = unlisted >= work.settings.massLapse && unlisted * MASS_LAPSE_PART >= members.size
+        if (isMassLapse) work.state = work.state.copy(massLapseAt = work.now)
+        val lapsedLately = work.now - work.state.massLapseAt < work.settings.relistMilliseconds
+        return lapsedLately && work.now - since < work.settings.relistMilliseconds
+    }
+
     private fun progress(
         formation: Formation,
         entry: TargetEntry,
@@ -169,4 +183,9 @@
         )
         work.update(formation.copy(phase = FormationPhase.OPENED, phaseSince = work.now))
     }
+
+    private companion object {
+        /** One in so many members unlisted at once is no chance of single targets. */
+        const val MASS_LAPSE_PART = 3
+    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -61,7 +61,8 @@
             others.map { Contender(it.daemon, it.failureDomain, it.storeAge, it.isLeaving, termOf(it, domain)) } +
                 Contender(own.daemon, own.failureDomain, own.storeAge, own.isLeaving, ownTerm)
         val staying = candidates.filterNot { it.isLeaving }
-        val able = staying.filter { it.storeAge < STORE_AGE_MILLISECONDS }.ifEmpty { staying }
+        val reaching = staying.filter { it.storeAge < STORE_FRESH_MILLISECONDS }
+        val able = if (reaching.isEmpty()) staying else staying.filter { it.storeAge < STORE_LOST_MILLISECONDS }
         val near = able.filter { it.failureDomain == domain }.ifEmpty { able }
         val holder = near.filter { it.term > 0 }.maxByOrNull { it.term }
         return (holder ?: near.minByOrNull { rank(domain, it.daemon) })?.daemon
@@ -108,7 +109,13 @@
         /** Longer than the window of any budget that daemons share. */
         const val SHARER_MILLISECONDS = 12_000L
 
-        /** Longer than two waits for changes that end without one. */
-        const val STORE_AGE_MILLISECONDS = 2_500L
+        /** A daemon that reaches the store is answered at least once in a wait for changes. */
+        const val STORE_FRESH_MILLISECONDS = 1_500L
+
+        /**
+         * Daemons that lose the store together don't notice at the same moment. The difference between both bounds is
+         * larger than a wait for changes, so that none of them takes another for one that still reaches it.
+         */
+        const val STORE_LOST_MILLISECONDS = 2_900L
     }
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -52,6 +52,9 @@
     var isCutOff = false
     var cutOffAt = 0L
 
+    /** After a cut, runners come back to the registry one by one. */
+    var cutOffUntil = 0L
+
     /** Whether the controller has followed the registry for long. */
     var knowsFormer = true
     private val lastListed = HashMap<HostId, TargetEntry>()
@@ -157,10 +160,15 @@
 
     private fun listed(): Map<HostId, TargetEntry> = runners.values
         .filter {
-            !(isCutOff && now - cutOffAt > LAPSE) && !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE)
+            !isLapsed(it) && !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE)
         }.associate { runner -> runner.id to entryOf(runner) }
         .also { lastListed.putAll(it) }
 
+    private fun isLapsed(runner: FakeRunner): Boolean {
+        val backAt = cutOffUntil + runners.keys.indexOf(runner.id) * HEARTBEAT / runners.size
+        return cutOffUntil - cutOffAt > LAPSE && now - cutOffAt > LAPSE && now < backAt
+    }
+
     private fun entryOf(runner: FakeRunner): TargetEntry =
         entry(runner.id.value, runner.fabricDomain, runner.bornAt).copy(
             model = runner.model,
@@ -313,5 +321,6 @@
 
         /** Three heartbeats. */
         const val LAPSE = 3_600L
+        const val HEARTBEAT = 1_200L
     }
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -178,6 +178,7 @@
     private fun FakeFleet.cutOff(milliseconds: Long) {
         isCutOff = true
         cutOffAt = now
+        cutOffUntil = now + milliseconds
         val groups = serving()
         run(400)
         groups.forEach { feed(GroupEvent.Suspected(it.key, view())) }
