Decide only by what was read after control was taken

Ruled out: epochs (the new one was greater, as it must); late orders. Change: taking control reads all targets anew, and nothing is decided or announced before an answer that was asked for afterwards.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -83,11 +83,16 @@
     private val listed =
         RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::targetsChanged, ::storeAnswered)
     private val domains =
-        settings.failureDomains.associateWith { DomainControl(it, settings.daemon, table, thread, lines, clock) }
+        settings.failureDomains.associateWith {
+            DomainControl(it, settings.daemon, table, thread, lines, clock, listed::refresh)
+        }
     private var electionsFrom = clock.steady() + FIRST_HEARTBEATS_MILLISECONDS
     private var lastTickAt = clock.steady()
     private var storeAnsweredAt = clock.steady()
 
+    /** Entries are as of this time or later. */
+    private var targetsKnownAt = Long.MIN_VALUE
+
     /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
     val isReady: Boolean
         get() = !isLeaving && catalog != null && freshness.isFresh(clock.reading(), keyBound())
@@ -240,6 +245,7 @@
         sentAt: ClockReading,
     ) {
         storeAnsweredAt = clock.steady()
+        if (part == RegistryPart.TARGETS) targetsKnownAt = maxOf(targetsKnownAt, sentAt.steadyMilliseconds)
         if (part == RegistryPart.OPERATORS) freshness = freshness.proved(sentAt)
     }
 
@@ -271,7 +277,9 @@
         advance(domain)
     }
 
+    /** What another daemon did while it had control must be known before anything is decided. */
     private fun advance(domain: DomainControl) {
+        if (targetsKnownAt <= domain.takenAt) return
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
@@ -348,8 +356,10 @@
         domain: DomainControl,
         decision: GroupDecision.AskReport,
     ) {
+        val term = domain.term
         targets.report(decision.target).thenAccept { result ->
             thread.execute {
+                if (domain.term != term) return@execute
                 carryOut(domain, domain.apply(GroupEvent.ReportAnswered(decision.target.id, result)))
                 advance(domain)
                 publish()
@@ -358,7 +368,7 @@
     }
 
     private fun ownDomains(): List<ControlledDomain> = domains.values.mapNotNull { domain ->
-        view(domain.failureDomain)?.let(domain::announced)
+        view(domain.failureDomain)?.let { domain.announced(it, isKnown = targetsKnownAt > domain.takenAt) }
     }
 
     private fun publish() {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -29,6 +29,7 @@
     private val thread: ControlThread,
     private val lines: EventLines,
     private val clock: EntryClock,
+    private val onTaken: () -> Unit,
 ) {
     private val controller = GroupController()
     private val key = RowKey("control/${failureDomain.value}")
@@ -39,6 +40,10 @@
     /** The greatest term that this daemon has heard of. */
     private var knownTerm = 0L
 
+    /** When this daemon last took control, on the steady clock. */
+    var takenAt = 0L
+        private set
+
     /** The term that this daemon holds, or 0. */
     var term = 0L
         private set
@@ -67,8 +72,12 @@
     }
 
     /** The groups that serve, where this daemon has control. */
-    fun announced(view: DomainView): ControlledDomain? {
+    fun announced(
+        view: DomainView,
+        isKnown: Boolean,
+    ): ControlledDomain? {
         val current = state ?: return null
+        if (!isKnown) return ControlledDomain(failureDomain, term, null, emptySet())
         val broken = controller.broken(current, clock.steady())
         return ControlledDomain(failureDomain, term, controller.serving(current, view), broken)
     }
@@ -127,6 +136,8 @@
     private fun won(next: Long) {
         isAsking = false
         term = next
+        takenAt = clock.steady()
+        onTaken()
         state = GroupControlState(nextEpoch = next * EPOCHS_PER_TERM, loadAllowanceAt = clock.steady())
         lines.record("control-taken", "failureDomain" to failureDomain, "term" to term)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -30,6 +30,22 @@
 
     fun start() = thread.execute(::next)
 
+    /** Reads all anew beside following changes, for a decision that needs to know how things stand now. */
+    fun refresh() {
+        val sentAt = clock.reading()
+        registry.readAll(part).thenAccept { result ->
+            thread.execute {
+                result.onRight { all ->
+                    answered(part, sentAt)
+                    if (all.version >= (version ?: Long.MAX_VALUE)) {
+                        version = all.version
+                        changed(all.records, true)
+                    }
+                }
+            }
+        }
+    }
+
     private fun next() {
         val sentAt = clock.reading()
         val known = version
@@ -55,8 +71,9 @@
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::failed) { some ->
         succeeded(sentAt)
+        val isOld = some.version < (version ?: 0)
         version = maxOf(version ?: 0, some.version)
-        if (some.records.isNotEmpty()) changed(some.records, false)
+        if (some.records.isNotEmpty() && !isOld) changed(some.records, false)
         again(PAUSE)
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -32,7 +32,8 @@
 data class ControlledDomain(
     val failureDomain: FailureDomainId,
     val term: Long,
-    val groups: List<AnnouncedGroup>,
+    /** Null where the controller has not yet read how things stand. */
+    val groups: List<AnnouncedGroup>?,
     /** Groups that lost a member: work in progress there won't end. */
     val broken: Set<GroupKey>,
 )
