--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -60,9 +60,7 @@
     private val lines: EventLines,
     private val clock: EntryClock,
 ) {
-    private var catalog: Catalog? = null
-    private var directory = TargetDirectory()
-    private var evacuated: Set<FailureDomainId> = emptySet()
+    private val knowledge = RegistryKnowledge(lines, clock, settings.bounds.relistMilliseconds)
     private var board = PeerBoard()
     private var lastBroken: Set<GroupKey> = emptySet()
     private val brokenUntil = HashMap<GroupKey, Long>()
@@ -79,9 +77,9 @@
     var onChange: () -> Unit = {}
 
     private val operators =
-        RegistryFollower(RegistryPart.OPERATORS, registry, thread, clock, lines, ::operatorsChanged, ::storeAnswered)
+        RegistryFollower(RegistryPart.OPERATORS, registry, thread, clock, lines, ::changed, ::storeAnswered)
     private val listed =
-        RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::targetsChanged, ::storeAnswered)
+        RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::changed, ::storeAnswered)
     private val domains =
         settings.failureDomains.associateWith {
             DomainControl(it, settings.daemon, table, thread, lines, clock, listed::refresh)
@@ -95,13 +93,13 @@
 
     /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
     val isReady: Boolean
-        get() = !isLeaving && catalog != null && freshness.isFresh(clock.reading(), keyBound())
+        get() = !isLeaving && knowledge.catalog != null && freshness.isFresh(clock.reading(), keyBound())
 
     /** How old the knowledge of keys may be, in milliseconds. */
     fun keyBound(): Long = settings.bounds.revocationMilliseconds - KEY_MARGIN_MILLISECONDS
 
     /** The version of the configuration in force, or null. */
-    val configurationVersion: Long? get() = catalog?.configuration?.version
+    val configurationVersion: Long? get() = knowledge.catalog?.configuration?.version
 
     /** Starts following the registry and ticking. */
     fun start() {
@@ -145,101 +143,14 @@
         controlled = ownDomains(),
     )
 
-    private fun operatorsChanged(
+    private fun changed(
         records: List<RegistryRecord>,
-        isWhole: Boolean,
+        read: RegistryRead,
     ) {
-        if (isWhole) evacuated = emptySet()
-        records.forEach { record ->
-            when (record) {
-                is RegistryRecord.Configuration -> {
-                    configured(record)
-                }
-
-                is RegistryRecord.Evacuated -> {
-                    evacuated = evacuated + record.failureDomain
-                }
-
-                is RegistryRecord.TakenBack -> {
-                    evacuated = evacuated - record.failureDomain
-                }
-
-                is RegistryRecord.Unreadable -> {
-                    lines.record(
-                        "record-unreadable",
-                        "key" to record.key,
-                        "reason" to record.reason,
-                    )
-                }
-
-                is RegistryRecord.Listed, is RegistryRecord.Removed -> {
-                    Unit
-                }
-            }
-        }
-        if (records.any { it is RegistryRecord.Evacuated || it is RegistryRecord.TakenBack }) {
-            lines.record("evacuation", "failureDomains" to evacuated.joinToString(","))
-        }
+        knowledge.apply(records, read)
         publish()
     }
 
-    private fun configured(record: RegistryRecord.Configuration) {
-        val before = catalog
-        catalog = before?.advance(record.configuration) ?: Catalog(record.configuration)
-        if (catalog !== before) {
-            lines.record(
-                "configuration-in-force",
-                "version" to configurationVersion,
-                "before" to before?.configuration?.version,
-            )
-        }
-    }
-
-    private fun targetsChanged(
-        records: List<RegistryRecord>,
-        isWhole: Boolean,
-    ) {
-        if (isWhole) {
-            val entries = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry }
-            directory = directory.replaced(entries, clock.steady() + settings.bounds.relistMilliseconds)
-        }
-        records.forEach { record ->
-            when (record) {
-                is RegistryRecord.Listed -> listed(record)
-                is RegistryRecord.Removed -> removed(record.target)
-                is RegistryRecord.Unreadable -> unreadable(record)
-                else -> Unit
-            }
-        }
-        publish()
-    }
-
-    private fun listed(record: RegistryRecord.Listed) {
-        val before = directory.entries[record.entry.id]
-        if (before?.run != record.entry.run || before.isLeaving != record.entry.isLeaving) {
-            lines.record(
-                "target-listed",
-                "target" to record.entry.id,
-                "service" to record.entry.service,
-                "failureDomain" to record.entry.failureDomain,
-                "fabricDomain" to record.entry.fabricDomain,
-                "leaving" to record.entry.isLeaving,
-                "coldMs" to record.entry.coldMilliseconds,
-            )
-        }
-        directory = directory.listed(record.entry)
-    }
-
-    private fun removed(target: HostId) {
-        if (target in directory.entries) lines.record("target-removed", "target" to target)
-        directory = directory.removed(target, clock.steady())
-    }
-
-    private fun unreadable(record: RegistryRecord.Unreadable) {
-        lines.record("record-unreadable", "key" to record.key, "reason" to record.reason)
-        directory = directory.removed(HostId(record.key), clock.steady())
-    }
-
     private fun storeAnswered(
         part: RegistryPart,
         sentAt: ClockReading,
@@ -256,11 +167,7 @@
         // After a pause of the process no peer seems alive until its next heartbeat has been read.
         if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
         lastTickAt = now
-        val expired = directory.expired(now)
-        if (expired !== directory) {
-            (directory.entries.keys - expired.entries.keys).forEach { lines.record("target-expired", "target" to it) }
-            directory = expired
-        }
+        knowledge.expire(now)
         traffic.suspects().forEach(::suspect)
         domains.values.forEach { domain -> tick(domain, now) }
         publish()
@@ -285,10 +192,14 @@
     }
 
     private fun view(failureDomain: FailureDomainId): DomainView? {
-        val service = catalog?.configuration?.services?.firstOrNull { it.engine != null } ?: return null
+        val service =
+            knowledge.catalog
+                ?.configuration
+                ?.services
+                ?.firstOrNull { it.engine != null } ?: return null
         val isInside = { entry: TargetEntry -> entry.failureDomain == failureDomain && entry.service == service.name }
-        val entries = directory.entries.filterValues(isInside)
-        val former = directory.former.filterValues(isInside)
+        val entries = knowledge.directory.entries.filterValues(isInside)
+        val former = knowledge.directory.former.filterValues(isInside)
         return DomainView(
             failureDomain,
             entries,
@@ -379,14 +290,14 @@
         val groups = settings.failureDomains.flatMap { domain -> routable(domain, announced[domain]) }
         traffic.publish(
             TrafficView(
-                catalog = catalog,
+                catalog = knowledge.catalog,
                 groups = groups.filter { it.key !in brokenUntil },
                 broken = brokenUntil.keys.toSet(),
                 plainTargets =
-                    directory.entries.values
+                    knowledge.directory.entries.values
                         .filter { it.model == null && it.fabricDomain == null }
                         .groupBy { it.service },
-                evacuated = evacuated,
+                evacuated = knowledge.evacuated,
                 sharers = board.sharers(now),
             ),
         )
@@ -402,7 +313,7 @@
     ): List<RoutableGroup> {
         val groups = announced?.groups ?: listedGroups(failureDomain)
         return groups.mapNotNull { group ->
-            val head = directory.entries[group.members.first()] ?: return@mapNotNull null
+            val head = knowledge.directory.entries[group.members.first()] ?: return@mapNotNull null
             if (head.isLeaving) null else RoutableGroup(group.key, group.model, head)
         }
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -21,13 +21,16 @@
     private val thread: ControlThread,
     private val clock: EntryClock,
     private val lines: EventLines,
-    private val changed: (records: List<RegistryRecord>, isWhole: Boolean) -> Unit,
+    private val changed: (records: List<RegistryRecord>, read: RegistryRead) -> Unit,
     private val answered: (part: RegistryPart, sentAt: ClockReading) -> Unit,
 ) {
     private var version: Long? = null
     private var failures = 0
     private var failedSince: Long? = null
 
+    /** Whether the store gave no answer since the last one. */
+    private var wasAway = false
+
     fun start() = thread.execute(::next)
 
     /** Reads all anew beside following changes, for a decision that needs to know how things stand now. */
@@ -39,7 +42,7 @@
                     answered(part, sentAt)
                     if (all.version >= (version ?: Long.MAX_VALUE)) {
                         version = all.version
-                        changed(all.records, true)
+                        changed(all.records, RegistryRead.WHOLE)
                     }
                 }
             }
@@ -60,9 +63,10 @@
         sentAt: ClockReading,
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::failed) { all ->
+        val read = if (wasAway) RegistryRead.WHOLE_AFTER_OUTAGE else RegistryRead.WHOLE
         succeeded(sentAt)
         version = all.version
-        changed(all.records, true)
+        changed(all.records, read)
         again(PAUSE)
     }
 
@@ -73,13 +77,14 @@
         succeeded(sentAt)
         val isOld = some.version < (version ?: 0)
         version = maxOf(version ?: 0, some.version)
-        if (some.records.isNotEmpty() && !isOld) changed(some.records, false)
+        if (some.records.isNotEmpty() && !isOld) changed(some.records, RegistryRead.CHANGES)
         again(PAUSE)
     }
 
     private fun succeeded(sentAt: ClockReading) {
         failedSince?.let { lines.record("registry-regained", "part" to part, "afterMs" to clock.steady() - it) }
         failedSince = null
+        wasAway = false
         failures = 0
         answered(part, sentAt)
     }
@@ -93,6 +98,7 @@
         version = null
         failures += 1
         val isHistory = failure is RegistryFailure.HistoryLost
+        if (!isHistory) wasAway = true
         again(if (isHistory) PAUSE else PAUSE.multipliedBy(minOf(failures, BACKOFF_AT_MOST).toLong()))
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
@@ -0,0 +1,120 @@
+/*
+ * What this daemon knows from the registry: the configuration, the targets, and what is evacuated. Each change of
+ * belief is written down.
+ */
+package org.vanillalink.gateway.control
+
+import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.ports.RegistryRecord
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.catalog.Catalog
+import org.vanillalink.serving.catalog.ServingConfiguration
+import org.vanillalink.serving.targets.TargetDirectory
+import org.vanillalink.serving.targets.TargetEntry
+
+/** What a set of records stands for. */
+internal enum class RegistryRead {
+    /** What has changed. */
+    CHANGES,
+
+    /** All that there is; what is missing was removed. */
+    WHOLE,
+
+    /** All that there is after a time without answers; what is missing may come back. */
+    WHOLE_AFTER_OUTAGE,
+}
+
+/** Lives on the control thread. Entries that lapsed in an outage are kept for [relistMilliseconds]. */
+internal class RegistryKnowledge(
+    private val lines: EventLines,
+    private val clock: EntryClock,
+    private val relistMilliseconds: Long,
+) {
+    var catalog: Catalog? = null
+        private set
+    var directory = TargetDirectory()
+        private set
+    var evacuated: Set<FailureDomainId> = emptySet()
+        private set
+
+    /** Takes over [records]. */
+    fun apply(
+        records: List<RegistryRecord>,
+        read: RegistryRead,
+    ) {
+        val before = evacuated
+        if (read != RegistryRead.CHANGES) replace(records, read)
+        records.forEach(::apply)
+        if (evacuated != before) lines.record("evacuation", "failureDomains" to evacuated.joinToString(","))
+    }
+
+    /** Drops entries that have been missing for too long at [now]. */
+    fun expire(now: Long) {
+        val left = directory.expired(now)
+        (directory.entries.keys - left.entries.keys).forEach { lines.record("target-expired", "target" to it) }
+        directory = left
+    }
+
+    private fun replace(
+        records: List<RegistryRecord>,
+        read: RegistryRead,
+    ) {
+        val isOfOperators = records.any { it is RegistryRecord.Configuration || it is RegistryRecord.Evacuated }
+        if (isOfOperators) {
+            evacuated = emptySet()
+            return
+        }
+        val now = clock.steady()
+        val until = if (read == RegistryRead.WHOLE_AFTER_OUTAGE) now + relistMilliseconds else now
+        val entries = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry }
+        directory = directory.replaced(entries, until)
+        expire(now)
+    }
+
+    private fun apply(record: RegistryRecord) {
+        when (record) {
+            is RegistryRecord.Configuration -> configured(record.configuration)
+            is RegistryRecord.Evacuated -> evacuated = evacuated + record.failureDomain
+            is RegistryRecord.TakenBack -> evacuated = evacuated - record.failureDomain
+            is RegistryRecord.Listed -> listed(record.entry)
+            is RegistryRecord.Removed -> removed(record.target)
+            is RegistryRecord.Unreadable -> unreadable(record)
+        }
+    }
+
+    private fun configured(configuration: ServingConfiguration) {
+        val before = catalog
+        val after = before?.advance(configuration) ?: Catalog(configuration)
+        if (after === before) return
+        catalog = after
+        val version = after.configuration.version
+        lines.record("configuration-in-force", "version" to version, "before" to before?.configuration?.version)
+    }
+
+    private fun listed(entry: TargetEntry) {
+        val before = directory.entries[entry.id]
+        if (before?.run != entry.run || before.isLeaving != entry.isLeaving) {
+            lines.record(
+                "target-listed",
+                "target" to entry.id,
+                "service" to entry.service,
+                "failureDomain" to entry.failureDomain,
+                "fabricDomain" to entry.fabricDomain,
+                "leaving" to entry.isLeaving,
+                "coldMs" to entry.coldMilliseconds,
+            )
+        }
+        directory = directory.listed(entry)
+    }
+
+    private fun removed(target: HostId) {
+        if (target in directory.entries) lines.record("target-removed", "target" to target)
+        directory = directory.removed(target, clock.steady())
+    }
+
+    private fun unreadable(record: RegistryRecord.Unreadable) {
+        lines.record("record-unreadable", "key" to record.key, "reason" to record.reason)
+        directory = directory.removed(HostId(record.key), clock.steady())
+    }
+}
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
@@ -102,6 +102,7 @@
         logger.info { KeyValueLine.of(all.filter { it.second != null }) }
     }
 
+    @Suppress("SpreadOperator")
     private fun timer(
         kind: String,
         outcome: String,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -47,7 +47,14 @@
         val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, marks, now, answer)
         if (rejection == null) return
         val outcome = RefusalOutcome.NOT_RUN
-        val retryAfter = if (rejection.reason.status == STATUS_UNAVAILABLE) ProxiedCall.ELSEWHERE_RETRY_AFTER else null
+        val retryAfter =
+            if (rejection.reason.status ==
+                STATUS_UNAVAILABLE
+            ) {
+                AdmittedRequest.ELSEWHERE_RETRY_AFTER
+            } else {
+                null
+            }
         context.log.rejected(marks, request.path, rejection.reason, rejection.detail)
         answer.refuse(
             Refusal(rejection.reason, outcome, rejection.detail, retryAfter),
@@ -66,15 +73,20 @@
     ): Rejected? {
         val isFresh = knowledge.isFresh()
         val route = catalog.route(marks.host, request.path) ?: return if (isFresh) NO_ROUTE else STALE
-        val needsKey = catalog.needsKeys && !route.isPublic
-        if (needsKey && !isFresh) return STALE
         val workspace = marks.key?.let(catalog::workspace)
-        if (needsKey && workspace == null) return UNKNOWN_KEY
+        val needsKey = catalog.needsKeys && !route.isPublic
+        if (needsKey && (!isFresh || workspace == null)) return if (isFresh) UNKNOWN_KEY else STALE
         val service = chooseService(catalog, route) ?: return NO_SERVICE
-        val fingerprint = fingerprint(request, marks)
         context.state.requested(service.name, now)
-        if (context.state.failures.refuses(fingerprint, now)) return REPEATED_FAILURE
-        start(admitted(request, marks, route, service, workspace, now, fingerprint), answer)
+        return begin(admitted(request, marks, route, service, workspace, now), answer)
+    }
+
+    private fun begin(
+        admitted: AdmittedRequest,
+        answer: AnswerWriter,
+    ): Rejected? {
+        if (context.state.failures.refuses(admitted.fingerprint, admitted.arrivedAt)) return REPEATED_FAILURE
+        start(admitted, answer)
         return null
     }
 
@@ -85,7 +97,6 @@
         service: ServiceDefinition,
         workspace: Workspace?,
         now: Long,
-        fingerprint: RequestFingerprint,
     ): AdmittedRequest {
         val deadline = marks.deadlineMilliseconds ?: route.timeoutMilliseconds
         val patience = if (route.timeoutMilliseconds > 0) minOf(deadline, route.timeoutMilliseconds) else deadline
@@ -98,7 +109,7 @@
             arrivedAt = now,
             answerBy = now + patience,
             callerDeadline = now + deadline,
-            fingerprint = fingerprint,
+            fingerprint = fingerprint(request, marks),
         )
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/PlainCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/PlainCall.kt
@@ -46,7 +46,7 @@
         releaseTarget()
         mayHaveRun = true
         val failedOnTarget = status >= SERVER_ERROR
-        if (failedOnTarget && request.route.mayRepeat && now < request.answerBy && mayTryAgain()) {
+        if (failedOnTarget && mayRepeat()) {
             trail.append("!$status")
             keepAnswer()
             attempt(null)
@@ -78,7 +78,7 @@
     override fun attemptLost(reason: String) {
         mayHaveRun = true
         trail.append("!$reason")
-        if (request.route.mayRepeat && now < request.answerBy && mayTryAgain()) attempt(null) else noTarget()
+        if (mayRepeat()) attempt(null) else noTarget()
     }
 
     override fun noTarget() {
@@ -94,7 +94,7 @@
     /** A repeatable request that waits far longer than usual gets another target while there is time. */
     private fun tryElsewhere() {
         if (isEnded || currentTarget == null) return
-        if (now + patience() / 2 > request.answerBy || !mayTryAgain()) return
+        if (now + patience() / 2 > request.answerBy || !mayRepeat()) return
         trail.append("!slow")
         mayHaveRun = true
         currentTarget?.let { context.state.avoid(it, now) }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -30,20 +30,6 @@
 import org.vanillalink.transport.refuse
 import java.time.Duration
 
-/** A request that has passed all checks. */
-internal class AdmittedRequest(
-    val message: HttpRequestMessage,
-    val marks: CallMarks,
-    val route: Route,
-    val service: ServiceDefinition,
-    val workspace: Workspace?,
-    val arrivedAt: Long,
-    /** When the final answer is due at the latest, in milliseconds on the steady clock. */
-    val answerBy: Long,
-    val callerDeadline: Long,
-    val fingerprint: RequestFingerprint,
-)
-
 /** Carries [request] to its answer. */
 internal abstract class ProxiedCall(
     protected val context: TrafficContext,
@@ -92,7 +78,7 @@
 
     /** Tries the next target; [lastEventId] is what the caller has of a stream. */
     protected fun attempt(lastEventId: Long?) {
-        val chosen = choose()
+        val chosen = context.state.choose(request.service, request.marks.model, tried, now)
         if (chosen == null) trail.append('!').append(context.state.describe(request.service, request.marks.model, now))
         if (chosen == null || !takeAttempt()) {
             noTarget()
@@ -126,14 +112,6 @@
         return true
     }
 
-    private fun choose(): ChosenTarget? {
-        val model = request.marks.model
-        if (request.service.engine == null || model == null) {
-            return context.state.choosePlain(request.service, tried, now)
-        }
-        return context.state.chooseGroup(request.service, model, tried, now)
-    }
-
     /** Whether [listenerGeneration] belongs to the attempt under way. */
     fun isCurrent(listenerGeneration: Int): Boolean =
         !ended && listenerGeneration == generation && currentTarget != null
@@ -209,11 +187,13 @@
             attempts -= 1
             sent -= 1
         }
-        if (now < request.answerBy && mayTryAgain()) attempt(resumeFrom()) else noTarget()
+        val mayTry = now < request.answerBy && attempts < request.route.attempts
+        if (mayTry) attempt(resumeFrom()) else noTarget()
     }
 
-    /** Whether the route allows another target. */
-    protected fun mayTryAgain(): Boolean = attempts < request.route.attempts
+    /** Whether the request may run once more at another target. */
+    protected fun mayRepeat(): Boolean =
+        request.route.mayRepeat && now < request.answerBy && attempts < request.route.attempts
 
     protected open fun resumeFrom(): Long? = null
 
@@ -233,20 +213,11 @@
     ) {
         if (ended) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) comeBack() else null
+        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) request.retryAfter(now) else null
         finish(reason.problemType, reason.status)
         answer.refuse(Refusal(reason, outcome, detail, retryAfter), request.marks.requestId, RetryAfterPrecision.TENTHS)
     }
 
-    /**
-     * When room is likely: engines work off a batch, or groups form anew, in a second or two; plain services sooner.
-     */
-    private fun comeBack(): Duration {
-        val usual = if (request.service.engine == null) PLAIN_RETRY_AFTER else ENGINE_RETRY_AFTER
-        val left = Duration.ofMillis(maxOf(0, request.callerDeadline - now))
-        return minOf(usual, left.dividedBy(RETRY_AFTER_SHARE_OF_REST))
-    }
-
     /** Ends the call; [outcome] goes into the log. */
     protected fun finish(
         outcome: String,
@@ -291,14 +262,6 @@
     }
 
     companion object {
-        /** Another daemon may know better at once. */
-        val ELSEWHERE_RETRY_AFTER: Duration = Duration.ofMillis(300)
-        private val ENGINE_RETRY_AFTER: Duration = Duration.ofMillis(1_500)
-        private val PLAIN_RETRY_AFTER: Duration = Duration.ofMillis(200)
-
-        /** Callers wait at most a third of the time that they have left. */
-        private const val RETRY_AFTER_SHARE_OF_REST = 3L
-
         private val SUCCESS = 200..299
 
         /** The call's own timeout ends it first. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -87,8 +87,7 @@
     override fun attemptLost(reason: String) {
         mayHaveRun = true
         trail.append("!$reason")
-        val again = request.route.mayRepeat && now < request.answerBy && mayTryAgain()
-        if (again) {
+        if (mayRepeat()) {
             resumes += 1
             attempt(lastId)
         } else {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -50,8 +50,18 @@
     private var unreachable: Set<FailureDomainId> = emptySet()
     val paths = PathWatch()
 
-    /** The best target for a call of [model] at [service], or null. */
-    fun chooseGroup(
+    /** The best target for a call to [service], of [model] where it has an engine, or null. */
+    fun choose(
+        service: ServiceDefinition,
+        model: String?,
+        excluded: Set<HostId>,
+        now: Long,
+    ): ChosenTarget? {
+        if (service.engine == null || model == null) return choosePlain(service, excluded, now)
+        return chooseGroup(service, model, excluded, now)
+    }
+
+    private fun chooseGroup(
         service: ServiceDefinition,
         model: String,
         excluded: Set<HostId>,
@@ -66,8 +76,7 @@
         return ChosenTarget(group.head, group, chosen.inFlight, heads.size)
     }
 
-    /** The best plain target of [service], or null. */
-    fun choosePlain(
+    private fun choosePlain(
         service: ServiceDefinition,
         excluded: Set<HostId>,
         now: Long,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -112,7 +112,8 @@
     private fun unlistedHead(entry: TargetEntry) {
         val membership = entry.membership ?: return
         val serves = membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING
-        if (entry.id in work.state.known || membership.rank != 0 || !serves || isRelisting(entry)) return
+        val isUnlistedHead = entry.id !in work.state.known && membership.rank == 0
+        if (!isUnlistedHead || !serves || isRelisting(entry)) return
         work.dissolve(GroupKey(membership.group, membership.epoch), entry, "head-not-listed", isGentle = true)
     }
 
