--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -37,6 +37,9 @@
     private var isAsking = false
     private var askAgainAt = 0L
 
+    /** Whether this daemon should control, by the last look at its peers. */
+    private var isWanted = false
+
     /** The greatest term that this daemon has heard of. */
     private var knownTerm = 0L
 
@@ -53,6 +56,7 @@
         isWanted: Boolean,
         claimed: Long?,
     ) {
+        this.isWanted = isWanted
         if (claimed != null) knownTerm = maxOf(knownTerm, claimed)
         if (state != null) {
             if (claimed != null && claimed > term) giveUp("peer-holds-term-$claimed")
@@ -96,6 +100,11 @@
     }
 
     private fun write(row: Row?) {
+        // Peers may have been heard of while the row was read.
+        if (!isWanted) {
+            isAsking = false
+            return
+        }
         val standing = row?.value?.substringBefore(' ')?.toLongOrNull() ?: 0
         if (standing > knownTerm) {
             // Its holder may live and not have been heard of yet.
