Believe an opened group until its head or the registry says otherwise

Ruled out: two controllers. Change: an opened formation stays until it is listed or its head says otherwise; only a later epoch shows that a head has gone on; members are taken until the head has left; unproved silence starts the count anew; who leaves a group stands by at once.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -42,9 +42,11 @@
         listed: TargetEntry,
     ): Boolean {
         if (listed.run != dissolution.head.run) return true
-        val membership = listed.membership ?: return true
-        if (GroupKey(membership.group, membership.epoch) != dissolution.key) return true
-        return membership.state == MemberState.BROKEN
+        val membership = listed.membership ?: return false
+        // An older entry may come from before this group: only a later group shows that the head has gone on.
+        if (membership.epoch > dissolution.key.epoch) return true
+        val isSame = GroupKey(membership.group, membership.epoch) == dissolution.key
+        return isSame && membership.state == MemberState.BROKEN
     }
 
     /** A closed head is told to leave as well: an order to open that comes late would open it again. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
@@ -93,8 +93,7 @@
 
     private fun open(formation: Formation) {
         if (formation.members.any(::isLost) || work.now - formation.phaseSince > openingBound()) {
-            work.drop(formation)
-            work.dissolve(formation.key, formation.head, "open-failed", isGentle = false)
+            work.abandon(formation, "open-failed")
             return
         }
         if (listedAs(formation, MemberState.OPEN).isNotEmpty()) {
@@ -118,14 +117,27 @@
 
     private fun openingBound(): Long = view.engine.openMilliseconds + work.settings.formationSlackMilliseconds
 
+    /**
+     * An opened group is believed until the registry shows it, however long that takes: the registry may be away, or
+     * its entry of the head may be old. Meanwhile the head itself is asked.
+     */
     private fun confirm(formation: Formation) {
         val isListed = listedAs(formation, MemberState.OPEN).isNotEmpty()
-        val waited = work.now - formation.phaseSince > work.settings.listingLagMilliseconds
         if (formation.members.any(::isLost)) {
+            work.abandon(formation, "member-lost")
+        } else if (isListed && listedAs(formation, MemberState.READY).size == formation.members.size - 1) {
             work.drop(formation)
-            work.dissolve(formation.key, formation.head, "member-lost", isGentle = false)
-        } else if (waited || (isListed && listedAs(formation, MemberState.READY).size == formation.members.size - 1)) {
-            work.drop(formation)
+        } else if (work.now - formation.phaseSince > work.settings.listingLagMilliseconds) {
+            askHead(formation)
         }
     }
+
+    private fun askHead(formation: Formation) {
+        val head = formation.head
+        val askedAt = formation.lastAskedAt[head.id] ?: 0
+        if (work.now - askedAt < work.settings.silentRetryMilliseconds) return
+        work.ask(head)
+        work.askWitness(view, setOf(head.id))
+        work.update(formation.copy(lastAskedAt = mapOf(head.id to work.now)))
+    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -34,6 +34,8 @@
 data class Dissolution(
     val key: GroupKey,
     val head: TargetEntry,
+    /** Who must not be used elsewhere meanwhile, whatever the registry shows. */
+    val members: Set<HostId>,
     val reason: String,
     val startedAt: Long,
     /** Whether work in progress may finish first. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -52,13 +52,24 @@
         return formGroups(domain, targets - members.toSet())
     }
 
+    /**
+     * Whether [target] holds [model] in memory in a group that stands. One that has just left its group is told to stand by
+     * as well: the greater epoch keeps it from orders of its former group that come late.
+     */
+    private fun isStandingBy(
+        target: TargetEntry,
+        model: ModelDefinition,
+    ): Boolean {
+        val key = target.membership?.let { GroupKey(it.group, it.epoch) }
+        return target.model == model.name && key != null && key !in work.state.dissolved
+    }
+
     /** A spare that holds its model in memory joins a group in a fraction of the time that one needs that doesn't. */
     private fun standBy(free: List<TargetEntry>) {
         free.forEach { target ->
             val model = view.engine.models.firstOrNull { it.name in target.staged } ?: return@forEach
-            val isHeld =
-                target.model == model.name || target.id in work.state.standby || target.id in work.state.staging
-            if (isHeld) return@forEach
+            val isOnItsWay = target.id in work.state.standby || target.id in work.state.staging
+            if (isOnItsWay || isStandingBy(target, model)) return@forEach
             val epoch = work.nextEpoch()
             val key = StandbyGroups.key(view.failureDomain, epoch)
             val standby = Staging(model.name, work.now + STANDBY_AGAIN_MILLISECONDS)
@@ -218,9 +229,12 @@
             work.state.formations.values
                 .flatMap { it.members }
                 .map { it.id }
-                .toSet()
+        val leaving =
+            work.state.dissolutions.values
+                .flatMap { it.members }
+        val taken = (forming + leaving).toSet()
         return view.entries.values.filter { entry ->
-            !entry.isLeaving && entry.run !in work.state.silent && entry.id !in forming && isUnused(entry)
+            !entry.isLeaving && entry.run !in work.state.silent && entry.id !in taken && isUnused(entry)
         }
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -55,7 +55,7 @@
     ) {
         if (key in state.dissolutions || key in state.dissolved) return
         note("group-dissolving", "group" to key.group, "epoch" to key.epoch, "reason" to reason, "gentle" to isGentle)
-        val dissolution = Dissolution(key, head, reason, now, isGentle)
+        val dissolution = Dissolution(key, head, members(key).map { it.id }.toSet(), reason, now, isGentle)
         state = state.copy(dissolutions = state.dissolutions + (key to dissolution))
     }
 
@@ -69,6 +69,15 @@
         state = state.copy(formations = state.formations + (formation.key to formation))
     }
 
+    /** Gives up an opened formation and takes its group apart. */
+    fun abandon(
+        formation: Formation,
+        reason: String,
+    ) {
+        dissolve(formation.key, formation.head, reason, isGentle = false)
+        drop(formation)
+    }
+
     fun drop(formation: Formation) {
         state = state.copy(formations = state.formations - formation.key)
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -13,11 +13,6 @@
 ) {
     fun apply(event: GroupEvent.ReportAnswered) {
         if (event.result is ReportResult.Answered) work.state = work.state.copy(answeredAt = work.now)
-        if (event.result is ReportResult.Silent &&
-            !isPathProved(event.target, work.settings.pathProofMilliseconds)
-        ) {
-            return
-        }
         work.state.dissolutions.values
             .filter { it.head.id == event.target }
             .forEach { headAnswered(it, event.result) }
@@ -42,8 +37,8 @@
         dissolution: Dissolution,
         result: ReportResult,
     ) {
-        if (result is ReportResult.Silent && !isPathProved(dissolution.head.id, slack = 0)) return
-        val unanswered = if (result is ReportResult.Silent) dissolution.unanswered + 1 else 0
+        val isProvedSilence = result is ReportResult.Silent && isPathProved(dissolution.head.id, slack = 0)
+        val unanswered = if (isProvedSilence) dissolution.unanswered + 1 else 0
         val said = (result as? ReportResult.Answered)?.report?.membership
         val isOther = said == null || GroupKey(said.group, said.epoch) != dissolution.key
         if (result is ReportResult.Answered && (isOther || said?.state == MemberState.BROKEN)) {
@@ -69,6 +64,10 @@
         entry: TargetEntry,
         reason: String,
     ) {
+        if (!isPathProved(entry.id, work.settings.pathProofMilliseconds)) {
+            work.state = work.state.copy(unanswered = work.state.unanswered - entry.run)
+            return
+        }
         val questions = (work.state.unanswered[entry.run] ?: 0) + 1
         work.state = work.state.copy(unanswered = work.state.unanswered + (entry.run to questions))
         if (questions >= work.settings.questionsBeforeSilent || entry.run in work.state.silent) {
@@ -151,8 +150,14 @@
         entry: TargetEntry,
         report: GroupReport,
     ) {
-        val membership = report.membership ?: return
-        if (GroupKey(membership.group, membership.epoch) != formation.key) return
+        val membership = report.membership
+        val isIn = membership != null && GroupKey(membership.group, membership.epoch) == formation.key
+        val hasEnded = !isIn || membership.state == MemberState.BROKEN
+        if (formation.phase == FormationPhase.OPENED && entry.id == formation.head.id && hasEnded) {
+            work.abandon(formation, "head-left")
+            return
+        }
+        if (membership == null || !isIn) return
         when (formation.phase) {
             FormationPhase.JOINING -> {
                 if (membership.state == MemberState.READY) {
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -55,6 +55,8 @@
     /** After a cut, runners come back to the registry one by one. */
     var cutOffUntil = 0L
 
+    private var frozen: Map<HostId, TargetEntry>? = null
+
     /** Whether the controller has followed the registry for long. */
     var knowsFormer = true
     private val lastListed = HashMap<HostId, TargetEntry>()
@@ -150,6 +152,16 @@
         state = GroupControlState(nextEpoch = (state.nextEpoch / 1_000_000 + 1) * 1_000_000)
     }
 
+    /** The registry shows things as they were at the call. */
+    fun freezeRegistry() {
+        frozen = listed()
+    }
+
+    /** The registry is back. */
+    fun thawRegistry() {
+        frozen = null
+    }
+
     private fun former(): Map<HostId, TargetEntry> = if (knowsFormer) {
         lastListed.filterKeys {
             it !in listed()
@@ -158,7 +170,9 @@
         emptyMap()
     }
 
-    private fun listed(): Map<HostId, TargetEntry> = runners.values
+    private fun listed(): Map<HostId, TargetEntry> = frozen ?: current()
+
+    private fun current(): Map<HostId, TargetEntry> = runners.values
         .filter {
             !isLapsed(it) && !it.isUnlisted && (!it.isDead || now - it.darkSince < LAPSE)
         }.associate { runner -> runner.id to entryOf(runner) }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -132,6 +132,22 @@
         assertTrue(took <= 4_000, "took $took ms")
     }
 
+    @Test
+    fun `a group that was formed while the registry is away is left alone`() {
+        val fleet = settled(mapOf("d0" to 8))
+        fleet.freezeRegistry()
+        val lost = fleet.serving().first { it.model == "large" }
+        fleet.loseMember(lost.members.last())
+        fleet.runUntil(3_000) { fleet.serving().any { it.model == "large" && it.key != lost.key } }
+        val formed = fleet.serving().first { it.model == "large" }.key
+        fleet.run(8_000)
+        assertTrue(fleet.serving().any { it.key == formed })
+        fleet.thawRegistry()
+        fleet.run(2_000)
+        assertTrue(fleet.serving().any { it.key == formed })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `nothing breaks the rules while members drop out, orders come late and control changes hands`() {
         repeat(SEEDS) { seed -> turbulentDay(seed) }
@@ -145,7 +161,13 @@
             val alive = fleet.runners.values.filter { !it.isDead }
             fleet.loseMember(alive[random.nextInt(alive.size)].id)
             fleet.add("new-$round", "d${round % 2}")
-            if (random.nextInt(4) == 0) fleet.takeOver()
+            if (random.nextInt(4) == 0) {
+                // Control is taken with the store's help, and decides by what is read afterwards.
+                fleet.thawRegistry()
+                fleet.takeOver()
+            }
+            if (random.nextInt(5) == 0) fleet.freezeRegistry()
+            if (random.nextInt(3) == 0) fleet.thawRegistry()
             if (random.nextInt(6) == 0) fleet.cutOff(random.nextLong(1_000, 7_000))
             val listedAgain = fleet.runners.values.filter { it.isUnlisted }
             alive.filter { random.nextInt(20) == 0 }.forEach { it.isUnlisted = true }
