Wait for current entries before control that was taken after an outage decides

Change: control that was taken after an outage, or after a start that isn't the system's first, decides nothing before entries are 2.2 s newer than the store's return. Whoever held control before goes on by what it knows.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -77,9 +77,27 @@
     var onChange: () -> Unit = {}
 
     private val operators =
-        RegistryFollower(RegistryPart.OPERATORS, registry, thread, clock, lines, ::changed, ::storeAnswered)
+        RegistryFollower(
+            RegistryPart.OPERATORS,
+            registry,
+            thread,
+            clock,
+            lines,
+            !settings.isFirstStart,
+            ::changed,
+            ::storeAnswered,
+        )
     private val listed =
-        RegistryFollower(RegistryPart.TARGETS, registry, thread, clock, lines, ::changed, ::storeAnswered)
+        RegistryFollower(
+            RegistryPart.TARGETS,
+            registry,
+            thread,
+            clock,
+            lines,
+            !settings.isFirstStart,
+            ::changed,
+            ::storeAnswered,
+        )
     private val domains =
         settings.failureDomains.associateWith {
             DomainControl(it, settings.daemon, table, thread, lines, clock, listed::refresh)
@@ -88,6 +106,9 @@
     private var lastTickAt = clock.steady()
     private var storeAnsweredAt = clock.steady()
 
+    /** When the store first answered after an outage, or after this daemon's start. */
+    private var storeBackAt = Long.MIN_VALUE / 2
+
     /** Entries are as of this time or later. */
     private var targetsKnownAt = Long.MIN_VALUE
 
@@ -148,6 +169,7 @@
         read: RegistryRead,
     ) {
         knowledge.apply(records, read)
+        if (read == RegistryRead.WHOLE_AFTER_OUTAGE) storeBackAt = clock.steady()
         publish()
     }
 
@@ -186,11 +208,18 @@
 
     /** What another daemon did while it had control must be known before anything is decided. */
     private fun advance(domain: DomainControl) {
-        if (targetsKnownAt <= domain.takenAt) return
+        if (!isKnown(domain)) return
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
 
+    /** After an outage of the store targets take a while to write how they stand. */
+    private fun isKnown(domain: DomainControl): Boolean {
+        val wasHeldBefore = domain.takenAt < storeBackAt
+        val isSettled = wasHeldBefore || targetsKnownAt > storeBackAt + ENTRIES_CURRENT_MILLISECONDS
+        return targetsKnownAt > domain.takenAt && isSettled
+    }
+
     private fun view(failureDomain: FailureDomainId): DomainView? {
         val service =
             knowledge.catalog
@@ -279,7 +308,7 @@
     }
 
     private fun ownDomains(): List<ControlledDomain> = domains.values.mapNotNull { domain ->
-        view(domain.failureDomain)?.let { domain.announced(it, isKnown = targetsKnownAt > domain.takenAt) }
+        view(domain.failureDomain)?.let { domain.announced(it, isKnown(domain)) }
     }
 
     private fun publish() {
@@ -339,6 +368,9 @@
         const val FIRST_HEARTBEATS_MILLISECONDS = 400L
         const val PAUSE_MILLISECONDS = 500L
 
+        /** Targets write their entries within two seconds of the store's return. */
+        const val ENTRIES_CURRENT_MILLISECONDS = 2_200L
+
         /** How long a broken group is remembered; its name is never used again. */
         const val BROKEN_MILLISECONDS = 5_000L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -21,6 +21,8 @@
     private val thread: ControlThread,
     private val clock: EntryClock,
     private val lines: EventLines,
+    /** Whether the store may have been away until now. */
+    private var wasAway: Boolean,
     private val changed: (records: List<RegistryRecord>, read: RegistryRead) -> Unit,
     private val answered: (part: RegistryPart, sentAt: ClockReading) -> Unit,
 ) {
@@ -28,9 +30,6 @@
     private var failures = 0
     private var failedSince: Long? = null
 
-    /** Whether the store gave no answer since the last one. */
-    private var wasAway = false
-
     fun start() = thread.execute(::next)
 
     /** Reads all anew beside following changes, for a decision that needs to know how things stand now. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
@@ -17,6 +17,8 @@
     val peers: Endpoint,
     val metrics: Endpoint,
     val store: Endpoint,
+    /** Whether the whole system starts for the first time, so that nothing of an earlier run can be under way. */
+    val isFirstStart: Boolean,
     val bounds: EntryBounds,
 )
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -53,8 +53,8 @@
     }
 
     /**
-     * Whether [target] holds [model] in memory in a group that stands. One that has just left its group is told to stand by
-     * as well: the greater epoch keeps it from orders of its former group that come late.
+     * Whether [target] holds [model] in memory in a group that stands. One that has just left its group is told to
+     * stand by as well: the greater epoch keeps it from orders of its former group that come late.
      */
     private fun isStandingBy(
         target: TargetEntry,
