--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -30,8 +30,8 @@
 class EntryCommand : Callable<Int> {
     @Option(
         names = ["--node-file"],
-        description = ["The platform's settings file. VANILLALINK_NODE_FILE."],
-        defaultValue = "\${env:VANILLALINK_NODE_FILE:-/etc/vanillalink/boot.json}",
+        description = ["The platform's settings file. " + NodeFile.VARIABLE + "."],
+        defaultValue = "\${env:" + NodeFile.VARIABLE + ":-" + NodeFile.USUAL_PATH + "}",
     )
     private lateinit var nodeFile: Path
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -76,28 +76,8 @@
     /** Called on the control thread after each change of what is told to peers. */
     var onChange: () -> Unit = {}
 
-    private val operators =
-        RegistryFollower(
-            RegistryPart.OPERATORS,
-            registry,
-            thread,
-            clock,
-            lines,
-            !settings.isFirstStart,
-            ::changed,
-            ::storeAnswered,
-        )
-    private val listed =
-        RegistryFollower(
-            RegistryPart.TARGETS,
-            registry,
-            thread,
-            clock,
-            lines,
-            !settings.isFirstStart,
-            ::changed,
-            ::storeAnswered,
-        )
+    private val operators = follower(RegistryPart.OPERATORS, registry)
+    private val listed = follower(RegistryPart.TARGETS, registry)
     private val domains =
         settings.failureDomains.associateWith {
             DomainControl(it, settings.daemon, table, thread, lines, clock, listed::refresh)
@@ -164,6 +144,11 @@
         controlled = ownDomains(),
     )
 
+    private fun follower(
+        part: RegistryPart,
+        registry: Registry,
+    ) = RegistryFollower(part, registry, thread, clock, lines, !settings.isFirstStart, ::changed, ::storeAnswered)
+
     private fun changed(
         records: List<RegistryRecord>,
         read: RegistryRead,
