--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -40,9 +40,8 @@
                 result.onRight { all ->
                     answered(part, sentAt)
                     if (all.version >= (version ?: Long.MAX_VALUE)) {
-                        val read = if (wasAway) RegistryRead.WHOLE_AFTER_OUTAGE else RegistryRead.WHOLE
                         version = all.version
-                        changed(all.records, read)
+                        changed(all.records, RegistryRead.WHOLE)
                     }
                 }
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
@@ -18,7 +18,7 @@
     /** What has changed. */
     CHANGES,
 
-    /** All that there is; what is missing was removed. */
+    /** All that there is; what is missing was removed, unless an outage has just ended. */
     WHOLE,
 
     /** All that there is after a time without answers; what is missing may come back. */
@@ -38,6 +38,9 @@
     var evacuated: Set<FailureDomainId> = emptySet()
         private set
 
+    /** Until when entries that a whole read lacks may come back. */
+    private var missingKeptUntil = Long.MIN_VALUE
+
     /** Takes over [records]. */
     fun apply(
         records: List<RegistryRecord>,
@@ -66,7 +69,8 @@
             return
         }
         val now = clock.steady()
-        val until = if (read == RegistryRead.WHOLE_AFTER_OUTAGE) now + relistMilliseconds else now
+        if (read == RegistryRead.WHOLE_AFTER_OUTAGE) missingKeptUntil = now + relistMilliseconds
+        val until = maxOf(now, missingKeptUntil)
         val entries = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry }
         directory = directory.replaced(entries, until)
         expire(now)
