--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -34,21 +34,6 @@
 import org.vanillalink.store.TableStore
 import java.time.Duration
 
-/** What the control loop reads of the traffic side; safe from any thread. */
-interface TrafficSummary {
-    /** Requests under way by target, and groups that stand still. */
-    fun inFlight(): Map<HostId, Int>
-
-    /** Groups whose answers stand still here. */
-    fun suspects(): Set<GroupKey>
-
-    /** Whether a request has ever come. */
-    fun hasTraffic(): Boolean
-
-    /** Takes the new picture. */
-    fun publish(view: TrafficView)
-}
-
 /** Runs on the control thread only, but for what is marked otherwise. */
 class ControlLoop internal constructor(
     private val settings: EntrySettings,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
@@ -31,6 +31,8 @@
     private val clock: EntryClock,
     private val relistMilliseconds: Long,
 ) {
+    /** Read on traffic threads as well. */
+    @Volatile
     var catalog: Catalog? = null
         private set
     var directory = TargetDirectory()
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -0,0 +1,23 @@
+/*
+ * The traffic side as the control loop needs it.
+ */
+package org.vanillalink.gateway.control
+
+import org.vanillalink.gateway.traffic.TrafficView
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
+
+/** What the control loop reads of the traffic side; safe from any thread. */
+interface TrafficSummary {
+    /** Requests under way by target, and groups that stand still. */
+    fun inFlight(): Map<HostId, Int>
+
+    /** Groups whose answers stand still here. */
+    fun suspects(): Set<GroupKey>
+
+    /** Whether a request has ever come. */
+    fun hasTraffic(): Boolean
+
+    /** Takes the new picture. */
+    fun publish(view: TrafficView)
+}
