--- a/daemon/src/test/kotlin/org/vanillalink/daemon/control/StreamWatchTest.kt
+++ b/daemon/src/test/kotlin/org/vanillalink/daemon/control/StreamWatchTest.kt
@@ -31,7 +31,6 @@
 import org.vanillalink.transport.NettyEventLoops
 import org.vanillalink.transport.NettyHttpClient
 import java.time.Clock
-import java.time.Duration
 import java.time.Instant
 import java.time.ZoneOffset
 import java.util.concurrent.CompletableFuture
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -14,8 +14,6 @@
 import org.vanillalink.gateway.traffic.RoutableGroup
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.model.HostId
-import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.catalog.CredentialFreshness
 import org.vanillalink.serving.choice.Strike
@@ -29,7 +27,6 @@
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.ServingGroups
-import org.vanillalink.serving.targets.TargetDirectory
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.store.TableStore
 import java.time.Duration
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -7,21 +7,15 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.gateway.ports.AnswerMarks
-import org.vanillalink.gateway.ports.CallMarks
 import org.vanillalink.gateway.ports.ForwardMarks
 import org.vanillalink.model.HostId
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
-import org.vanillalink.serving.catalog.Route
-import org.vanillalink.serving.catalog.ServiceDefinition
-import org.vanillalink.serving.catalog.Workspace
-import org.vanillalink.serving.choice.RequestFingerprint
 import org.vanillalink.serving.choice.Strike
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.transport.AnswerWriter
 import org.vanillalink.transport.HeaderFields
-import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.OutgoingExchange
 import org.vanillalink.transport.RetryAfterPrecision
 import org.vanillalink.transport.ScheduledAction
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/engine/TokenStream.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/engine/TokenStream.kt
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.JsonNode
 import org.vanillalink.model.AttemptId
 import org.vanillalink.standins.OK
-import org.vanillalink.standins.answerJson
 import org.vanillalink.targets.TargetProtocol
 import org.vanillalink.transport.AnswerWriter
 import org.vanillalink.transport.HeaderFields
