Let a membership give its group's key, and drop fields that nothing reads

Found on reading the whole change once more: ten places built the same GroupKey from a membership; the stall bound, the greatest number of output tokens and the peers' suspects were decoded or kept and read nowhere.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -19,7 +19,6 @@
     /** The last event of an earlier answer that the caller has; null for a new stream. */
     val lastEventId: Long?,
     val promptTokens: Int,
-    val outputTokensAtMost: Int,
 )
 
 /** What is added to a request on its way to a target. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
@@ -30,8 +30,6 @@
     val revocationMilliseconds: Long = 5_000,
     /** How long entries that lapsed in an outage may take to come back. */
     val relistMilliseconds: Long = 2_000,
-    /** How long a group with a missing member accepts requests before it says that it is broken. */
-    val stallMilliseconds: Long = 5_000,
     val retryRatio: Double = 0.2,
     val retryWindowMilliseconds: Long = 10_000,
     val retrySlack: Double = 100.0,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -3,7 +3,6 @@
  */
 package org.vanillalink.serving.control
 
-import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
@@ -45,7 +44,7 @@
         val membership = listed.membership ?: return false
         // An older entry may come from before this group: only a later group shows that the head has gone on.
         if (membership.epoch > dissolution.key.epoch) return true
-        val isSame = GroupKey(membership.group, membership.epoch) == dissolution.key
+        val isSame = membership.key == dissolution.key
         return isSame && membership.state == MemberState.BROKEN
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
@@ -3,7 +3,6 @@
  */
 package org.vanillalink.serving.control
 
-import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
@@ -88,7 +87,7 @@
         .filter { entry ->
             val membership = entry.membership
             membership != null && membership.state == state &&
-                GroupKey(membership.group, membership.epoch) == formation.key
+                membership.key == formation.key
         }.map { it.id }
 
     private fun open(formation: Formation) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -60,7 +60,7 @@
         target: TargetEntry,
         model: ModelDefinition,
     ): Boolean {
-        val key = target.membership?.let { GroupKey(it.group, it.epoch) }
+        val key = target.membership?.key
         return target.model == model.name && key != null && key !in work.state.dissolved
     }
 
@@ -240,7 +240,7 @@
 
     /** Members are unused once their group's head serves no more; members of a group that never opened always are. */
     private fun isUnused(entry: TargetEntry): Boolean {
-        val key = entry.membership?.let { GroupKey(it.group, it.epoch) }
+        val key = entry.membership?.key
         return when {
             key == null || key in work.state.dissolved -> true
             key in work.state.dissolutions -> false
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -4,7 +4,6 @@
 package org.vanillalink.serving.control
 
 import org.vanillalink.model.HostId
-import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
@@ -40,7 +39,7 @@
         val isProvedSilence = result is ReportResult.Silent && isPathProved(dissolution.head.id, slack = 0)
         val unanswered = if (isProvedSilence) dissolution.unanswered + 1 else 0
         val said = (result as? ReportResult.Answered)?.report?.membership
-        val isOther = said == null || GroupKey(said.group, said.epoch) != dissolution.key
+        val isOther = said == null || said.key != dissolution.key
         if (result is ReportResult.Answered && (isOther || said?.state == MemberState.BROKEN)) {
             work.dissolved(dissolution.key)
             return
@@ -113,7 +112,7 @@
         val serves = membership.state == MemberState.OPEN || membership.state == MemberState.CLOSING
         val isUnlistedHead = entry.id !in work.state.known && membership.rank == 0
         if (!isUnlistedHead || !serves || isRelisting(entry)) return
-        work.dissolve(GroupKey(membership.group, membership.epoch), entry, "head-not-listed", isGentle = true)
+        work.dissolve(membership.key, entry, "head-not-listed", isGentle = true)
     }
 
     /** A member that says it is in another group than the registry lists is lost to the listed one. */
@@ -122,11 +121,11 @@
         report: GroupReport,
     ) {
         val listed = entry.membership ?: return
-        val key = GroupKey(listed.group, listed.epoch)
+        val key = listed.key
         if (key in work.state.formations) return
         val said = report.membership
         val isBroken = said?.state == MemberState.BROKEN
-        if (said != null && GroupKey(said.group, said.epoch) == key && !isBroken) return
+        if (said != null && said.key == key && !isBroken) return
         val head = work.state.rosters[key]?.head ?: return
         if (head.membership?.state == MemberState.OPEN) work.dissolve(key, head, "member-strayed", isGentle = false)
     }
@@ -151,7 +150,7 @@
         report: GroupReport,
     ) {
         val membership = report.membership
-        val isIn = membership != null && GroupKey(membership.group, membership.epoch) == formation.key
+        val isIn = membership != null && membership.key == formation.key
         val hasEnded = !isIn || membership.state == MemberState.BROKEN
         if (formation.phase == FormationPhase.OPENED && entry.id == formation.head.id && hasEnded) {
             work.abandon(formation, "head-left")
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/Rosters.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/Rosters.kt
@@ -51,5 +51,5 @@
         return key(listed) == key && listed.run == before?.members?.get(id)?.run
     }
 
-    private fun key(entry: TargetEntry): GroupKey? = entry.membership?.let { GroupKey(it.group, it.epoch) }
+    private fun key(entry: TargetEntry): GroupKey? = entry.membership?.key
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -6,7 +6,6 @@
 
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.serving.targets.GroupKey
 
 /** A daemon as its peers see it. */
 data class PeerState(
@@ -94,9 +93,6 @@
         .groupBy { it.failureDomain }
         .mapValues { (_, claims) -> claims.maxBy { it.term } }
 
-    /** Groups that live peers see standing still. */
-    fun suspects(now: Long): Set<GroupKey> = alive(now).flatMap { it.message.suspects }.toSet()
-
     private fun rank(
         domain: FailureDomainId,
         daemon: DaemonId,
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/ServingGroup.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/ServingGroup.kt
@@ -22,7 +22,7 @@
     /** The groups among [entries] whose head is open, with the members that still list themselves in it. */
     fun open(entries: Collection<TargetEntry>): List<ServingGroup> = entries
         .filter { it.membership != null }
-        .groupBy { entry -> entry.membership!!.let { GroupKey(it.group, it.epoch) } }
+        .groupBy { entry -> entry.membership!!.key }
         .mapNotNull { (key, members) -> group(key, members) }
 
     private fun group(
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetEntry.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetEntry.kt
@@ -17,7 +17,10 @@
     val epoch: Long,
     val rank: Int,
     val state: MemberState,
-)
+) {
+    /** The group and the set of members that this is a place in. */
+    val key: GroupKey get() = GroupKey(group, epoch)
+}
 
 /** One target as the registry lists it. */
 data class TargetEntry(
