--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/StandInsCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/StandInsCommand.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.standins
 
 import org.vanillalink.standins.caller.CallerCommand
+import org.vanillalink.standins.deployment.DeploymentCommand
 import org.vanillalink.standins.engine.EngineCommand
 import org.vanillalink.standins.plain.PlainServiceCommand
 import org.vanillalink.standins.platform.PlatformCommand
@@ -13,7 +14,13 @@
 @Command(
     name = "stand-ins",
     description = ["Stand-ins for the platform, model engines and plain services."],
-    subcommands = [PlatformCommand::class, EngineCommand::class, PlainServiceCommand::class, CallerCommand::class],
+    subcommands = [
+        DeploymentCommand::class,
+        PlatformCommand::class,
+        EngineCommand::class,
+        PlainServiceCommand::class,
+        CallerCommand::class,
+    ],
     mixinStandardHelpOptions = true,
 )
 class StandInsCommand
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/DeploymentCommand.kt
@@ -0,0 +1,96 @@
+/*
+ * A whole deployment's stand-in in one process: the metadata store, runners of a model and of a plain service in each
+ * zone, an operator's configuration, and the settings files of the daemons that are to run there.
+ */
+package org.vanillalink.standins.deployment
+
+import org.vanillalink.model.Endpoint
+import org.vanillalink.standins.rows.RowStore
+import org.vanillalink.standins.rows.RowStoreHandler
+import org.vanillalink.standins.runner.RunnerSettings
+import org.vanillalink.standins.runner.RunnerStandIn
+import org.vanillalink.transport.Json
+import org.vanillalink.transport.NettyEventLoops
+import org.vanillalink.transport.NettyHttpServer
+import org.vanillalink.transport.ServerLimits
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Base64
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+
+/** Runs until it is killed; prints `ready` once the settings files are written. */
+@Command(name = "deployment", mixinStandardHelpOptions = true)
+class DeploymentCommand : Callable<Int> {
+    @Option(names = ["--first-port"], description = ["The store's port; the others follow."], required = true)
+    private var firstPort: Int = 0
+
+    @Option(names = ["--node-files"], description = ["Where a settings file for each daemon goes."], required = true)
+    private lateinit var nodeFiles: Path
+
+    @Option(names = ["--zones"], split = ",")
+    private var zones: List<String> = listOf("ikeja", "apapa", "lekki")
+
+    @Option(names = ["--daemons"], description = ["Daemons in each zone."])
+    private var daemons: Int = 1
+
+    @Option(names = ["--runners"], description = ["Runners of the model in each zone."])
+    private var runners: Int = 5
+
+    @Option(names = ["--desks"], description = ["Runners of the plain service in each zone."])
+    private var desks: Int = 1
+
+    override fun call(): Int {
+        val store = RowStore()
+        val loops = NettyEventLoops(THREADS)
+        NettyHttpServer(loops, loopback(firstPort), ServerLimits(), RowStoreHandler(store))
+        store.put("op", "config", encode(OperatorsDocument.TEXT.toByteArray()))
+        val ports = generateSequence(firstPort + 1) { it + 1 }.iterator()
+        zones.forEach { zone -> addRunners(zone, store, loops, ports) }
+        val files = NodeFiles(zones, loopback(firstPort))
+        zones.forEach { zone ->
+            (1..daemons).forEach { number ->
+                val name = "$zone-$number"
+                val first = List(NodeFiles.PORTS) { ports.next() }.first()
+                Files.write(nodeFiles.resolve("$name.json"), Json.write(files.file(name, zone, first)))
+            }
+        }
+        println("ready")
+        CountDownLatch(1).await()
+        return 0
+    }
+
+    private fun addRunners(
+        zone: String,
+        store: RowStore,
+        loops: NettyEventLoops,
+        ports: Iterator<Int>,
+    ) {
+        (1..runners).forEach { add("$zone-writer-$it", "brief-writer", zone, "$zone-fabric", store, loops, ports) }
+        (1..desks).forEach { add("$zone-desk-$it", "dispatch-desk", zone, null, store, loops, ports) }
+    }
+
+    @Suppress("LongParameterList")
+    private fun add(
+        id: String,
+        service: String,
+        zone: String,
+        fabric: String?,
+        store: RowStore,
+        loops: NettyEventLoops,
+        ports: Iterator<Int>,
+    ) {
+        val endpoint = loopback(ports.next())
+        RunnerStandIn(loops, endpoint, RunnerSettings(id, service, zone, fabric, endpoint.toString()), store)
+    }
+
+    private fun loopback(port: Int) = Endpoint("127.0.0.1", port)
+
+    private fun encode(bytes: ByteArray): String = Base64.getEncoder().encodeToString(bytes)
+
+    private companion object {
+        const val THREADS = 2
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/NodeFiles.kt
@@ -0,0 +1,35 @@
+/*
+ * The settings files that the platform gives to daemons.
+ */
+package org.vanillalink.standins.deployment
+
+import org.vanillalink.model.Endpoint
+
+/** Files for a deployment over [zones] with its metadata store at [store]. */
+internal class NodeFiles(
+    private val zones: List<String>,
+    private val store: Endpoint,
+) {
+    /** The file of the daemon [name] in [zone], which may use [PORTS] ports from [first] on. */
+    fun file(
+        name: String,
+        zone: String,
+        first: Int,
+    ): Map<String, Any> = mapOf(
+        "nodeName" to name,
+        "ip" to HOST,
+        "zone" to zone,
+        "zones" to zones.associateWith { "lagos" },
+        "listen" to mapOf("front" to "$HOST:$first", "ready" to "$HOST:${first + 1}"),
+        "internalPorts" to listOf(first + 2, first + 2),
+        "bootstrap" to true,
+        "bounds" to mapOf("graceS" to 8, "revokeMs" to 5_000),
+        "platform" to mapOf("address" to store.toString()),
+    )
+
+    companion object {
+        /** Callers, readiness, peers, and one for metrics. */
+        const val PORTS = 4
+        private const val HOST = "127.0.0.1"
+    }
+}
