--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.daemon.settings
 
+import org.vanillalink.daemon.logs.CountingAsyncAppender
 import org.vanillalink.gateway.EntryDaemon
 import org.vanillalink.gateway.EntryPorts
 import org.vanillalink.gateway.ports.EntrySettings
@@ -54,7 +55,8 @@
         val loops = NettyEventLoops(TRAFFIC_THREADS)
         val http = NettyHttpClient(loops, CONNECT_TIMEOUT)
         val store = StoreClient(http, settings.store)
-        val ports = EntryPorts(http, StoredRegistry(store), store, RunnerControl(http), WireCallProtocol())
+        val dropped = CountingAsyncAppender::droppedLines
+        val ports = EntryPorts(http, StoredRegistry(store), store, RunnerControl(http), WireCallProtocol(), dropped)
         val daemon = EntryDaemon(settings, loops, ports)
         val stopped = CountDownLatch(1)
         Signal.handle(Signal("TERM")) { stopped.countDown() }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -37,6 +37,8 @@
     val table: TableStore,
     val targets: TargetControl,
     val protocol: CallProtocol,
+    /** How many log lines were dropped because nobody read them. */
+    val droppedLines: () -> Long = { 0 },
 )
 
 /** Runs from construction until [stop]. */
@@ -75,6 +77,7 @@
                 .toDouble()
         }
         metrics.gauge("vanillalink.configuration.version", control) { (it.configurationVersion ?: 0).toDouble() }
+        metrics.gauge("vanillalink.log.dropped", ports) { it.droppedLines().toDouble() }
         control.start()
         peers.start()
         lines.record("started", "failureDomain" to settings.failureDomain, "callers" to settings.callers)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
@@ -8,6 +8,7 @@
 import io.micrometer.core.instrument.Timer
 import org.vanillalink.gateway.ports.CallMarks
 import org.vanillalink.gateway.traffic.AdmittedRequest
+import org.vanillalink.gateway.traffic.CallEnd
 import org.vanillalink.model.KeyValueLine
 import org.vanillalink.model.RefusalReason
 import java.time.Duration
@@ -34,27 +35,26 @@
     /** An admitted request has ended. */
     fun ended(
         request: AdmittedRequest,
-        outcome: String,
-        status: Int,
-        trail: String,
-        attempts: Int,
+        end: CallEnd,
         at: Long,
     ) {
         val took = at - request.arrivedAt
-        timer(request.route.kind.name, outcome).record(Duration.ofMillis(took))
+        timer(request.route.kind.name, end.outcome).record(Duration.ofMillis(took))
         write(
-            isFailure = status >= CLIENT_ERROR || !outcome.startsWith("answered"),
+            isFailure = end.status >= CLIENT_ERROR || !end.outcome.startsWith("answered"),
             "event" to "request",
             "request" to request.marks.requestId,
             "route" to request.route.name,
             "service" to request.service.name,
             "model" to request.marks.model,
             "workspace" to request.workspace?.id,
-            "outcome" to outcome,
-            "status" to status,
+            "outcome" to end.outcome,
+            "status" to end.status,
             "tookMs" to took,
-            "attempts" to attempts,
-            "trail" to trail,
+            "firstEventMs" to end.pace?.firstEvent,
+            "longestPauseMs" to end.pace?.longestPause,
+            "attempts" to end.attempts,
+            "trail" to end.trail,
             "tokens" to request.marks.promptTokens,
             "resumedAfter" to request.marks.lastEventId,
         )
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallEnd.kt
@@ -0,0 +1,13 @@
+/*
+ * How an admitted request ended.
+ */
+package org.vanillalink.gateway.traffic
+
+/** [trail] names the targets tried, with what was known of them and how each attempt failed. */
+internal data class CallEnd(
+    val outcome: String,
+    val status: Int,
+    val trail: String,
+    val attempts: Int,
+    val pace: StreamPace?,
+)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -191,6 +191,9 @@
 
     protected open fun resumeFrom(): Long? = null
 
+    /** How an answer in pieces has gone so far, or null where it comes as one. */
+    protected open fun pace(): StreamPace? = null
+
     /** No target can take the request now. */
     protected open fun noTarget() {
         if (mayHaveRun) {
@@ -222,7 +225,7 @@
         ended = true
         timeout?.cancel()
         context.active.remove(this)
-        context.log.ended(request, outcome, status, trail.toString(), attempts, now)
+        context.log.ended(request, CallEnd(outcome, status, trail.toString(), attempts, pace()), now)
     }
 
     /** The attempt's answer has come whole; its target is free again. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -23,7 +23,7 @@
     private var isStream = false
     private val failureBody = ByteArrayOutputStream()
     private var resumes = 0
-    private var firstEventAt: Long? = null
+    private val pace = StreamPace(request.arrivedAt)
 
     override fun head(
         status: Int,
@@ -53,13 +53,13 @@
         }
         lastId = events.lastId ?: lastId
         start()
+        pace.passedOn(now)
         answer.write(events.bytes)
     }
 
     private fun start() {
         if (isStarted) return
         isStarted = true
-        firstEventAt = now
         answer.start(status, context.protocol.answerFields(headers))
     }
 
@@ -97,6 +97,8 @@
 
     override fun resumeFrom(): Long? = lastId
 
+    override fun pace(): StreamPace = pace
+
     override fun noTarget() {
         if (!isStarted) {
             if (mayHaveRun) {
