Choose the spares' models by the harm that they prevent, and keep queues short for new requests

A group that had lost its second member waited 17 s with three survivors beside a spare that kept the other model, and heads queued up to 25 requests for 18 places, so that all of them came late. All streams of a lost group moved to the one group that all daemons saw as least used. Ruled out: detection (0.3 to 0.6 s), the model of two (20 late of 1,609). Change: a spare that the fabric domain has no use for loads the model that would be missed more (SpareChoice); new requests go to a group up to a full batch and a bit, moved ones up to twice that and to any of the groups hardly used more than the least.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -192,7 +192,7 @@
     protected open fun resumeFrom(): Long? = null
 
     /** How an answer in pieces has gone so far, or null where it comes as one. */
-    protected open fun pace(): StreamPace? = null
+    protected open val pace: StreamPace? get() = null
 
     /** No target can take the request now. */
     protected open fun noTarget() {
@@ -225,7 +225,7 @@
         ended = true
         timeout?.cancel()
         context.active.remove(this)
-        context.log.ended(request, CallEnd(outcome, status, trail.toString(), attempts, pace()), now)
+        context.log.ended(request, CallEnd(outcome, status, trail.toString(), attempts, pace), now)
     }
 
     /** The attempt's answer has come whole; its target is free again. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -23,7 +23,7 @@
     private var isStream = false
     private val failureBody = ByteArrayOutputStream()
     private var resumes = 0
-    private val pace = StreamPace(request.arrivedAt)
+    override val pace = StreamPace(request.arrivedAt)
 
     override fun head(
         status: Int,
@@ -97,8 +97,6 @@
 
     override fun resumeFrom(): Long? = lastId
 
-    override fun pace(): StreamPace = pace
-
     override fun noTarget() {
         if (!isStarted) {
             if (mayHaveRun) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -68,7 +68,8 @@
         now: Long,
     ): ChosenTarget? {
         val current = view
-        val limit = (service.engine?.slots ?: 1) * GROUP_LIMIT_PER_SLOT
+        val perSlot = if (excluded.isEmpty()) FRESH_LIMIT_PER_SLOT else REPEATED_LIMIT_PER_SLOT
+        val limit = (service.engine?.slots ?: 1) * perSlot
         val groups = current.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
         val chosen = choose(service, heads, excluded, limit.toInt(), now) ?: return null
@@ -97,7 +98,8 @@
         val current = view
         val usable = targets.filter { it.id !in excluded && it.failureDomain !in current.evacuated && !it.isLeaving }
         val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
-        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) })
+        val spread = if (excluded.isEmpty()) 0 else REPEATED_SPREAD
+        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread)
     }
 
     /** What stands against sending a call of [model] to [service] now, for the log. */
@@ -205,8 +207,14 @@
     }
 
     private companion object {
-        /** Requests beyond the batch wait in the engine's queue; a few keep the batch full. */
-        const val GROUP_LIMIT_PER_SLOT = 1.4
+        /** Requests beyond the batch wait in the engine's queue, and their first events come late. */
+        const val FRESH_LIMIT_PER_SLOT = 1.06
+
+        /** A stream that has lost its group is worth a wait: what it has would be in vain. */
+        const val REPEATED_LIMIT_PER_SLOT = 1.9
+
+        /** All streams of a lost group move at once, and all daemons see the same least used group. */
+        const val REPEATED_SPREAD = 3
 
         /** Plain services queue a few requests behind those that run. */
         const val PLAIN_LIMIT_PER_SLOT = 3
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/TargetChoice.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/TargetChoice.kt
@@ -23,11 +23,17 @@
 class TargetChoice(
     private val random: Random,
 ) {
-    /** The best of [candidates], or null where none has room. */
-    fun choose(candidates: List<Candidate>): Candidate? {
+    /**
+     * The best of [candidates], or null where none has room. Those with up to [spread] requests more than the best are
+     * as good: where many requests move at once, they must not all move to the same target.
+     */
+    fun choose(
+        candidates: List<Candidate>,
+        spread: Int = 0,
+    ): Candidate? {
         val open = candidates.filter { it.isAdmitted && it.inFlight < it.limit }
         if (open.isEmpty()) return null
-        val least = open.minOf(::work)
+        val least = open.minOf(::work) + spread
         return open.filter { work(it) <= least }.random(random)
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -174,30 +174,26 @@
         domain: String?,
         free: List<TargetEntry>,
     ) {
-        free.filter { it.staged.isEmpty() && it.id !in work.state.staging }.forEach { target ->
-            val model = modelToStage(domain, free) ?: return
+        val spares = SpareChoice(view.engine.models, free.map(::stagedModel), domainsGroups(domain), zonesGroups())
+        free.filter { it.id !in work.state.staging }.forEach { target ->
+            val model = spares.next(stagedModel(target)) ?: return@forEach
             if (view.trafficSeen && !takeLoads(1)) return
             val until = work.now + model.loadMilliseconds + work.settings.formationSlackMilliseconds
             work.state = work.state.copy(staging = work.state.staging + (target.id to Staging(model.name, until)))
-            work.note("model-staging", "target" to target.id, "model" to model.name)
+            work.note("model-staging", "target" to target.id, "model" to model.name, "instead" to stagedModel(target))
             work.send(target, GroupOrder.Stage(model.name))
+            spares.replaced(stagedModel(target), model.name)
         }
     }
 
-    /** A model without a group in [domain] goes first; else the one with the fewest spares for its members. */
-    private fun modelToStage(
-        domain: String?,
-        free: List<TargetEntry>,
-    ): ModelDefinition? {
-        val models = view.engine.models
-        val without = models.filter { model -> standing.none { it.fabricDomain == domain && it.model == model.name } }
-        return (without.ifEmpty { models }).minByOrNull { model -> sparesFor(model, free).toDouble() / model.size }
-    }
+    /** The model that [target] will hold ready once what it loads has arrived. */
+    private fun stagedModel(target: TargetEntry): String? = work.state.staging[target.id]?.model
+        ?: target.staged.firstOrNull { name -> view.engine.models.any { it.name == name } }
 
-    private fun sparesFor(
-        model: ModelDefinition,
-        free: List<TargetEntry>,
-    ): Int = free.count { model.name in it.staged || work.state.staging[it.id]?.model == model.name }
+    private fun domainsGroups(domain: String?): Map<String, Int> =
+        standing.filter { it.fabricDomain == domain }.groupingBy { it.model }.eachCount()
+
+    private fun zonesGroups(): Map<String, Int> = standing.groupingBy { it.model }.eachCount()
 
     private fun standingGroups(): List<StandingGroup> {
         val forming =
--- a/serving/src/test/kotlin/org/vanillalink/serving/choice/TargetChoiceTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/choice/TargetChoiceTest.kt
@@ -26,6 +26,14 @@
         assertNull(testSubject.choose(listOf(Candidate(A, 20, 20, true), Candidate(B, 0, 20, false))))
     }
 
+    @Test
+    fun `the streams of a lost group don't all move to the one least used`() {
+        val inFlight = mapOf("a" to 1, "b" to 3, "c" to 4, "d" to 9)
+        val candidates = inFlight.map { (id, count) -> Candidate(HostId(id), count, 20, true) }
+        val chosen = (1..200).mapNotNull { testSubject.choose(candidates, spread = 3)?.target?.value }.toSet()
+        assertEquals(setOf("a", "b", "c"), chosen)
+    }
+
     private companion object {
         val A = HostId("a")
         val B = HostId("b")
