--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -132,6 +132,33 @@
         assertTrue(took <= 4_000, "took $took ms")
     }
 
+    @Test
+    fun `many empty targets at once load no faster than the weight store allows`() {
+        val fleet = settled(mapOf("d0" to 8, "d1" to 8))
+        repeat(30) { fleet.add("empty-$it", "d${it % 2}") }
+        fleet.run(5_000)
+        val loads = fleet.orders.filter { it.second is GroupOrder.Stage }.map { it.first }.toSet().size
+        // Loads that may begin in a window of five seconds, by the published bound.
+        val allowed = fleet.engine.loadsPerSecond * 5 * 1.1 + 3
+        assertTrue(loads <= allowed, "$loads loads")
+        assertTrue(loads >= 4, "$loads loads")
+    }
+
+    @Test
+    fun `a group that loses two members one after the other is whole again within a load`() {
+        val fleet = settled(mapOf("d0" to 8))
+        repeat(2) {
+            val group = fleet.serving().first { it.model == "large" }
+            fleet.loseMember(group.members.last())
+            fleet.runUntil(3_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+        }
+        assertTrue(fleet.serving().none { it.model == "large" })
+        val took = fleet.runUntil(30_000) { fleet.serving().any { it.model == "large" } }
+        // The spare that kept the other model loads this one in 16 s; then it joins and the group opens.
+        assertTrue(took <= 19_000, "took $took ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `a group that was formed while the registry is away is left alone`() {
         val fleet = settled(mapOf("d0" to 8))
