--- /dev/null
+++ b/model/src/test/kotlin/org/vanillalink/model/KeyValueLineTest.kt
@@ -0,0 +1,17 @@
+package org.vanillalink.model
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+internal class KeyValueLineTest {
+    @Test
+    fun `what was written is read again`() {
+        val pairs = listOf("event" to "order", "order" to "Stage(model=\"m 1\")", "detail" to "two\nlines \\ and", "empty" to "")
+        assertEquals(pairs.toMap(), KeyValueLine.parse(KeyValueLine.of(pairs)))
+    }
+
+    @Test
+    fun `what is no pair is passed over`() {
+        assertEquals(mapOf("a" to "1", "b" to "x=y"), KeyValueLine.parse("noise a=1 more b=x=y"))
+    }
+}
--- a/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineCommand.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineCommand.kt
@@ -13,6 +13,7 @@
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
+import java.nio.file.Path
 import java.time.Instant
 import java.util.concurrent.Callable
 
@@ -21,7 +22,7 @@
     name = "timeline",
     description = [
         "Prints the events of all daemons in one order, by the daemons' own clocks.",
-        "Names the daemons whose events lack.",
+        "Names the daemons whose events lack. With --log, reads what daemons have written instead of asking them.",
     ],
     mixinStandardHelpOptions = true,
 )
@@ -50,7 +51,19 @@
     @Option(names = ["--follow"], description = ["Go on with new events until interrupted."])
     private var follow: Boolean = false
 
-    override fun call(): Int = OperatorsClient(options.secret).use { client ->
+    @Option(names = ["--log"], description = ["Files with daemons' log lines."], split = ",")
+    private var logs: List<Path> = emptyList()
+
+    override fun call(): Int = if (logs.isEmpty()) askDaemons() else readLogs()
+
+    private fun readLogs(): Int {
+        filter().apply(logs.flatMap(LogLines::read)).takeLast(last).forEach(::print)
+        return ExitCode.DONE.number
+    }
+
+    private fun filter() = TimelineFilter(request, group, target, since, until)
+
+    private fun askDaemons(): Int = OperatorsClient(options.secret).use { client ->
         val fleet = Fleet(options, client)
         val seen = mutableSetOf<Pair<String, Long>>()
         var code = show(fleet, last, seen)
@@ -75,7 +88,7 @@
                     ?.toList()
                     .orEmpty()
             }
-        val wanted = TimelineFilter(request, group, target, since, until).apply(events)
+        val wanted = filter().apply(events)
         val fresh = wanted.filter { it.daemon.value to it.sequence !in seen }.takeLast(most)
         wanted.forEach { seen.add(it.daemon.value to it.sequence) }
         fresh.forEach(::print)
--- a/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineFilter.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/timeline/TimelineFilter.kt
@@ -6,7 +6,10 @@
 import org.vanillalink.model.TimelineEvent
 import java.time.Instant
 
-/** What to show; null shows all. [target] is a host, also where it is named inside another field. */
+/**
+ * What to show; null shows all. [target] is a host; it and [group] count also where they are
+ * named inside another field.
+ */
 data class TimelineFilter(
     val request: String? = null,
     val group: String? = null,
@@ -19,7 +22,7 @@
         val requests = request?.let { RequestFamily.of(it, events) }
         return events
             .filter { requests == null || it.fields["request"] in requests }
-            .filter { group == null || it.fields["group"] == group }
+            .filter { group == null || names(it, group) }
             .filter { target == null || names(it, target) }
             .filter { (since == null || it.at >= since) && (until == null || it.at <= until) }
             .sortedWith(compareBy({ it.at }, { it.daemon }, { it.sequence }))
@@ -27,9 +30,9 @@
 
     private fun names(
         event: TimelineEvent,
-        host: String,
+        name: String,
     ): Boolean {
-        val whole = Regex("(?<![\\w.-])" + Regex.escape(host) + "(?![\\w.-])")
+        val whole = Regex("(?<![\\w.-])" + Regex.escape(name) + "(?![\\w.-])")
         return event.fields.values.any { whole.containsMatchIn(it) }
     }
 }
--- /dev/null
+++ b/tool/src/test/kotlin/org/vanillalink/tool/timeline/LogLinesTest.kt
@@ -0,0 +1,56 @@
+/*
+ * The time line from daemons' log lines.
+ */
+package org.vanillalink.tool.timeline
+
+import org.vanillalink.tool.ExitCode
+import org.vanillalink.tool.runTool
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.deleteIfExists
+import kotlin.io.path.writeLines
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+class LogLinesTest {
+    private val file: Path = Files.createTempFile("lekki-1", ".log")
+
+    @AfterTest
+    fun remove() {
+        file.deleteIfExists()
+    }
+
+    @Test
+    fun `a line names its daemon, else the process before it, else the file`() {
+        write(
+            "at=2026-01-26T20:29:57.000Z level=INFO event=started daemon=a",
+            " 4.0 b at=2026-01-26T20:29:58.000Z level=INFO event=request request=r1",
+            "at=2026-01-26T20:29:59.000Z level=INFO event=request request=r2",
+        )
+        val daemons = LogLines.read(file).map { it.daemon.value }
+        assertEquals(listOf("a", "b", file.fileName.toString().removeSuffix(".log")), daemons)
+    }
+
+    @Test
+    fun `lines that are no events are passed over`() {
+        write("Picked up a setting", "at=noon event=request", "at=2026-01-26T20:29:57.000Z level=WARN odd")
+        assertEquals(emptyList(), LogLines.read(file))
+    }
+
+    @Test
+    fun `a group is followed through orders and the ways of requests`() {
+        write(
+            "at=2026-01-26T20:29:57.000Z event=order daemon=a order=\"Join(key=GroupKey(group=g-1, epoch=1))\"",
+            "at=2026-01-26T20:29:58.000Z event=request request=r1 trail=g-1/3of4!group-broken,g-2/1of4",
+            "at=2026-01-26T20:29:59.000Z event=request request=r2 trail=g-11/3of4",
+        )
+        val run = runTool("timeline", "--log", file.toString(), "--group", "g-1")
+        assertEquals(ExitCode.DONE.number, run.exitCode)
+        assertEquals(2, run.output.lines().count { it.isNotEmpty() })
+        assertContains(run.output, "r1")
+    }
+
+    private fun write(vararg lines: String) = file.writeLines(lines.asList())
+}
