Wait for current entries after taking control as the store returns

Two faults: the whole read that follows taking control was counted as known but its records were not taken over while the follower thought the store away; and control taken as the store returned passed for control held through the outage, so that nobody waited for targets to write how they stand. Ruled out: an order carried out late (none was outstanding); the spares' choice (the join was a standby join for a target taken as free). Change: the read is taken over, as one after an outage, and an older one that is answered late is not; RegistryCurrency lets control decide at once only if it was held well before the loss; the first answer after an outage delays elections until peers have been heard again.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -67,12 +67,7 @@
     private var electionsFrom = clock.steady() + FIRST_HEARTBEATS_MILLISECONDS
     private var lastTickAt = clock.steady()
     private var storeAnsweredAt = clock.steady()
-
-    /** When the store first answered after an outage, or after this daemon's start. */
-    private var storeBackAt = Long.MIN_VALUE / 2
-
-    /** Entries are as of this time or later. */
-    private var targetsKnownAt = Long.MIN_VALUE
+    private var currency = RegistryCurrency()
 
     /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
     val isReady: Boolean
@@ -136,7 +131,9 @@
         read: RegistryRead,
     ) {
         knowledge.apply(records, read)
-        if (read == RegistryRead.WHOLE_AFTER_OUTAGE) storeBackAt = clock.steady()
+        if (read == RegistryRead.WHOLE_AFTER_OUTAGE) {
+            currency = currency.copy(backAt = clock.steady(), lostAt = listed.lostAt ?: currency.lostAt)
+        }
         publish()
     }
 
@@ -144,8 +141,13 @@
         part: RegistryPart,
         sentAt: ClockReading,
     ) {
-        storeAnsweredAt = clock.steady()
-        if (part == RegistryPart.TARGETS) targetsKnownAt = maxOf(targetsKnownAt, sentAt.steadyMilliseconds)
+        val now = clock.steady()
+        // Peers that the store answers again haven't said so yet; their control isn't taken from them meanwhile.
+        if (storeAge() > OUTAGE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS * 2
+        storeAnsweredAt = now
+        if (part == RegistryPart.TARGETS) {
+            currency = currency.copy(knownAt = maxOf(currency.knownAt, sentAt.steadyMilliseconds))
+        }
         if (part == RegistryPart.OPERATORS) freshness = freshness.proved(sentAt)
     }
 
@@ -180,12 +182,7 @@
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
 
-    /** After an outage of the store targets take a while to write how they stand. */
-    private fun isKnown(domain: DomainControl): Boolean {
-        val wasHeldBefore = domain.takenAt < storeBackAt
-        val isSettled = wasHeldBefore || targetsKnownAt > storeBackAt + ENTRIES_CURRENT_MILLISECONDS
-        return targetsKnownAt > domain.takenAt && isSettled
-    }
+    private fun isKnown(domain: DomainControl): Boolean = currency.allows(domain.takenAt)
 
     private fun view(failureDomain: FailureDomainId): DomainView? {
         val service =
@@ -335,8 +332,8 @@
         const val FIRST_HEARTBEATS_MILLISECONDS = 400L
         const val PAUSE_MILLISECONDS = 500L
 
-        /** Targets write their entries within two seconds of the store's return. */
-        const val ENTRIES_CURRENT_MILLISECONDS = 2_200L
+        /** The store has been away if it gave no answer for longer than a call that waits for changes takes. */
+        const val OUTAGE_MILLISECONDS = 1_500L
 
         /** How long a broken group is remembered; its name is never used again. */
         const val BROKEN_MILLISECONDS = 5_000L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -28,6 +28,10 @@
 ) {
     private var version: Long? = null
     private var failures = 0
+
+    /** When the store was last noticed to be away, or null where it never was. */
+    var lostAt: Long? = null
+        private set
     private var failedSince: Long? = null
 
     fun start() = thread.execute(::next)
@@ -38,11 +42,8 @@
         registry.readAll(part).thenAccept { result ->
             thread.execute {
                 result.onRight { all ->
+                    take(all, wholeRead())
                     answered(part, sentAt)
-                    if (all.version >= (version ?: Long.MAX_VALUE)) {
-                        version = all.version
-                        changed(all.records, RegistryRead.WHOLE)
-                    }
                 }
             }
         }
@@ -62,11 +63,21 @@
         sentAt: ClockReading,
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::failed) { all ->
-        val read = if (wasAway) RegistryRead.WHOLE_AFTER_OUTAGE else RegistryRead.WHOLE
+        take(all, wholeRead())
         succeeded(sentAt)
+        again(PAUSE)
+    }
+
+    private fun wholeRead() = if (wasAway) RegistryRead.WHOLE_AFTER_OUTAGE else RegistryRead.WHOLE
+
+    /** Two whole reads may be under way at once; the older one tells nothing more. */
+    private fun take(
+        all: RegistryRecords,
+        read: RegistryRead,
+    ) {
+        if (all.version < (version ?: all.version)) return
         version = all.version
         changed(all.records, read)
-        again(PAUSE)
     }
 
     private fun changes(
@@ -97,7 +108,10 @@
         version = null
         failures += 1
         val isHistory = failure is RegistryFailure.HistoryLost
-        if (!isHistory) wasAway = true
+        if (!isHistory) {
+            if (!wasAway) lostAt = clock.steady()
+            wasAway = true
+        }
         again(if (isHistory) PAUSE else PAUSE.multipliedBy(minOf(failures, BACKOFF_AT_MOST).toLong()))
     }
 
--- a/model/src/test/kotlin/org/vanillalink/model/KeyValueLineTest.kt
+++ b/model/src/test/kotlin/org/vanillalink/model/KeyValueLineTest.kt
@@ -6,7 +6,13 @@
 internal class KeyValueLineTest {
     @Test
     fun `what was written is read again`() {
-        val pairs = listOf("event" to "order", "order" to "Stage(model=\"m 1\")", "detail" to "two\nlines \\ and", "empty" to "")
+        val pairs =
+            listOf(
+                "event" to "order",
+                "order" to "Stage(model=\"m 1\")",
+                "detail" to "two\nlines \\ and",
+                "empty" to "",
+            )
         assertEquals(pairs.toMap(), KeyValueLine.parse(KeyValueLine.of(pairs)))
     }
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -137,7 +137,12 @@
         val fleet = settled(mapOf("d0" to 8, "d1" to 8))
         repeat(30) { fleet.add("empty-$it", "d${it % 2}") }
         fleet.run(5_000)
-        val loads = fleet.orders.filter { it.second is GroupOrder.Stage }.map { it.first }.toSet().size
+        val loads =
+            fleet.orders
+                .filter { it.second is GroupOrder.Stage }
+                .map { it.first }
+                .toSet()
+                .size
         // Loads that may begin in a window of five seconds, by the published bound.
         val allowed = fleet.engine.loadsPerSecond * 5 * 1.1 + 3
         assertTrue(loads <= allowed, "$loads loads")
