Count a spare's change before the next target is asked

Cause: on reading the diff, the model that a target had kept was looked up after the change was noted, so that the new model was taken away from its own count: four empty targets that came together loaded the large model three times. The scenario failed first (large=3, small=1).

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -174,15 +174,16 @@
         domain: String?,
         free: List<TargetEntry>,
     ) {
-        val spares = SpareChoice(view.engine.models, free.map(::stagedModel), domainsGroups(domain), zonesGroups())
+        val spares = SpareChoice(view.engine.models, free.map(::stagedModel), groupsIn(domain), groupsEverywhere())
         free.filter { it.id !in work.state.staging }.forEach { target ->
-            val model = spares.next(stagedModel(target)) ?: return@forEach
+            val current = stagedModel(target)
+            val model = spares.next(current) ?: return@forEach
             if (view.trafficSeen && !takeLoads(1)) return
             val until = work.now + model.loadMilliseconds + work.settings.formationSlackMilliseconds
             work.state = work.state.copy(staging = work.state.staging + (target.id to Staging(model.name, until)))
-            work.note("model-staging", "target" to target.id, "model" to model.name, "instead" to stagedModel(target))
+            work.note("model-staging", "target" to target.id, "model" to model.name, "instead" to current)
             work.send(target, GroupOrder.Stage(model.name))
-            spares.replaced(stagedModel(target), model.name)
+            spares.replaced(current, model.name)
         }
     }
 
@@ -190,10 +191,10 @@
     private fun stagedModel(target: TargetEntry): String? = work.state.staging[target.id]?.model
         ?: target.staged.firstOrNull { name -> view.engine.models.any { it.name == name } }
 
-    private fun domainsGroups(domain: String?): Map<String, Int> =
+    private fun groupsIn(domain: String?): Map<String, Int> =
         standing.filter { it.fabricDomain == domain }.groupingBy { it.model }.eachCount()
 
-    private fun zonesGroups(): Map<String, Int> = standing.groupingBy { it.model }.eachCount()
+    private fun groupsEverywhere(): Map<String, Int> = standing.groupingBy { it.model }.eachCount()
 
     private fun standingGroups(): List<StandingGroup> {
         val forming =
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -149,6 +149,15 @@
         assertTrue(loads >= 4, "$loads loads")
     }
 
+    @Test
+    fun `empty targets that come together are shared out among the models`() {
+        val fleet = settled(mapOf("d0" to 6))
+        repeat(4) { fleet.add("empty-$it", "d0") }
+        fleet.run(500)
+        val loads = fleet.orders.map { it.second }.filterIsInstance<GroupOrder.Stage>()
+        assertEquals(mapOf("large" to 2, "small" to 2), loads.groupingBy { it.model }.eachCount())
+    }
+
     @Test
     fun `a group that loses two members one after the other is whole again within a load`() {
         val fleet = settled(mapOf("d0" to 8))
