--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamPace.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamPace.kt
@@ -13,14 +13,14 @@
     var firstEvent: Long? = null
         private set
 
-    /** The longest pause between two events so far. */
-    var longestPause: Long = 0
+    /** The longest pause between two events so far, or null before the second. */
+    var longestPause: Long? = null
         private set
 
     /** An event was passed on at [now]. */
     fun passedOn(now: Long) {
         if (firstEvent == null) firstEvent = now - arrivedAt
-        lastAt?.let { longestPause = maxOf(longestPause, now - it) }
+        lastAt?.let { longestPause = maxOf(longestPause ?: 0, now - it) }
         lastAt = now
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -96,7 +96,7 @@
         now: Long,
     ): Candidate? {
         val current = view
-        val usable = targets.filter { it.id !in excluded && it.failureDomain !in current.evacuated && !it.isLeaving }
+        val usable = targets.filter { it.id !in excluded && isUsable(it) }
         val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
         val spread = if (excluded.isEmpty()) 0 else REPEATED_SPREAD
         return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread)
@@ -110,12 +110,14 @@
     ): String {
         val groups = view.groups(service.name, model.orEmpty()).map { it.head }
         val targets = if (service.engine == null) view.plainTargets[service.name].orEmpty() else groups
-        val least = targets.minOfOrNull { inFlight.at(it.id, now) }
-        val unsound = targets.count { !isSound(it, now) }
-        val closed = targets.count { it.failureDomain in view.evacuated || it.isLeaving }
-        return "full(targets=${targets.size},least=$least,unsound=$unsound,closed=$closed)"
+        val usable = targets.filter { isUsable(it) }
+        val least = usable.minOfOrNull { inFlight.at(it.id, now) }
+        val unsound = usable.count { !isSound(it, now) }
+        return "full(targets=${targets.size},closed=${targets.size - usable.size},least=$least,unsound=$unsound)"
     }
 
+    private fun isUsable(target: TargetEntry): Boolean = target.failureDomain !in view.evacuated && !target.isLeaving
+
     private fun isSound(
         target: TargetEntry,
         now: Long,
