--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/NodeFiles.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/NodeFiles.kt
@@ -23,7 +23,7 @@
         "listen" to mapOf("front" to "$HOST:$first", "ready" to "$HOST:${first + 1}"),
         "internalPorts" to listOf(first + PEERS, first + PEERS),
         "bootstrap" to true,
-        "bounds" to mapOf("graceS" to 8, "revokeMs" to 5_000),
+        "bounds" to mapOf("graceS" to GRACE_SECONDS, "revokeMs" to REVOCATION_MILLISECONDS),
         "platform" to mapOf("address" to store.toString()),
     )
 
@@ -31,6 +31,10 @@
         /** Callers, readiness, peers, and one for metrics. */
         const val PORTS = 4
         private const val PEERS = 2
+
+        /** As on the users' sites. */
+        private const val GRACE_SECONDS = 8
+        private const val REVOCATION_MILLISECONDS = 5_000
         private const val HOST = "127.0.0.1"
     }
 }
--- a/tool/src/main/kotlin/org/vanillalink/tool/timeline/LogLines.kt
+++ b/tool/src/main/kotlin/org/vanillalink/tool/timeline/LogLines.kt
@@ -19,7 +19,7 @@
     private const val NAME = "event"
     private const val DAEMON = "daemon"
 
-    /** The events in [file]. Lines that name no daemon are taken as its whose name stands before them, or the file's. */
+    /** The events in [file]. A line that names no daemon is of the process named before it, or else the file's. */
     fun read(file: Path): List<TimelineEvent> = Files.readAllLines(file).mapIndexedNotNull { number, line ->
         event(line, number.toLong(), file.nameWithoutExtension)
     }
