--- a/control/src/main/kotlin/org/vanillalink/control/PoisonPart.kt
+++ b/control/src/main/kotlin/org/vanillalink/control/PoisonPart.kt
@@ -78,14 +78,7 @@
         decision: RouterDecision.StartAttempt,
         step: ControlStep,
     ) {
-        val request = requests[decision.request]
-        if (request == null) {
-            calls.send(decision, step)
-            return
-        }
-        request.waiting = decision
-        request.forwarded = false
-        ask(decision.request, request, step)
+        if (!hold(decision.request, decision, step)) calls.send(decision, step)
     }
 
     /** Passes a request on now or later. */
@@ -93,14 +86,20 @@
         decision: RouterDecision.ForwardRequest,
         step: ControlStep,
     ) {
-        val request = requests[decision.request]
-        if (request == null) {
-            calls.forward(decision, step)
-            return
-        }
+        if (!hold(decision.request, decision, step)) calls.forward(decision, step)
+    }
+
+    /** Lets [decision] wait until it may be carried out; gives false where nothing is known of its request. */
+    private fun hold(
+        id: RequestId,
+        decision: RouterDecision,
+        step: ControlStep,
+    ): Boolean {
+        val request = requests[id] ?: return false
         request.waiting = decision
-        request.forwarded = true
-        ask(decision.request, request, step)
+        request.forwarded = decision is RouterDecision.ForwardRequest
+        ask(id, request, step)
+        return true
     }
 
     /** The router ended [request]; gives whether its attempt was still waiting to be sent. */
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/control/CallExecutor.kt
@@ -43,30 +43,28 @@
     override fun arrived(
         call: ActiveCall,
         event: RouterEvent.RequestArrived,
-    ) = thread.execute {
-        calls.add(call)
-        observer.arrived(event)
-        loop.handle(DaemonEvent.ForRouter(event))
-    }
+    ) = arrived(call, event, DaemonEvent.ForRouter(event))
 
     override fun modelCallArrived(
         call: ActiveCall,
         fingerprint: CallFingerprint,
         event: RouterEvent.RequestArrived,
-    ) = thread.execute {
-        calls.add(call)
-        observer.arrived(event)
-        loop.handle(DaemonEvent.ModelCallArrived(fingerprint, event))
-    }
+    ) = arrived(call, event, DaemonEvent.ModelCallArrived(fingerprint, event))
 
     override fun keyedCallArrived(
         call: ActiveCall,
         keyed: KeyedCall,
         event: RouterEvent.RequestArrived,
+    ) = arrived(call, event, DaemonEvent.KeyedCallArrived(keyed, event))
+
+    private fun arrived(
+        call: ActiveCall,
+        arrival: RouterEvent.RequestArrived,
+        event: DaemonEvent,
     ) = thread.execute {
         calls.add(call)
-        observer.arrived(event)
-        loop.handle(DaemonEvent.KeyedCallArrived(keyed, event))
+        observer.arrived(arrival)
+        loop.handle(event)
     }
 
     override fun keyedCallAnswered(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -177,7 +177,7 @@
 
     /** What another daemon did while it had control must be known before anything is decided. */
     private fun advance(domain: DomainControl) {
-        if (!isKnown(domain)) return
+        if (!domain.isHeld || !isKnown(domain)) return
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
@@ -204,7 +204,7 @@
     }
 
     private fun suspect(key: GroupKey) {
-        domains.values.forEach { domain ->
+        domains.values.filter { it.isHeld }.forEach { domain ->
             val view = view(domain.failureDomain) ?: return@forEach
             carryOut(domain, domain.apply(GroupEvent.Suspected(key, view)))
         }
@@ -271,7 +271,7 @@
         }
     }
 
-    private fun ownDomains(): List<ControlledDomain> = domains.values.mapNotNull { domain ->
+    private fun ownDomains(): List<ControlledDomain> = domains.values.filter { it.isHeld }.mapNotNull { domain ->
         view(domain.failureDomain)?.let { domain.announced(it, isKnown(domain)) }
     }
 
@@ -316,12 +316,8 @@
         val view = view(failureDomain) ?: return emptyList()
         return ServingGroups
             .open(view.entries.values)
-            .filter { group ->
-                group.members.size ==
-                    view.engine.models
-                        .firstOrNull { it.name == group.model }
-                        ?.size
-            }.filter { group -> group.members.none { it.isLeaving } }
+            .filter { group -> group.members.size == view.engine.groupSize(group.model) }
+            .filter { group -> group.members.none { it.isLeaving } }
             .map { group -> AnnouncedGroup(group.key, group.model, group.members.map { it.id }) }
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -51,6 +51,9 @@
     var term = 0L
         private set
 
+    /** Whether this daemon has control. */
+    val isHeld: Boolean get() = state != null
+
     /** Takes or gives up control; [claimed] is the greatest term that a peer claims. */
     fun elect(
         isWanted: Boolean,
@@ -58,9 +61,9 @@
     ) {
         this.isWanted = isWanted
         if (claimed != null) knownTerm = maxOf(knownTerm, claimed)
-        if (state != null) {
+        if (isHeld) {
             if (claimed != null && claimed > term) giveUp("peer-holds-term-$claimed")
-            if (!isWanted && state != null) giveUp("another-daemon-should-control")
+            if (!isWanted && isHeld) giveUp("another-daemon-should-control")
             return
         }
         if (!isWanted || isAsking || clock.steady() < askAgainAt) return
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -36,8 +36,6 @@
     val isSigned: Boolean,
     /** Whether the target says that it did not run the request and never will. */
     val isNotRun: Boolean,
-    /** Whether another target, or another run of it, has the address now. */
-    val isOtherTarget: Boolean,
     /** The member at fault, where a group's head names it. */
     val faultyTarget: String?,
     /** Whether the body was changed by an encoding that nobody asked for. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -46,18 +46,11 @@
         val catalog = context.state.view.catalog
         val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, marks, now, answer)
         if (rejection == null) return
-        val outcome = RefusalOutcome.NOT_RUN
-        val retryAfter =
-            if (rejection.reason.status ==
-                STATUS_UNAVAILABLE
-            ) {
-                AdmittedRequest.ELSEWHERE_RETRY_AFTER
-            } else {
-                null
-            }
+        val isElsewherePossible = rejection.reason.status == STATUS_UNAVAILABLE
+        val retryAfter = AdmittedRequest.ELSEWHERE_RETRY_AFTER.takeIf { isElsewherePossible }
         context.log.rejected(marks, request.path, rejection.reason, rejection.detail)
         answer.refuse(
-            Refusal(rejection.reason, outcome, rejection.detail, retryAfter),
+            Refusal(rejection.reason, RefusalOutcome.NOT_RUN, rejection.detail, retryAfter),
             marks.requestId,
             RetryAfterPrecision.TENTHS,
         )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
@@ -10,7 +10,6 @@
     val bytes: ByteArray,
     val firstId: Long?,
     val lastId: Long?,
-    val count: Int,
 )
 
 /** Keeps the part of an event that isn't whole yet. */
@@ -51,15 +50,13 @@
     private fun whole(bytes: ByteArray): WholeEvents {
         var firstId: Long? = null
         var lastId: Long? = null
-        var count = 0
         String(bytes, Charsets.ISO_8859_1).lineSequence().forEach { line ->
             if (!line.startsWith(ID_FIELD)) return@forEach
             val id = line.substring(ID_FIELD.length).trim().toLongOrNull() ?: return@forEach
             firstId = firstId ?: id
             lastId = id
-            count += 1
         }
-        return WholeEvents(bytes, firstId, lastId, count)
+        return WholeEvents(bytes, firstId, lastId)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
@@ -62,7 +62,10 @@
     val openMilliseconds: Long,
     /** How many models a host keeps ready to load without the weight store. */
     val modelsKeptByHost: Int,
-)
+) {
+    /** How many members a group of the model [name] has, or null where there is no such model. */
+    fun groupSize(name: String?): Int? = models.firstOrNull { it.name == name }?.size
+}
 
 /** One service. [coldRequestsPerSecond] of 0 means that its targets are never cold. */
 data class ServiceDefinition(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -92,10 +92,7 @@
         if (key in state.dissolutions || key in state.dissolved) return false
         val head = roster.head ?: return false
         val isOpen = view.entries[head.id]?.membership?.state == MemberState.OPEN
-        val size =
-            view.engine.models
-                .firstOrNull { it.name == head.model }
-                ?.size
+        val size = view.engine.groupSize(head.model)
         return isOpen && roster.members.size == size && roster.members.values.none { it.run in state.silent }
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -58,10 +58,7 @@
         head: TargetEntry,
     ): String? {
         val members = roster.members.values
-        val size =
-            view.engine.models
-                .firstOrNull { it.name == head.model }
-                ?.size ?: return "model-unknown"
+        val size = view.engine.groupSize(head.model) ?: return "model-unknown"
         if (members.any { it.run in work.state.silent }) return MEMBER_SILENT
         val isNew = work.now - roster.firstSeenAt < work.settings.listingLagMilliseconds
         val isIncomplete = members.size < size && !isNew && key !in work.state.formations
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -211,11 +211,7 @@
             }
         return forming +
             open.values.mapNotNull { it.head }.map { head ->
-                val size =
-                    view.engine.models
-                        .firstOrNull { it.name == head.model }
-                        ?.size ?: 0
-                StandingGroup(head.fabricDomain, head.model.orEmpty(), size)
+                StandingGroup(head.fabricDomain, head.model.orEmpty(), view.engine.groupSize(head.model) ?: 0)
             }
     }
 
