Measure how late the traffic and control threads are

The lines and metrics could not tell apart: a daemon that notices a caller's leaving late because its traffic thread is late, an attempt that is not ended although the leaving was noticed, and an ended attempt whose close reaches the target late.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -11,6 +11,8 @@
 import org.vanillalink.gateway.logs.CallLog
 import org.vanillalink.gateway.logs.DecisionInputs
 import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.logs.LoopDelay
+import org.vanillalink.gateway.logs.VirtualMachineUsage
 import org.vanillalink.gateway.peers.PeerExchange
 import org.vanillalink.gateway.ports.CallProtocol
 import org.vanillalink.gateway.ports.EntrySettings
@@ -52,9 +54,12 @@
     private val lines = EventLines(settings.daemon, clock::steady)
     private val thread = ControlThread()
     private val random = Random(settings.daemon.hashCode() + clock.wall())
-    private val live = LiveTraffic(settings.bounds, loops, random, clock::steady)
-    private val control = ControlLoop(settings, thread, ports.registry, ports.table, ports.targets, live, lines, clock)
-    private val peers = PeerExchange(settings, loops, thread, ports.table, control, live, lines, clock)
+    private val trafficDelay = LoopDelay("traffic", metrics, lines, VirtualMachineUsage)
+    private val controlDelay = LoopDelay("control", metrics, lines, VirtualMachineUsage)
+    private val live = LiveTraffic(settings.bounds, loops, random, clock::steady, trafficDelay)
+    private val control =
+        ControlLoop(settings, thread, ports.registry, ports.table, ports.targets, live, lines, clock, controlDelay)
+    private val peers = PeerExchange(settings, loops, thread, ports.table, control, live, lines, clock, metrics)
     private val log = CallLog(metrics, clock::steady, ::decisionInputs)
     private val handler =
         CallHandler(
@@ -124,8 +129,12 @@
         return ServerLimits(configured.headerBytes, configured.bodyBytes, CONNECTIONS, maxOf(1, idleSeconds))
     }
 
-    private fun decisionInputs() =
-        DecisionInputs(control.configurationVersion, control.freshness.age(clock.reading()), live.state.view.sharers)
+    private fun decisionInputs() = DecisionInputs(
+        configurationVersion = control.configurationVersion,
+        configurationAge = control.freshness.age(clock.reading()),
+        sharers = live.state.view.sharers,
+        loopDelay = trafficDelay.recent,
+    )
 
     @Suppress("UnusedParameter")
     private fun answerReadiness(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -6,6 +6,7 @@
 package org.vanillalink.gateway.control
 
 import org.vanillalink.gateway.logs.EventLines
+import org.vanillalink.gateway.logs.LoopDelay
 import org.vanillalink.gateway.ports.EntrySettings
 import org.vanillalink.gateway.ports.Registry
 import org.vanillalink.gateway.ports.RegistryPart
@@ -41,6 +42,7 @@
     private val traffic: TrafficSummary,
     private val lines: EventLines,
     private val clock: EntryClock,
+    private val delay: LoopDelay,
 ) {
     private val knowledge = RegistryKnowledge(lines, clock, settings.bounds.relistMilliseconds)
     private var board = PeerBoard()
@@ -155,6 +157,7 @@
 
     private fun tick() {
         val now = clock.steady()
+        delay.began(lastTickAt + TICK.toMillis(), now)
         // After a pause of the process no peer seems alive until its next heartbeat has been read.
         if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
         lastTickAt = now
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
@@ -19,6 +19,8 @@
     /** Milliseconds since that version was last known to be current. */
     val configurationAge: Long?,
     val sharers: Int,
+    /** The traffic thread's greatest delay of late, in milliseconds. */
+    val loopDelay: Long,
 )
 
 /** Writes on the traffic thread; never blocks. */
@@ -54,6 +56,7 @@
             "firstEventMs" to end.pace?.firstEvent,
             "longestPauseMs" to end.pace?.longestPause,
             "attempts" to end.attempts,
+            "atTargetMs" to end.atTargetMilliseconds,
             "trail" to end.trail,
             "tokens" to request.marks.promptTokens,
             "resumedAfter" to request.marks.lastEventId,
@@ -97,6 +100,7 @@
                     "configuration" to known.configurationVersion,
                     "configurationAgeMs" to known.configurationAge,
                     "sharers" to known.sharers,
+                    "loopDelayMs" to known.loopDelay.takeIf { it >= LOOP_DELAY_TOLD_MILLISECONDS },
                     "suppressed" to budget.takeSuppressed().takeIf { it > 0 },
                 )
         logger.info { KeyValueLine.of(all.filter { it.second != null }) }
@@ -118,6 +122,9 @@
     private companion object {
         const val CLIENT_ERROR = 400
 
+        /** Less than this explains nothing that a caller sees. */
+        const val LOOP_DELAY_TOLD_MILLISECONDS = 20L
+
         /** Enough for each failure of an ordinary bad minute; a storm of refusals is told by its counters. */
         const val FAILURE_LINES_PER_SECOND = 50.0
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.gateway.peers
 
+import io.micrometer.core.instrument.MeterRegistry
 import org.vanillalink.gateway.control.ControlLoop
 import org.vanillalink.gateway.control.ControlThread
 import org.vanillalink.gateway.control.EntryClock
@@ -34,6 +35,7 @@
     private val traffic: LiveTraffic,
     private val lines: EventLines,
     private val clock: EntryClock,
+    metrics: MeterRegistry,
 ) {
     private val startedAt = clock.wall()
     private val key = RowKey("daemons/${settings.daemon}")
@@ -41,6 +43,8 @@
     private var peers: Map<DaemonId, Endpoint> = emptyMap()
     private var sequence = 0L
     private var isRegistered = false
+    private val sentBytes = metrics.summary("vanillalink.peer.bytes", "direction", "sent")
+    private val receivedBytes = metrics.summary("vanillalink.peer.bytes", "direction", "received")
 
     fun start() {
         control.onChange = ::tell
@@ -54,10 +58,14 @@
         if (peers.isEmpty()) return
         sequence += 1
         val message = Json.write(control.message(sequence, startedAt, traffic.strikes()))
-        peers.values.forEach { port.send(it, message) }
+        peers.values.forEach {
+            port.send(it, message)
+            sentBytes.record(message.size.toDouble())
+        }
     }
 
     private fun received(content: ByteArray) {
+        receivedBytes.record(content.size.toDouble())
         Json.read<PeerMessage>(content).fold(
             { lines.record("peer-message-unreadable", "reason" to it.detail) },
             { message ->
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallEnd.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallEnd.kt
@@ -10,4 +10,6 @@
     val trail: String,
     val attempts: Int,
     val pace: StreamPace?,
+    /** How long an attempt that was still under way had been at its target, or null where none was. */
+    val atTargetMilliseconds: Long?,
 )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.gateway.control.TrafficSummary
+import org.vanillalink.gateway.logs.LoopDelay
 import org.vanillalink.gateway.ports.EntryBounds
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
@@ -20,6 +21,7 @@
     private val loops: NettyEventLoops,
     random: Random,
     private val now: () -> Long,
+    private val delay: LoopDelay,
 ) : TrafficSummary {
     val state = TrafficState(bounds, random)
     val active = ActiveCalls()
@@ -36,7 +38,7 @@
     @Volatile
     private var hasTraffic = false
     private var tidiedAt = 0L
-    private var watchedAt = 0L
+    private var watchedAt = now()
 
     init {
         loops.schedule(WATCH, ::watch)
@@ -78,6 +80,7 @@
 
     private fun watch() {
         val at = now()
+        delay.began(watchedAt + WATCH.toMillis(), at)
         if (at - watchedAt > PAUSE_MILLISECONDS) state.stalls.resumed(at)
         watchedAt = at
         val stalled = state.watch(at)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -46,6 +46,7 @@
     private val tried = HashSet<HostId>()
     private var exchange: OutgoingExchange? = null
     private var generation = 0
+    private var attemptBeganAt = 0L
     private var timeout: ScheduledAction? = null
     protected val trail = StringBuilder()
 
@@ -89,6 +90,7 @@
         val marks = ForwardMarks(entry, request.workspace?.id, left, lastEventId ?: request.marks.lastEventId)
         val options = SendOptions(answerTimeout = Duration.ofMillis(left + ANSWER_SLACK_MILLISECONDS))
         generation += 1
+        attemptBeganAt = now
         val listener = AttemptListener(this, generation)
         exchange =
             context.http.send(entry.endpoint, context.protocol.forward(request.message, marks), options, listener)
@@ -221,11 +223,12 @@
         status: Int,
     ) {
         if (ended) return
+        val atTarget = currentTarget?.let { now - attemptBeganAt }
         dropExchange()
         ended = true
         timeout?.cancel()
         context.active.remove(this)
-        context.log.ended(request, CallEnd(outcome, status, trail.toString(), attempts, pace), now)
+        context.log.ended(request, CallEnd(outcome, status, trail.toString(), attempts, pace, atTarget), now)
     }
 
     /** The attempt's answer has come whole; its target is free again. */
