Don't begin requests whose callers left before they were read

Cause: Netty takes a read that doesn't fill its buffer as the last of a round, so the bytes of a request are handled one round before the end of its connection is seen, however long both have waited. A late daemon sent each such request to a target and dropped it a round later.

Change: the server's connections are read until nothing is left, and a request is handled after its connection's round. What is left out is written down (outcome caller-gone-before-begun) and counted.

Evidence: CallerThatLeftTest holds the server's thread while a caller sends and leaves. Before the change both tests failed: expected [/stays], was [/left, /stays], on a new and on a kept connection; now they pass. Ruled out: a check of the channel when the request is decoded (it is still open then).

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -66,14 +66,11 @@
             TrafficContext(live.state, ports.http, ports.protocol, log, live.active, clock::steady, loops::schedule),
             { control.freshness.isFresh(clock.reading(), control.keyBound()) },
             random,
+            live::sawRequest,
         )
     private val readiness = NettyHttpServer(loops, settings.readiness, ServerLimits(), ::answerReadiness)
     private val metricsServer = NettyHttpServer(loops, settings.metrics, ServerLimits(), ::answerMetrics)
-    private val callers =
-        NettyHttpServer(loops, settings.callers, ::limits) { request, answer ->
-            live.sawRequest()
-            handler.handle(request, answer)
-        }
+    private val callers = NettyHttpServer(loops, settings.callers, ::limits, handler)
 
     init {
         metrics.gauge("vanillalink.requests.in.progress", live) { it.active.count.toDouble() }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallLog.kt
@@ -83,6 +83,22 @@
         )
     }
 
+    /** The caller left before its request was handled. */
+    fun abandoned(
+        marks: CallMarks,
+        path: String,
+    ) {
+        timer("none", ABANDONED).record(Duration.ZERO)
+        write(
+            isFailure = true,
+            "event" to "request",
+            "request" to marks.requestId,
+            "host" to marks.host,
+            "path" to path,
+            "outcome" to ABANDONED,
+        )
+    }
+
     private fun write(
         isFailure: Boolean,
         vararg fields: Pair<String, Any?>,
@@ -121,6 +137,7 @@
 
     private companion object {
         const val CLIENT_ERROR = 400
+        const val ABANDONED = "caller-gone-before-begun"
 
         /** Less than this explains nothing that a caller sees. */
         const val LOOP_DELAY_TOLD_MILLISECONDS = 20L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -31,16 +31,21 @@
     private val context: TrafficContext,
     private val knowledge: KnowledgeAge,
     private val random: Random,
+    private val onRequest: () -> Unit,
 ) : HttpRequestHandler {
     private class Rejected(
         val reason: RefusalReason,
         val detail: String,
     )
 
+    override fun abandoned(request: HttpRequestMessage) =
+        context.log.abandoned(context.protocol.read(request), request.path)
+
     override fun handle(
         request: HttpRequestMessage,
         answer: AnswerWriter,
     ) {
+        onRequest()
         val marks = context.protocol.read(request)
         val now = context.now()
         val catalog = context.state.view.catalog
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -12,6 +12,9 @@
         request: HttpRequestMessage,
         answer: AnswerWriter,
     )
+
+    /** The caller of [request] has left before it was handled, and it won't be. */
+    fun abandoned(request: HttpRequestMessage) = Unit
 }
 
 /** Writes one answer. Calls after the answer has ended, or after the caller went away, do nothing. */
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -5,6 +5,7 @@
 package org.vanillalink.transport
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -66,11 +67,24 @@
         .channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
         .childHandler(ConnectionInitializer())
         .bind(bind.address, bind.port)
         .syncUninterruptibly()
         .channel()
 
+    /**
+     * Reads on until nothing is left, so that the end of a connection is seen together with the bytes before it. By
+     * default a read that doesn't fill its buffer is taken as the last, and the end is only seen in the next round.
+     */
+    private fun readingToTheEnd() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE)
+
+    private companion object {
+        /** Netty's own default for connections; bounds how long one connection keeps others waiting. */
+        const val READS_AT_ONCE = 16
+    }
+
     private inner class ConnectionInitializer : ChannelInitializer<SocketChannel>() {
         override fun initChannel(channel: SocketChannel) {
             val limits = limitsInForce()
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
@@ -47,7 +47,8 @@
             return
         }
         waiting.addLast(WaitingRequest(request.toMessage(), HttpUtil.isKeepAlive(request)))
-        handleNext()
+        // By then the connection has been read up to its end, so that a caller who has left already is known.
+        context.executor().execute(::handleNext)
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -55,7 +56,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        waiting.clear()
+        abandonWaiting()
         current?.callerGone()
     }
 
@@ -80,6 +81,7 @@
     }
 
     private fun handleNext() {
+        if (!context.channel().isActive) abandonWaiting()
         if (current != null) return
         val next = waiting.removeFirstOrNull() ?: return
         inProgress.incrementAndGet()
@@ -98,6 +100,11 @@
         context.executor().execute(::handleNext)
     }
 
+    private fun abandonWaiting() {
+        waiting.forEach { handler.abandoned(it.message) }
+        waiting.clear()
+    }
+
     private fun refuseMalformed(cause: Throwable) {
         val detail = cause.message ?: cause.javaClass.simpleName
         val tooLarge = cause is TooLongHttpHeaderException
--- /dev/null
+++ b/transport/src/test/kotlin/org/vanillalink/transport/CallerThatLeftTest.kt
@@ -0,0 +1,106 @@
+package org.vanillalink.transport
+
+import org.vanillalink.model.Endpoint
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** A server whose thread is late: requests and the ends of their connections wait side by side. */
+internal class CallerThatLeftTest {
+    private val loops = NettyEventLoops(1)
+    private val handled = CopyOnWriteArrayList<String>()
+    private val testSubject =
+        NettyHttpServer(loops, Endpoint("127.0.0.1", 0), ServerLimits()) { request, answer ->
+            handled += request.target
+            answer.answer(STATUS_OK)
+        }
+
+    @AfterTest
+    fun stop() {
+        testSubject.close()
+        loops.close()
+    }
+
+    // Guards against work for callers that had left before a late daemon read their requests (issue 14).
+    @Test
+    fun `a request whose caller has left before it was read is not handled`() {
+        val late = holdThread()
+        connect().use { it.send("/left") }
+        val staying = connect().apply { send("/stays") }
+        late.countDown()
+
+        assertEquals("HTTP/1.1 200 OK", staying.readStatus())
+        assertEquals(listOf("/stays"), handled)
+    }
+
+    // Guards against work for callers that had left before a late daemon read their requests (issue 14).
+    @Test
+    fun `a request on a kept connection whose caller has left before it was read is not handled`() {
+        val kept = connect().apply { send("/first") }
+        assertEquals("HTTP/1.1 200 OK", kept.readStatus())
+        val late = holdThread()
+        kept.use { it.send("/left") }
+        val staying = connect().apply { send("/stays") }
+        late.countDown()
+
+        assertEquals("HTTP/1.1 200 OK", staying.readStatus())
+        assertEquals(listOf("/first", "/stays"), handled)
+    }
+
+    @Test
+    fun `requests that came together on one connection are handled in order`() {
+        val late = holdThread()
+        val caller = connect().apply { send("/one", "/two") }
+        late.countDown()
+
+        assertEquals("HTTP/1.1 200 OK", caller.readStatus())
+        assertEquals("HTTP/1.1 200 OK", caller.readStatus())
+        assertEquals(listOf("/one", "/two"), handled)
+    }
+
+    /** Keeps the server's thread from running until the result is counted down. */
+    private fun holdThread(): CountDownLatch {
+        val held = CountDownLatch(1)
+        val released = CountDownLatch(1)
+        loops.execute {
+            held.countDown()
+            released.await()
+        }
+        assertTrue(held.await(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+        return released
+    }
+
+    private fun connect() = Socket("127.0.0.1", testSubject.endpoint.port).apply {
+        soTimeout = TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS).toInt()
+    }
+
+    private fun Socket.send(vararg targets: String) {
+        val text = targets.joinToString("") { "GET $it HTTP/1.1\r\nHost: grit.example\r\n\r\n" }
+        getOutputStream().write(text.toByteArray())
+    }
+
+    /** Reads one answer without a body and gives its first line. */
+    private fun Socket.readStatus(): String {
+        val lines = generateSequence { readLine() }.takeWhile { it.isNotEmpty() }.toList()
+        return lines.first()
+    }
+
+    private fun Socket.readLine(): String {
+        val line = StringBuilder()
+        while (true) {
+            val next = getInputStream().read()
+            if (next < 0 || next == '\n'.code) return line.toString().trimEnd('\r')
+            line.append(next.toChar())
+        }
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val TIMEOUT_SECONDS = 20L
+    }
+}
