Read peers' messages and the store's answers off the traffic thread

Change: peers' messages are read on the control thread, by the library's tree instead of by reflection over constructors; the store's answers on a thread of their own.

Evidence: in stacks of an idle daemon among 30 the traffic thread was in KotlinValueInstantiator whenever it was not waiting.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -21,6 +21,7 @@
 import java.time.Duration
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
 
 /** Starts a daemon with the platform's settings file. */
 @Command(
@@ -54,7 +55,7 @@
     private fun run(settings: EntrySettings): Int {
         val loops = NettyEventLoops(TRAFFIC_THREADS)
         val http = NettyHttpClient(loops, CONNECT_TIMEOUT)
-        val store = StoreClient(http, settings.store)
+        val store = StoreClient(http, settings.store, decoding())
         val dropped = CountingAsyncAppender::droppedLines
         val ports = EntryPorts(http, StoredRegistry(store), store, RunnerControl(http), WireCallProtocol(), dropped)
         val daemon = EntryDaemon(settings, loops, ports)
@@ -73,6 +74,8 @@
         return 0
     }
 
+    private fun decoding() = Executors.newSingleThreadExecutor { Thread(it, "registry").apply { isDaemon = true } }
+
     private companion object {
         const val EXIT_USAGE = 2
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -12,7 +12,6 @@
 import org.vanillalink.gateway.traffic.LiveTraffic
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
-import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.store.Row
 import org.vanillalink.store.RowKey
@@ -20,9 +19,7 @@
 import org.vanillalink.store.TableStore
 import org.vanillalink.store.TransactionResult
 import org.vanillalink.transport.DatagramPort
-import org.vanillalink.transport.Json
 import org.vanillalink.transport.NettyEventLoops
-import org.vanillalink.transport.read
 import java.time.Duration
 
 /** Lives on the control thread. */
@@ -57,7 +54,7 @@
     private fun tell() {
         if (peers.isEmpty()) return
         sequence += 1
-        val message = Json.write(control.message(sequence, startedAt, traffic.strikes()))
+        val message = PeerMessageCodec.write(control.message(sequence, startedAt, traffic.strikes()))
         peers.values.forEach {
             port.send(it, message)
             sentBytes.record(message.size.toDouble())
@@ -66,15 +63,18 @@
 
     private fun received(content: ByteArray) {
         receivedBytes.record(content.size.toDouble())
-        Json.read<PeerMessage>(content).fold(
-            { lines.record("peer-message-unreadable", "reason" to it.detail) },
-            { message ->
-                traffic.heard(message.daemon, message.failureDomain, message.inFlight, message.strikes)
-                thread.execute { control.heard(message) }
-            },
-        )
+        // Their number grows with the fleet, so the traffic thread, which carries callers, doesn't read them.
+        thread.execute { read(content) }
     }
 
+    private fun read(content: ByteArray) = PeerMessageCodec.read(content).fold(
+        { lines.record("peer-message-unreadable", "reason" to it.detail) },
+        { message ->
+            traffic.heard(message.daemon, message.failureDomain, message.inFlight, message.strikes)
+            control.heard(message)
+        },
+    )
+
     private fun refresh() {
         table.scan("daemons/").thenAccept { result ->
             thread.execute {
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -0,0 +1,59 @@
+package org.vanillalink.gateway.peers
+
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.choice.RequestFingerprint
+import org.vanillalink.serving.choice.Strike
+import org.vanillalink.serving.control.AnnouncedGroup
+import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.PeerMessage
+import org.vanillalink.serving.targets.GroupKey
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+internal class PeerMessageCodecTest {
+    private val testSubject = PeerMessageCodec
+    private val key = GroupKey("ikeja-m0-7", 7)
+    private val message =
+        PeerMessage(
+            daemon = DaemonId("a"),
+            failureDomain = FailureDomainId("ikeja"),
+            startedAt = 5,
+            sequence = 6,
+            storeAge = 7,
+            isLeaving = true,
+            inFlight = mapOf(HostId("i-1") to 3),
+            suspects = setOf(key),
+            strikes = listOf(Strike(RequestFingerprint("f"), HostId("i-2"))),
+            controlled =
+                listOf(
+                    ControlledDomain(
+                        FailureDomainId("ikeja"),
+                        2,
+                        listOf(AnnouncedGroup(key, "m0", listOf(HostId("i-1"), HostId("i-2")))),
+                        setOf(GroupKey("ikeja-m0-6", 6)),
+                    ),
+                    ControlledDomain(FailureDomainId("lekki"), 3, null, emptySet()),
+                ),
+        )
+
+    @Test
+    fun `a message is read as it was written`() {
+        assertEquals(message, testSubject.read(testSubject.write(message)).getOrNull())
+    }
+
+    @Test
+    fun `a message without a field is malformed`() {
+        val content = testSubject.write(message).decodeToString().replace("\"sequence\"", "\"other\"")
+
+        assertTrue(testSubject.read(content.toByteArray()).isLeft())
+    }
+
+    @Test
+    fun `bytes that are no message are malformed`() {
+        assertTrue(testSubject.read("[1".toByteArray()).isLeft())
+        assertTrue(testSubject.read("7".toByteArray()).isLeft())
+    }
+}
