Tell peers a daemon's own strikes only

Cause: each daemon told its peers the strikes of the last second (a request was running when a connection broke), and what it heard from them counted as new. Class: state that is gossiped without an age of its own never ends, and its cost grows with the square of the fleet.

Change: what peers tell is remembered once, from when it was first heard, and isn't told on; every daemon hears it from the one that saw it. Looked for elsewhere: counts and groups in heartbeats are each sender's own; broken groups are told on by nobody but their controller.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -75,7 +75,7 @@
         val at = now()
         state.inFlight.heard(peer, inFlight, at)
         state.paths.heard(failureDomain, at)
-        struck.forEach { state.failures.struck(it, at) }
+        struck.forEach { state.failures.heard(it, at) }
     }
 
     private fun watch() {
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/RepeatedFailures.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/RepeatedFailures.kt
@@ -23,14 +23,29 @@
 ) {
     private val strikes = LinkedHashMap<Strike, Long>()
 
-    /** Records [strike], seen here or by a peer. */
+    /** Those seen by this daemon itself, with when. */
+    private val own = LinkedHashMap<Strike, Long>()
+
+    /** Records [strike], seen by this daemon. */
     fun struck(
         strike: Strike,
         now: Long,
     ) {
         strikes.remove(strike)
         strikes[strike] = now
-        while (strikes.size > STRIKES_KEPT) strikes.remove(strikes.keys.first())
+        own.remove(strike)
+        own[strike] = now
+        keepNewest(strikes)
+        keepNewest(own)
+    }
+
+    /** Records [strike], seen by a peer, who tells it several times. */
+    fun heard(
+        strike: Strike,
+        now: Long,
+    ) {
+        strikes.compute(strike) { _, at -> if (at == null || now - at >= REMEMBERED_MILLISECONDS) now else at }
+        keepNewest(strikes)
     }
 
     /** Whether a request with [fingerprint] has taken down too many targets. */
@@ -41,8 +56,15 @@
         strike.fingerprint == fingerprint && now - at < REMEMBERED_MILLISECONDS
     } >= strikesBeforeRefusal
 
-    /** Strikes after [since], to tell to peers. */
-    fun since(since: Long): List<Strike> = strikes.filterValues { it > since }.keys.toList()
+    /** This daemon's own strikes after [since], to tell to peers. Those of others they hear from the others. */
+    fun since(since: Long): List<Strike> {
+        own.values.removeIf { it <= since }
+        return own.keys.toList()
+    }
+
+    private fun keepNewest(strikes: LinkedHashMap<Strike, Long>) {
+        while (strikes.size > STRIKES_KEPT) strikes.remove(strikes.keys.first())
+    }
 
     private companion object {
         /** Two losses can be chance where targets fail often; a third at another target hardly is. */
