Let heartbeats follow the failure domain

Change: HeartbeatSchedule. Inside a failure domain daemons tell each other in detail, the less often the more there are; outside, the one with control speaks for all, with the sum of their requests by target; the others are heard there just often enough to be known alive. A message says when the next one comes, and a peer's life is judged by that. Changes of a daemon's own control are told to all at once, a standing group at once to the controllers, and a new run is answered at once.

At 33 failure domains the controllers' own words still grow with the number of domains.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -14,7 +14,9 @@
 import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.gateway.traffic.RoutableGroup
 import org.vanillalink.gateway.traffic.TrafficView
+import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.catalog.CredentialFreshness
 import org.vanillalink.serving.choice.Strike
@@ -23,6 +25,8 @@
 import org.vanillalink.serving.control.GroupDecision
 import org.vanillalink.serving.control.GroupEvent
 import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.HeartbeatPart
+import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.OwnState
 import org.vanillalink.serving.peers.PeerBoard
 import org.vanillalink.serving.peers.PeerMessage
@@ -46,7 +50,8 @@
 ) {
     private val knowledge = RegistryKnowledge(lines, clock, settings.bounds.relistMilliseconds)
     private var board = PeerBoard()
-    private var lastBroken: Set<GroupKey> = emptySet()
+    private var lastControlled: List<ControlledDomain> = emptyList()
+    private var lastSuspects: Set<GroupKey> = emptySet()
     private val brokenUntil = HashMap<GroupKey, Long>()
 
     /** Read on traffic threads. */
@@ -57,9 +62,12 @@
     @Volatile
     private var isLeaving = false
 
-    /** Called on the control thread after each change of what is told to peers. */
+    /** Called on the control thread after each change that all peers must know of soon. */
     var onChange: () -> Unit = {}
 
+    /** Called on the control thread with daemons that must know soon what stands still here. */
+    var onSuspicion: (Set<DaemonId>) -> Unit = {}
+
     private val operators = follower(RegistryPart.OPERATORS, registry)
     private val listed = follower(RegistryPart.TARGETS, registry)
     private val domains =
@@ -94,19 +102,20 @@
         onChange()
     }
 
-    /** A peer's message has arrived. */
-    fun heard(message: PeerMessage) {
+    /** A peer's message has arrived; gives whether it begins a run that wasn't heard of before. */
+    fun heard(message: PeerMessage): Boolean {
         val before = board.peers[message.daemon]?.message
         board = board.heard(message, clock.steady())
         message.suspects.forEach(::suspect)
-        if (before == null || before.startedAt != message.startedAt) {
-            lines.record("peer-heard", "peer" to message.daemon, "failureDomain" to message.failureDomain)
-        }
+        val isNew = before == null || before.startedAt != message.startedAt
+        if (isNew) lines.record("peer-heard", "peer" to message.daemon, "failureDomain" to message.failureDomain)
         if (before?.controlled != message.controlled) publish()
+        return isNew
     }
 
-    /** What this daemon tells its peers now. */
+    /** What this daemon tells peers in its own failure domain, or in others, now. */
     fun message(
+        isInside: Boolean,
         sequence: Long,
         startedAt: Long,
         strikes: List<Strike>,
@@ -117,12 +126,38 @@
         sequence = sequence,
         storeAge = storeAge(),
         isLeaving = isLeaving,
-        inFlight = traffic.inFlight(),
+        period = period(isInside),
+        inFlight = if (isInside) traffic.inFlight() else inFlightOfDomain(),
         suspects = traffic.suspects(),
         strikes = strikes,
         controlled = ownDomains(),
     )
 
+    /** Milliseconds between messages to peers in this daemon's failure domain, or in others. */
+    fun period(isInside: Boolean): Long {
+        val now = clock.steady()
+        val inside = board.inside(settings.failureDomain, now).size + 1
+        val part = HeartbeatPart(isSpeaker(now), inside, settings.failureDomains.size)
+        return if (isInside) HeartbeatSchedule.inside(part) else HeartbeatSchedule.outside(part)
+    }
+
+    /** The failure domain of [peer], or null before it was heard. */
+    fun failureDomain(peer: DaemonId): FailureDomainId? = board.peers[peer]?.message?.failureDomain
+
+    private fun isSpeaker(now: Long): Boolean = board.isSpeaker(ownState(), domains.values.any { it.isHeld }, now)
+
+    private fun ownState() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
+
+    private fun inFlightOfDomain(): Map<HostId, Int> {
+        val now = clock.steady()
+        if (!isSpeaker(now)) return emptyMap()
+        val counts = HashMap(traffic.inFlight())
+        board.inside(settings.failureDomain, now).forEach { peer ->
+            peer.inFlight.forEach { (target, count) -> counts.merge(target, count, Int::plus) }
+        }
+        return counts
+    }
+
     private fun follower(
         part: RegistryPart,
         registry: Registry,
@@ -162,7 +197,7 @@
         if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
         lastTickAt = now
         knowledge.expire(now)
-        traffic.suspects().forEach(::suspect)
+        suspectStanding(now)
         domains.values.forEach { domain -> tick(domain, now) }
         publish()
     }
@@ -172,8 +207,7 @@
         now: Long,
     ) {
         if (now < electionsFrom) return
-        val own = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
-        val isWanted = board.controllerFor(domain.failureDomain, own, domain.term, now) == settings.daemon
+        val isWanted = board.controllerFor(domain.failureDomain, ownState(), domain.term, now) == settings.daemon
         domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
         advance(domain)
     }
@@ -206,6 +240,14 @@
         )
     }
 
+    private fun suspectStanding(now: Long) {
+        val suspects = traffic.suspects()
+        suspects.forEach(::suspect)
+        val isNew = (suspects - lastSuspects).isNotEmpty()
+        lastSuspects = suspects
+        if (isNew) onSuspicion(board.controllers(now))
+    }
+
     private fun suspect(key: GroupKey) {
         domains.values.filter { it.isHeld }.forEach { domain ->
             val view = view(domain.failureDomain) ?: return@forEach
@@ -280,7 +322,8 @@
 
     private fun publish() {
         val now = clock.steady()
-        val announced = board.announced(now) + ownDomains().associateBy { it.failureDomain }
+        val own = ownDomains()
+        val announced = board.announced(now) + own.associateBy { it.failureDomain }
         announced.values.flatMap { it.broken }.forEach { brokenUntil[it] = now + BROKEN_MILLISECONDS }
         brokenUntil.values.removeIf { it < now }
         val groups = settings.failureDomains.flatMap { domain -> routable(domain, announced[domain]) }
@@ -297,8 +340,8 @@
                 sharers = board.sharers(now),
             ),
         )
-        if (lastBroken != brokenUntil.keys) {
-            lastBroken = brokenUntil.keys.toSet()
+        if (lastControlled != own) {
+            lastControlled = own
             onChange()
         }
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.gateway.traffic.LiveTraffic
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
+import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.store.Row
 import org.vanillalink.store.RowKey
@@ -39,28 +40,54 @@
     private val port = DatagramPort(loops, settings.peers, ::received)
     private var peers: Map<DaemonId, Endpoint> = emptyMap()
     private var sequence = 0L
+
+    /** When each peer is to be told next, on the steady clock. */
+    private val dueAt = HashMap<DaemonId, Long>()
     private var isRegistered = false
     private val sentBytes = metrics.summary("vanillalink.peer.bytes", "direction", "sent")
     private val receivedBytes = metrics.summary("vanillalink.peer.bytes", "direction", "received")
 
     fun start() {
-        control.onChange = ::tell
+        control.onChange = { tell(peers.keys) }
+        control.onSuspicion = ::tell
         thread.execute(::refresh)
-        thread.every(HEARTBEAT, ::tell)
+        thread.every(CHECK, ::tellDue)
     }
 
     fun close() = port.close()
 
-    private fun tell() {
-        if (peers.isEmpty()) return
+    private fun tellDue() {
+        val now = clock.steady()
+        tell(peers.keys.filter { now >= (dueAt[it] ?: now) })
+    }
+
+    private fun tell(daemons: Collection<DaemonId>) {
+        val (inside, outside) = daemons.partition(::isInside)
+        tell(inside, isInside = true)
+        tell(outside, isInside = false)
+    }
+
+    private fun tell(
+        daemons: List<DaemonId>,
+        isInside: Boolean,
+    ) {
+        val reached = daemons.mapNotNull { daemon -> peers[daemon]?.let { daemon to it } }
+        if (reached.isEmpty()) return
         sequence += 1
-        val message = PeerMessageCodec.write(control.message(sequence, startedAt, traffic.strikes()))
-        peers.values.forEach {
-            port.send(it, message)
-            sentBytes.record(message.size.toDouble())
+        val message = control.message(isInside, sequence, startedAt, traffic.strikes())
+        val content = PeerMessageCodec.write(message)
+        val next = clock.steady() + message.period
+        reached.forEach { (daemon, endpoint) ->
+            port.send(endpoint, content)
+            sentBytes.record(content.size.toDouble())
+            dueAt[daemon] = next
         }
     }
 
+    /** One that was never heard may be anywhere, and is told the more often of both. */
+    private fun isInside(peer: DaemonId): Boolean =
+        (control.failureDomain(peer) ?: settings.failureDomain) == settings.failureDomain
+
     private fun received(content: ByteArray) {
         receivedBytes.record(content.size.toDouble())
         // Their number grows with the fleet, so the traffic thread, which carries callers, doesn't read them.
@@ -70,8 +97,9 @@
     private fun read(content: ByteArray) = PeerMessageCodec.read(content).fold(
         { lines.record("peer-message-unreadable", "reason" to it.detail) },
         { message ->
-            traffic.heard(message.daemon, message.failureDomain, message.inFlight, message.strikes)
-            control.heard(message)
+            traffic.heard(message)
+            // A daemon that has just begun must hear of the others before it decides who should have control.
+            if (control.heard(message)) tell(setOf(message.daemon))
         },
     )
 
@@ -108,8 +136,8 @@
     }
 
     private companion object {
-        /** Bounds how old the counts of peers are when a target is chosen. */
-        val HEARTBEAT: Duration = Duration.ofMillis(100)
+        /** Fine enough for the shortest period between heartbeats. */
+        val CHECK: Duration = Duration.ofMillis(HeartbeatSchedule.SHORTEST_MILLISECONDS / 2)
         val REFRESH: Duration = Duration.ofSeconds(4)
         val REFRESH_AT_START: Duration = Duration.ofMillis(500)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -36,6 +36,7 @@
         sequence = node.number("sequence"),
         storeAge = node.number("storeAge"),
         isLeaving = node.required("isLeaving").asBoolean(),
+        period = node.number("period"),
         inFlight = node.required("inFlight").properties().associate { (id, count) -> HostId(id) to count.asInt() },
         suspects = node.required("suspects").map(::groupKey).toSet(),
         strikes = node.required("strikes").map(::strike),
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -6,10 +6,10 @@
 import org.vanillalink.gateway.control.TrafficSummary
 import org.vanillalink.gateway.logs.LoopDelay
 import org.vanillalink.gateway.ports.EntryBounds
-import org.vanillalink.model.DaemonId
-import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.choice.Strike
+import org.vanillalink.serving.peers.HeartbeatSchedule
+import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.transport.NettyEventLoops
 import java.time.Duration
@@ -66,16 +66,11 @@
     }
 
     /** A peer has told of its requests and of requests that took targets down. */
-    fun heard(
-        peer: DaemonId,
-        failureDomain: FailureDomainId,
-        inFlight: Map<HostId, Int>,
-        struck: List<Strike>,
-    ) = loops.execute {
+    fun heard(message: PeerMessage) = loops.execute {
         val at = now()
-        state.inFlight.heard(peer, inFlight, at)
-        state.paths.heard(failureDomain, at)
-        struck.forEach { state.failures.heard(it, at) }
+        state.inFlight.heard(message.daemon, message.inFlight, at, HeartbeatSchedule.aliveFor(message.period))
+        state.paths.heard(message.failureDomain, at)
+        message.strikes.forEach { state.failures.heard(it, at) }
     }
 
     private fun watch() {
@@ -88,7 +83,7 @@
         active.stalled(state.unreachableTargets(), "path-cut")
         active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys, "group-stalled")
         counts = state.inFlight.own()
-        strikes = state.failures.since(at - STRIKES_TOLD_MILLISECONDS)
+        strikes = state.failures.since(at - STRIKES_TOLD_MILLISECONDS).takeLast(STRIKES_TOLD_AT_MOST)
         if (at - tidiedAt > TIDY_MILLISECONDS) {
             tidiedAt = at
             state.tidy(at)
@@ -105,8 +100,11 @@
         /** A group that no controller has judged by now is left all the same: callers leave a stream after 2 s. */
         const val GIVEN_UP_MILLISECONDS = 1_200L
 
-        /** Long enough to reach each peer although datagrams are lost. */
-        const val STRIKES_TOLD_MILLISECONDS = 1_000L
+        /** Two of the longest periods between heartbeats, since a datagram may be lost. */
+        const val STRIKES_TOLD_MILLISECONDS = HeartbeatSchedule.LONGEST_MILLISECONDS * 2
+
+        /** Bounds the size of a datagram; targets that fail faster than this tell of another cause. */
+        const val STRIKES_TOLD_AT_MOST = 50
         const val TIDY_MILLISECONDS = 5_000L
     }
 }
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -24,6 +24,7 @@
             sequence = 6,
             storeAge = 7,
             isLeaving = true,
+            period = 100,
             inFlight = mapOf(HostId("i-1") to 3),
             suspects = setOf(key),
             strikes = listOf(Strike(RequestFingerprint("f"), HostId("i-2"))),
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/InFlightCounts.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/InFlightCounts.kt
@@ -10,12 +10,10 @@
 import org.vanillalink.model.HostId
 
 /** Counts by target; times are milliseconds on the steady clock. Not thread safe. */
-class InFlightCounts(
-    private val believedMilliseconds: Long = BELIEVED_MILLISECONDS,
-) {
+class InFlightCounts {
     private class PeerCounts(
         val counts: Map<HostId, Int>,
-        val at: Long,
+        val until: Long,
     )
 
     private val own = HashMap<HostId, Int>()
@@ -31,13 +29,14 @@
         own.computeIfPresent(target) { _, count -> if (count <= 1) null else count - 1 }
     }
 
-    /** [peer] told of its requests. */
+    /** [peer] told of its requests; that is believed for [validFor] milliseconds. */
     fun heard(
         peer: DaemonId,
         counts: Map<HostId, Int>,
         now: Long,
+        validFor: Long,
     ) {
-        peers[peer] = PeerCounts(counts, now)
+        peers[peer] = PeerCounts(counts, now + validFor)
     }
 
     /** This daemon's own counts. */
@@ -49,12 +48,7 @@
         now: Long,
     ): Int {
         var total = own[target] ?: 0
-        peers.values.forEach { if (now - it.at <= believedMilliseconds) total += it.counts[target] ?: 0 }
+        peers.values.forEach { if (now <= it.until) total += it.counts[target] ?: 0 }
         return total
     }
-
-    private companion object {
-        /** Several times the pause between two heartbeats of a peer. */
-        const val BELIEVED_MILLISECONDS = 1_000L
-    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -40,7 +40,33 @@
     }
 
     /** Peers heard of lately. */
-    fun alive(now: Long): List<PeerState> = peers.values.filter { now - it.heardAt < ALIVE_MILLISECONDS }
+    fun alive(now: Long): List<PeerState> = peers.values.filter { isAlive(it, now) }
+
+    /** Live peers in [failureDomain]. */
+    fun inside(
+        failureDomain: FailureDomainId,
+        now: Long,
+    ): List<PeerMessage> = alive(now).map { it.message }.filter { it.failureDomain == failureDomain }
+
+    /**
+     * Whether [own] tells other failure domains how its own one is doing: it has control of any, or nobody inside has and
+     * it comes first.
+     */
+    fun isSpeaker(
+        own: OwnState,
+        hasControl: Boolean,
+        now: Long,
+    ): Boolean {
+        if (hasControl) return true
+        val inside = inside(own.failureDomain, now).filterNot { it.isLeaving }
+        if (inside.any { it.controlled.isNotEmpty() }) return false
+        return inside.none { rank(own.failureDomain, it.daemon) < rank(own.failureDomain, own.daemon) }
+    }
+
+    private fun isAlive(
+        peer: PeerState,
+        now: Long,
+    ): Boolean = now - peer.heardAt < HeartbeatSchedule.aliveFor(peer.message.period)
 
     /** Daemons that share budgets: all that were heard of within the longest window, and this one. */
     fun sharers(now: Long): Int = 1 + peers.values.count { now - it.heardAt < SHARER_MILLISECONDS }
@@ -87,6 +113,10 @@
     ): Long? =
         alive(now).flatMap { it.message.controlled }.filter { it.failureDomain == domain }.maxOfOrNull { it.term }
 
+    /** Live peers that have control of a failure domain. */
+    fun controllers(now: Long): Set<DaemonId> =
+        alive(now).filter { it.message.controlled.isNotEmpty() }.map { it.message.daemon }.toSet()
+
     /** The groups of each failure domain by its latest controller among live peers. */
     fun announced(now: Long): Map<FailureDomainId, ControlledDomain> = alive(now)
         .flatMap { it.message.controlled }
@@ -99,9 +129,6 @@
     ): Int = (domain.value + '/' + daemon.value).hashCode()
 
     private companion object {
-        /** Several heartbeats: one lost datagram must not move control. */
-        const val ALIVE_MILLISECONDS = 1_000L
-
         /** Longer than the window of any budget that daemons share. */
         const val SHARER_MILLISECONDS = 12_000L
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -21,6 +21,9 @@
     /** Milliseconds since the store last answered. */
     val storeAge: Long,
     val isLeaving: Boolean,
+    /** Milliseconds until the receiver hears of this daemon again at the latest. */
+    val period: Long,
+    /** This daemon's requests by target; to other failure domains those of all daemons that it speaks for. */
     val inFlight: Map<HostId, Int>,
     /** Groups whose answers stand still here. */
     val suspects: Set<GroupKey>,
--- a/serving/src/test/kotlin/org/vanillalink/serving/choice/InFlightCountsTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/choice/InFlightCountsTest.kt
@@ -6,18 +6,18 @@
 import kotlin.test.assertEquals
 
 internal class InFlightCountsTest {
-    private val testSubject = InFlightCounts(believedMilliseconds = 1_000)
+    private val testSubject = InFlightCounts()
 
     @Test
     fun `own requests and those of peers add up`() {
         testSubject.begun(A)
-        testSubject.heard(DaemonId("peer"), mapOf(A to 3), now = 0)
+        testSubject.heard(DaemonId("peer"), mapOf(A to 3), now = 0, validFor = 1_000)
         assertEquals(4, testSubject.at(A, now = 500))
     }
 
     @Test
     fun `what a silent peer said is not believed for long`() {
-        testSubject.heard(DaemonId("peer"), mapOf(A to 3), now = 0)
+        testSubject.heard(DaemonId("peer"), mapOf(A to 3), now = 0, validFor = 1_000)
         assertEquals(0, testSubject.at(A, now = 1_001))
     }
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
@@ -5,6 +5,8 @@
 import org.vanillalink.serving.IKEJA
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 internal class PeerBoardTest {
     private val own = OwnState(DaemonId("b"), IKEJA, storeAge = 0, isLeaving = false)
@@ -40,6 +42,33 @@
         assertEquals(own.daemon, board.controllerFor(IKEJA, own.copy(storeAge = 3_000), ownTerm = 4, now = 100))
     }
 
+    @Test
+    fun `a peer that is seldom heard stays alive for longer`() {
+        val board = PeerBoard().heard(message("c", APAPA, period = 1_100), now = 0)
+        assertEquals(1, board.alive(now = 3_299).size)
+        assertEquals(0, board.alive(now = 3_300).size)
+    }
+
+    @Test
+    fun `the daemon that has control speaks for its failure domain`() {
+        val board = PeerBoard().heard(message("c", IKEJA, term = 4), now = 0)
+        assertFalse(board.isSpeaker(own, hasControl = false, now = 100))
+        assertTrue(board.isSpeaker(own, hasControl = true, now = 100))
+    }
+
+    @Test
+    fun `where nobody has control one daemon inside speaks`() {
+        val other = own.copy(daemon = DaemonId("c"))
+        val seenByOwn = PeerBoard().heard(message("c", IKEJA), now = 0)
+        val seenByOther = PeerBoard().heard(message("b", IKEJA), now = 0)
+        val speakers =
+            listOf(
+                seenByOwn.isSpeaker(own, hasControl = false, now = 100),
+                seenByOther.isSpeaker(other, false, now = 100),
+            )
+        assertEquals(1, speakers.count { it })
+    }
+
     @Test
     fun `a message of an earlier run that comes late changes nothing`() {
         val board = PeerBoard().heard(message("c", IKEJA, startedAt = 2), now = 0)
@@ -53,6 +82,7 @@
         storeAge: Long = 0,
         startedAt: Long = 1,
         sequence: Long = 1,
+        period: Long = 100,
     ) = PeerMessage(
         daemon = DaemonId(daemon),
         failureDomain = failureDomain,
@@ -60,6 +90,7 @@
         sequence = sequence,
         storeAge = storeAge,
         isLeaving = false,
+        period = period,
         inFlight = emptyMap(),
         suspects = emptySet(),
         strikes = emptyList(),
