Ask the store for targets' changes less often in a large fleet

Cause, by the code: each daemon asks for changes of targets again 200 ms after each answer, and in a fleet of 171 targets something always changes, so 32 daemons ask up to 160 times a second.

Change: RegistryPace. A daemon with control asks as promptly as before; the others so that all together ask 40 times a second, at the latest after a second, half of the shortest time in which a leaving target must get nothing more. A site of up to eight daemons asks as before. The operators' part is followed as before.

Tests: RegistryPaceTest (there was no pace to test before).

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -161,7 +161,19 @@
     private fun follower(
         part: RegistryPart,
         registry: Registry,
-    ) = RegistryFollower(part, registry, thread, clock, lines, !settings.isFirstStart, ::changed, ::storeAnswered)
+    ) = RegistryFollower(
+        part,
+        registry,
+        thread,
+        clock,
+        lines,
+        !settings.isFirstStart,
+        ::changed,
+        ::storeAnswered,
+    ) { if (part == RegistryPart.TARGETS) pauseForTargets() else RegistryPace.SHORTEST }
+
+    private fun pauseForTargets(): Duration =
+        RegistryPace.pause(domains.values.any { it.isHeld }, board.sharers(clock.steady()))
 
     private fun changed(
         records: List<RegistryRecord>,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -25,6 +25,7 @@
     private var wasAway: Boolean,
     private val changed: (records: List<RegistryRecord>, read: RegistryRead) -> Unit,
     private val answered: (part: RegistryPart, sentAt: ClockReading) -> Unit,
+    private val pause: () -> Duration = { RegistryPace.SHORTEST },
 ) {
     private var version: Long? = null
     private var failures = 0
@@ -65,7 +66,7 @@
     ) = result.fold(::failed) { all ->
         take(all, wholeRead())
         succeeded(sentAt)
-        again(PAUSE)
+        again(pause())
     }
 
     private fun wholeRead() = if (wasAway) RegistryRead.WHOLE_AFTER_OUTAGE else RegistryRead.WHOLE
@@ -88,7 +89,7 @@
         val isOld = some.version < (version ?: 0)
         version = maxOf(version ?: 0, some.version)
         if (some.records.isNotEmpty() && !isOld) changed(some.records, RegistryRead.CHANGES)
-        again(PAUSE)
+        again(pause())
     }
 
     private fun succeeded(sentAt: ClockReading) {
@@ -112,15 +113,13 @@
             if (!wasAway) lostAt = clock.steady()
             wasAway = true
         }
-        again(if (isHistory) PAUSE else PAUSE.multipliedBy(minOf(failures, BACKOFF_AT_MOST).toLong()))
+        val backoff = if (isHistory) 1 else minOf(failures, BACKOFF_AT_MOST)
+        again(RegistryPace.SHORTEST.multipliedBy(backoff.toLong()))
     }
 
     private fun again(pause: Duration) = thread.after(pause, ::next)
 
     private companion object {
-        /** Bounds the calls to the store; far below the time in which a change must be in force. */
-        val PAUSE: Duration = Duration.ofMillis(200)
-
         /** Bounds the age of what is known when nothing changes. */
         val WAIT: Duration = Duration.ofMillis(1_000)
         const val BACKOFF_AT_MOST = 4
--- /dev/null
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPace.kt
@@ -0,0 +1,30 @@
+/*
+ * How long a daemon waits before it asks the store for further changes of targets. The store and its price are shared by
+ * all daemons, and in a large fleet something always changes.
+ */
+package org.vanillalink.gateway.control
+
+import java.time.Duration
+
+internal object RegistryPace {
+    /**
+     * The pause after an answer, where [daemons] follow the store. A daemon that decides about groups asks promptly; the
+     * others hear of groups from it, and only learn from the store what they reach targets by.
+     */
+    fun pause(
+        hasControl: Boolean,
+        daemons: Int,
+    ): Duration {
+        if (hasControl) return SHORTEST
+        return SPACING.multipliedBy(daemons.toLong()).coerceIn(SHORTEST, LONGEST)
+    }
+
+    /** Bounds the calls of one daemon. */
+    val SHORTEST: Duration = Duration.ofMillis(200)
+
+    /** With this pause between them all daemons ask 40 times a second, a fiftieth of what a small store allows. */
+    private val SPACING: Duration = Duration.ofMillis(25)
+
+    /** Half of the shortest time within which a leaving target must get nothing more. */
+    private val LONGEST: Duration = Duration.ofMillis(1_000)
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryPaceTest.kt
@@ -0,0 +1,36 @@
+package org.vanillalink.gateway.control
+
+import java.time.Duration
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Pattern: many daemons follow a registry in which something changes all the time. */
+internal class RegistryPaceTest {
+    private val testSubject = RegistryPace
+
+    @Test
+    fun `a small site follows changes promptly`() {
+        assertEquals(Duration.ofMillis(200), testSubject.pause(hasControl = false, daemons = 5))
+    }
+
+    @Test
+    fun `a daemon that has control follows changes promptly in any fleet`() {
+        assertEquals(Duration.ofMillis(200), testSubject.pause(hasControl = true, daemons = 32))
+    }
+
+    @Test
+    fun `all daemons of a fleet of 32 ask no more often than those of a site of eight`() {
+        val site = 8 / seconds(8)
+        val fleet = 32 / seconds(32)
+        assertTrue(fleet <= site, "$fleet calls a second")
+    }
+
+    @Test
+    fun `a leaving target is known in time in any fleet`() {
+        assertTrue(testSubject.pause(hasControl = false, daemons = 450) <= Duration.ofMillis(1_000))
+    }
+
+    private fun seconds(daemons: Int): Double =
+        testSubject.pause(hasControl = false, daemons = daemons).toMillis() / 1_000.0
+}
