Let each of many daemons look at a few targets that it draws

Pattern: many daemons. All choose by counts that are a heartbeat old; with 32 daemons all of them send to the group that was least used at the last heartbeat, until the next.

Change: with more than five daemons each looks at its part of the targets, at least two, drawn anew for each request. Sites of up to five daemons choose as before.

Ruled out: a fixed part of the groups for each daemon (a lost group would load its few daemons' other groups).

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -99,7 +99,7 @@
         val usable = targets.filter { it.id !in excluded && isUsable(it) }
         val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
         val spread = if (excluded.isEmpty()) 0 else REPEATED_SPREAD
-        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread)
+        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread, current.sharers)
     }
 
     /** What stands against sending a call of [model] to [service] now, for the log. */
