Write out waiting log lines before the process ends

bin/record-classes failed once on the busy machine: "the daemon did not say that it stopped". The daemon had ended in good order; its last line still waited in the queue of the appender, which nothing writes out at the end of the process. So the last lines before an end, the ones that tell of it, could be lost.

Change: the log context is stopped last, which waits up to 300 ms for the lines (a daemon keeps 700 ms of the time until it would be killed). Check: bin/quickstart's step that failed; it needs a busy machine to fail, so its passing shows little.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/Main.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.daemon
 
+import org.vanillalink.daemon.logs.CountingAsyncAppender
 import org.vanillalink.daemon.settings.DaemonCommand
 import picocli.CommandLine
 import kotlin.system.exitProcess
@@ -10,5 +11,7 @@
 /** Runs a daemon until it is told to end. */
 @Suppress("SpreadOperator")
 fun main(arguments: Array<String>) {
-    exitProcess(CommandLine(DaemonCommand()).execute(*arguments))
+    val code = CommandLine(DaemonCommand()).execute(*arguments)
+    CountingAsyncAppender.writeOut()
+    exitProcess(code)
 }
--- a/daemon/src/main/kotlin/org/vanillalink/daemon/logs/CountingAsyncAppender.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/logs/CountingAsyncAppender.kt
@@ -5,7 +5,9 @@
 package org.vanillalink.daemon.logs
 
 import ch.qos.logback.classic.AsyncAppender
+import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.ILoggingEvent
+import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.LongAdder
 
 /** Named in logback.xml; never blocks. */
@@ -19,5 +21,10 @@
 
         /** Lines dropped since the process began. */
         fun droppedLines(): Long = dropped.sum()
+
+        /** Writes the lines that wait, for as long as `maxFlushTime` in logback.xml allows. Call last. */
+        fun writeOut() {
+            (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+        }
     }
 }
