Say when daemons' messages take too much of the link

Change: PeerTraffic counts what daemons tell each other by the second, and writes peer-traffic-high above a tenth of the host's link (from the settings), well before a queue of half a second. Tests: PeerBytesTest.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.serving.peers.HeartbeatSchedule
+import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.store.Row
 import org.vanillalink.store.RowKey
@@ -43,8 +44,7 @@
 
     private val told = HashMap<DaemonId, ToldPeer>()
     private var isRegistered = false
-    private val sentBytes = metrics.summary("vanillalink.peer.bytes", "direction", "sent")
-    private val receivedBytes = metrics.summary("vanillalink.peer.bytes", "direction", "received")
+    private val bytes = PeerTraffic(settings.linkBytesPerSecond, metrics, lines)
 
     fun start() {
         control.onChange = { tell(peers.keys) }
@@ -87,7 +87,7 @@
         val now = clock.steady()
         daemons.forEach { daemon ->
             port.send(peers.getValue(daemon), content)
-            sentBytes.record(content.size.toDouble())
+            bytes.sent(content.size, now)
             val groupsAt = if (audience.withGroups) now else told.getValue(daemon).groupsAt
             told[daemon] = ToldPeer(now + message.period, control.groupsVersion, groupsAt)
         }
@@ -98,23 +98,26 @@
         (control.failureDomain(peer) ?: settings.failureDomain) == settings.failureDomain
 
     private fun received(content: ByteArray) {
-        receivedBytes.record(content.size.toDouble())
         // Their number grows with the fleet, so the traffic thread, which carries callers, doesn't read them.
         thread.execute { read(content) }
     }
 
-    private fun read(content: ByteArray) = PeerMessageCodec.read(content).fold(
-        { lines.record("peer-message-unreadable", "reason" to it.detail) },
-        { message ->
-            traffic.heard(message)
-            if (message.daemon != settings.daemon) peers = peers + (message.daemon to message.endpoint)
-            // A daemon that has just begun must hear of the others before it decides who should have control.
-            if (control.heard(message)) {
-                told.remove(message.daemon)
-                tell(setOf(message.daemon))
-            }
-        },
-    )
+    private fun read(content: ByteArray) {
+        bytes.received(content.size, clock.steady())
+        PeerMessageCodec.read(content).fold(
+            { lines.record("peer-message-unreadable", "reason" to it.detail) },
+            ::heard,
+        )
+    }
+
+    private fun heard(message: PeerMessage) {
+        traffic.heard(message)
+        if (peers[message.daemon] != message.endpoint) peers = peers + (message.daemon to message.endpoint)
+        if (!control.heard(message)) return
+        // A daemon that has just begun must hear of the others before it decides who should have control.
+        told.remove(message.daemon)
+        tell(setOf(message.daemon))
+    }
 
     private fun refresh() {
         table.scan("daemons/").thenAccept { result ->
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
@@ -20,6 +20,8 @@
     /** Whether the whole system starts for the first time, so that nothing of an earlier run can be under way. */
     val isFirstStart: Boolean,
     val bounds: EntryBounds,
+    /** What the host's link carries each way, or null where it isn't known. */
+    val linkBytesPerSecond: Long? = null,
 )
 
 /** What the deployment promises its users; times are milliseconds. */
