Let one daemon alone speak for a failure domain

Found by reading the change: a daemon that has control of another failure domain also told outside the sum of its own domain's requests, beside the daemon with control there. Outside they were counted twice, so groups with room seemed full. It shows while a failure domain is controlled from outside (a cut, all its daemons gone).

Test: PeerBoardTest (control of another failure domain does not make a daemon speak for its own) failed before: nobody spoke for the domain that had a daemon with control elsewhere only.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -139,7 +139,8 @@
     fun period(isInside: Boolean): Long {
         val now = clock.steady()
         val inside = board.inside(settings.failureDomain, now).size + 1
-        val part = HeartbeatPart(isSpeaker(now), inside, settings.failureDomains.size)
+        val isSpeaker = speaksForDomain(now) || domains.values.any { it.isHeld }
+        val part = HeartbeatPart(isSpeaker, inside, settings.failureDomains.size)
         return if (isInside) HeartbeatSchedule.inside(part) else HeartbeatSchedule.outside(part)
     }
 
@@ -150,13 +151,14 @@
     /** The failure domain of [peer], or null before it was heard. */
     fun failureDomain(peer: DaemonId): FailureDomainId? = board.peers[peer]?.message?.failureDomain
 
-    private fun isSpeaker(now: Long): Boolean = board.isSpeaker(ownState(), domains.values.any { it.isHeld }, now)
+    private fun speaksForDomain(now: Long): Boolean =
+        board.isSpeaker(ownState(), domains[settings.failureDomain]?.isHeld == true, now)
 
     private fun ownState() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
 
     private fun inFlightOfDomain(): Map<HostId, Int> {
         val now = clock.steady()
-        if (!isSpeaker(now)) return emptyMap()
+        if (!speaksForDomain(now)) return emptyMap()
         val counts = HashMap(traffic.inFlight())
         board.inside(settings.failureDomain, now).forEach { peer ->
             peer.inFlight.forEach { (target, count) -> counts.merge(target, count, Int::plus) }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatSchedule.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatSchedule.kt
@@ -9,7 +9,7 @@
 
 /** A daemon's part in telling peers. */
 data class HeartbeatPart(
-    /** Whether this daemon speaks for its failure domain, or has control of one. */
+    /** Whether this daemon speaks for its failure domain, or has control of any. */
     val isSpeaker: Boolean,
     /** Live daemons in its failure domain, itself included. */
     val daemonsInside: Int,
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -62,8 +62,8 @@
     ): List<PeerMessage> = alive(now).map { it.message }.filter { it.failureDomain == failureDomain }
 
     /**
-     * Whether [own] tells other failure domains how its own one is doing: it has control of any, or nobody inside has and
-     * it comes first.
+     * Whether [own] tells other failure domains the requests of its own one: it has control there, or nobody inside has
+     * and it comes first. There is one such daemon, so that no request is counted twice.
      */
     fun isSpeaker(
         own: OwnState,
@@ -72,7 +72,7 @@
     ): Boolean {
         if (hasControl) return true
         val inside = inside(own.failureDomain, now).filterNot { it.isLeaving }
-        if (inside.any { it.controlled.isNotEmpty() }) return false
+        if (inside.any { termOf(it, own.failureDomain) > 0 }) return false
         return inside.none { rank(own.failureDomain, it.daemon) < rank(own.failureDomain, own.daemon) }
     }
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
@@ -61,17 +61,20 @@
         assertTrue(board.isSpeaker(own, hasControl = true, now = 100))
     }
 
+    // Guards against requests that are counted twice outside, so that groups with room are taken as full.
+    @Test
+    fun `control of another failure domain does not make a daemon speak for its own`() {
+        val elsewhere = listOf(ControlledDomain(APAPA, 3, emptyList(), emptySet()))
+        val seenByOwn = PeerBoard().heard(message("c", IKEJA).copy(controlled = elsewhere), now = 0)
+        val seenByOther = PeerBoard().heard(message("b", IKEJA, term = 4), now = 0)
+        assertTrue(seenByOwn.isSpeaker(own, hasControl = true, now = 100))
+        assertFalse(seenByOther.isSpeaker(own.copy(daemon = DaemonId("c")), hasControl = false, now = 100))
+        assertEquals(1, speakers(message("b", IKEJA), message("c", IKEJA).copy(controlled = elsewhere)))
+    }
+
     @Test
     fun `where nobody has control one daemon inside speaks`() {
-        val other = own.copy(daemon = DaemonId("c"))
-        val seenByOwn = PeerBoard().heard(message("c", IKEJA), now = 0)
-        val seenByOther = PeerBoard().heard(message("b", IKEJA), now = 0)
-        val speakers =
-            listOf(
-                seenByOwn.isSpeaker(own, hasControl = false, now = 100),
-                seenByOther.isSpeaker(other, false, now = 100),
-            )
-        assertEquals(1, speakers.count { it })
+        assertEquals(1, speakers(message("b", IKEJA), message("c", IKEJA)))
     }
 
     @Test
@@ -106,6 +109,15 @@
         assertEquals(board, board.heard(message("c", IKEJA, startedAt = 1, sequence = 99), now = 10))
     }
 
+    /** How many of two daemons speak, where neither has control inside. */
+    private fun speakers(
+        first: PeerMessage,
+        second: PeerMessage,
+    ): Int = listOf(first to second, second to first).count { (self, other) ->
+        val board = PeerBoard().heard(other, now = 0)
+        board.isSpeaker(own.copy(daemon = self.daemon), hasControl = false, now = 100)
+    }
+
     private fun message(
         daemon: String,
         failureDomain: FailureDomainId,
