--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -16,7 +16,6 @@
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.model.HostId
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.catalog.CredentialFreshness
 import org.vanillalink.serving.choice.Strike
@@ -25,9 +24,8 @@
 import org.vanillalink.serving.control.GroupDecision
 import org.vanillalink.serving.control.GroupEvent
 import org.vanillalink.serving.peers.ControlledDomain
-import org.vanillalink.serving.peers.HeartbeatPart
-import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.OwnState
+import org.vanillalink.serving.peers.OwnWord
 import org.vanillalink.serving.peers.PeerBoard
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
@@ -49,7 +47,10 @@
     private val delay: LoopDelay,
 ) {
     private val knowledge = RegistryKnowledge(lines, clock, settings.bounds.relistMilliseconds)
-    private var board = PeerBoard()
+
+    /** Read on the control thread only. */
+    var board = PeerBoard()
+        private set
     private var controlled: List<ControlledDomain> = emptyList()
     private var lastSuspects: Set<GroupKey> = emptySet()
     private val brokenUntil = HashMap<GroupKey, Long>()
@@ -120,51 +121,33 @@
         sequence: Long,
         startedAt: Long,
         strikes: List<Strike>,
-    ): PeerMessage = PeerMessage(
-        daemon = settings.daemon,
-        failureDomain = settings.failureDomain,
-        endpoint = settings.peers,
-        startedAt = startedAt,
-        sequence = sequence,
-        storeAge = storeAge(),
-        isLeaving = isLeaving,
-        period = period(isInside),
-        inFlight = if (isInside) traffic.inFlight() else inFlightOfDomain(),
-        suspects = traffic.suspects(),
-        strikes = strikes,
-        controlled = if (withGroups) controlled else controlled.map { it.copy(groups = null, isSameAsBefore = true) },
-    )
-
-    /** Milliseconds between messages to peers in this daemon's failure domain, or in others. */
-    fun period(isInside: Boolean): Long {
-        val now = clock.steady()
-        val inside = board.inside(settings.failureDomain, now).size + 1
-        val isSpeaker = speaksForDomain(now) || domains.values.any { it.isHeld }
-        val part = HeartbeatPart(isSpeaker, inside, settings.failureDomains.size)
-        return if (isInside) HeartbeatSchedule.inside(part) else HeartbeatSchedule.outside(part)
+    ): PeerMessage {
+        val word = OwnWord(ownState, board, controlled, settings.failureDomains.size, clock.steady())
+        return PeerMessage(
+            daemon = settings.daemon,
+            failureDomain = settings.failureDomain,
+            endpoint = settings.peers,
+            startedAt = startedAt,
+            sequence = sequence,
+            storeAge = storeAge(),
+            isLeaving = isLeaving,
+            period = word.period(isInside),
+            inFlight = word.inFlight(isInside, traffic.inFlight()),
+            suspects = traffic.suspects(),
+            strikes = strikes,
+            controlled = word.controlled(withGroups),
+        )
     }
 
     /** Grows with each change of the groups that this daemon controls. */
     var groupsVersion = 0L
         private set
 
-    /** The failure domain of [peer], or null before it was heard. */
-    fun failureDomain(peer: DaemonId): FailureDomainId? = board.peers[peer]?.message?.failureDomain
-
-    private fun speaksForDomain(now: Long): Boolean =
-        board.isSpeaker(ownState(), domains[settings.failureDomain]?.isHeld == true, now)
+    private val ownState: OwnState
+        get() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
 
-    private fun ownState() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
-
-    private fun inFlightOfDomain(): Map<HostId, Int> {
-        val now = clock.steady()
-        if (!speaksForDomain(now)) return emptyMap()
-        val counts = HashMap(traffic.inFlight())
-        board.inside(settings.failureDomain, now).forEach { peer ->
-            peer.inFlight.forEach { (target, count) -> counts.merge(target, count, Int::plus) }
-        }
-        return counts
-    }
+    private val pauseForTargets: Duration
+        get() = RegistryPace.pause(domains.values.any { it.isHeld }, board.sharers(clock.steady()))
 
     private fun follower(
         part: RegistryPart,
@@ -178,10 +161,7 @@
         !settings.isFirstStart,
         ::changed,
         ::storeAnswered,
-    ) { if (part == RegistryPart.TARGETS) pauseForTargets() else RegistryPace.SHORTEST }
-
-    private fun pauseForTargets(): Duration =
-        RegistryPace.pause(domains.values.any { it.isHeld }, board.sharers(clock.steady()))
+    ) { if (part == RegistryPart.TARGETS) pauseForTargets else RegistryPace.SHORTEST }
 
     private fun changed(
         records: List<RegistryRecord>,
@@ -227,7 +207,7 @@
         now: Long,
     ) {
         if (now < electionsFrom) return
-        val isWanted = board.controllerFor(domain.failureDomain, ownState(), domain.term, now) == settings.daemon
+        val isWanted = board.controllerFor(domain.failureDomain, ownState, domain.term, now) == settings.daemon
         domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
         advance(domain)
     }
@@ -337,12 +317,9 @@
     }
 
     private fun ownDomains(): List<ControlledDomain> = domains.values.filter { it.isHeld }.mapNotNull { domain ->
-        view(domain.failureDomain)?.let { domain.announced(it, isKnown(domain)) }?.let(::headsOnly)
+        view(domain.failureDomain)?.let { domain.announced(it, isKnown(domain)) }
     }
 
-    private fun headsOnly(domain: ControlledDomain) =
-        domain.copy(groups = domain.groups?.map { it.copy(members = it.members.take(1)) })
-
     private fun publish() {
         val now = clock.steady()
         val own = ownDomains()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -86,7 +86,9 @@
         val current = state ?: return null
         if (!isKnown) return ControlledDomain(failureDomain, term, null, emptySet())
         val broken = controller.broken(current, clock.steady())
-        return ControlledDomain(failureDomain, term, controller.serving(current, view), broken)
+        // Others only need the members that take requests.
+        val groups = controller.serving(current, view).map { it.copy(members = it.members.take(1)) }
+        return ControlledDomain(failureDomain, term, groups, broken)
     }
 
     private fun giveUp(reason: String) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPace.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPace.kt
@@ -1,6 +1,6 @@
 /*
- * How long a daemon waits before it asks the store for further changes of targets. The store and its price are shared by
- * all daemons, and in a large fleet something always changes.
+ * How long a daemon waits before it asks the store for further changes of targets. The store and its price are shared
+ * by all daemons, and in a large fleet something always changes.
  */
 package org.vanillalink.gateway.control
 
@@ -8,8 +8,8 @@
 
 internal object RegistryPace {
     /**
-     * The pause after an answer, where [daemons] follow the store. A daemon that decides about groups asks promptly; the
-     * others hear of groups from it, and only learn from the store what they reach targets by.
+     * The pause after an answer, where [daemons] follow the store. A daemon that decides about groups asks promptly;
+     * the others hear of groups from it, and only learn from the store what they reach targets by.
      */
     fun pause(
         hasControl: Boolean,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/LoopDelay.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/LoopDelay.kt
@@ -1,6 +1,6 @@
 /*
- * Measures how late a thread gets to its repeated work. A late traffic thread is late with everything: with requests, with
- * answers, and with noticing that a caller has left.
+ * Measures how late a thread gets to its repeated work. A late traffic thread is late with everything: with requests,
+ * with answers, and with noticing that a caller has left.
  */
 package org.vanillalink.gateway.logs
 
@@ -15,6 +15,7 @@
     private val lines: EventLines,
     private val meter: UsageMeter,
 ) {
+    @Suppress("SpreadOperator")
     private val timer =
         Timer
             .builder("vanillalink.loop.delay")
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -95,7 +95,7 @@
 
     /** One that was never heard may be anywhere, and is told the more often of both. */
     private fun isInside(peer: DaemonId): Boolean =
-        (control.failureDomain(peer) ?: settings.failureDomain) == settings.failureDomain
+        (control.board.failureDomain(peer) ?: settings.failureDomain) == settings.failureDomain
 
     private fun received(content: ByteArray) {
         // Their number grows with the fleet, so the traffic thread, which carries callers, doesn't read them.
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
@@ -29,7 +29,7 @@
             controlled = emptyList(),
         )
 
-    // Guards against heartbeats that fill a daemon's link, so that callers' leaving reaches targets seconds late (issue 14).
+    // Guards against heartbeats that fill links, so that a caller's leaving reaches targets seconds late (issue 14).
     @Test
     fun `what a daemon of a fleet of 32 tells its peers fits its budget for control`() {
         val inside = (part.daemonsInside - 1) * bytes(message) * MILLISECONDS / HeartbeatSchedule.inside(part)
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -55,6 +55,9 @@
     /** Peers heard of lately. */
     fun alive(now: Long): List<PeerState> = peers.values.filter { isAlive(it, now) }
 
+    /** The failure domain of [peer], or null before it was heard. */
+    fun failureDomain(peer: DaemonId): FailureDomainId? = peers[peer]?.message?.failureDomain
+
     /** Live peers in [failureDomain]. */
     fun inside(
         failureDomain: FailureDomainId,
--- a/serving/src/test/kotlin/org/vanillalink/serving/choice/ManyDaemonsChoiceTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/choice/ManyDaemonsChoiceTest.kt
@@ -8,8 +8,8 @@
 import kotlin.test.assertTrue
 
 /**
- * Pattern: many daemons. Each chooses by its own exact counts and by those of the others as of their last heartbeat, as on
- * the grown sites: 32 daemons, 19 groups of a model with room for 24 requests each, all places half used.
+ * Pattern: many daemons. Each chooses by its own exact counts and by those of the others as of their last heartbeat, as
+ * on the grown sites: 32 daemons, 19 groups of a model with room for 24 requests each, all places half used.
  */
 internal class ManyDaemonsChoiceTest {
     @Test
