Give targets that leave or ask for a rest nothing more

Ruled out: marking the registry's entry alone (an older entry or a whole read takes it back), and soundness marks (they give way where no sound target is left). Change: TargetNotices keeps a run's own word, on the traffic thread at once and on the control thread for groups and peers; peers hear it from the daemon that heard it and tell it no further. Where all targets rest the caller is told the shortest time.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -23,6 +23,7 @@
 import org.vanillalink.serving.control.DomainView
 import org.vanillalink.serving.control.GroupDecision
 import org.vanillalink.serving.control.GroupEvent
+import org.vanillalink.serving.control.ReportResult
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.OwnState
 import org.vanillalink.serving.peers.OwnWord
@@ -108,6 +109,7 @@
         val before = board.peers[message.daemon]?.message
         board = board.heard(message, clock.steady())
         message.suspects.forEach(::suspect)
+        message.leaving.forEach { knowledge.leaves(it, message.daemon.value) }
         val isNew = before == null || before.startedAt != message.startedAt
         if (isNew) lines.record("peer-heard", "peer" to message.daemon, "failureDomain" to message.failureDomain)
         if (before?.controlled != message.controlled) publish()
@@ -135,6 +137,7 @@
             inFlight = word.inFlight(isInside, traffic.inFlight()),
             suspects = traffic.suspects(),
             strikes = strikes,
+            leaving = traffic.leaving(),
             controlled = word.controlled(withGroups),
         )
     }
@@ -197,6 +200,7 @@
         if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
         lastTickAt = now
         knowledge.expire(now)
+        traffic.leaving().forEach { knowledge.leaves(it, settings.daemon.value) }
         suspectStanding(now)
         domains.values.forEach { domain -> tick(domain, now) }
         publish()
@@ -308,6 +312,8 @@
         val term = domain.term
         targets.report(decision.target).thenAccept { result ->
             thread.execute {
+                val isLeaving = result is ReportResult.Answered && result.report.isLeaving
+                if (isLeaving) knowledge.leaves(decision.target.run, settings.daemon.value)
                 if (domain.term != term) return@execute
                 carryOut(domain, domain.apply(GroupEvent.ReportAnswered(decision.target.id, result)))
                 advance(domain)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryKnowledge.kt
@@ -10,8 +10,10 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.catalog.ServingConfiguration
+import org.vanillalink.serving.choice.TargetNotices
 import org.vanillalink.serving.targets.TargetDirectory
 import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetRun
 
 /** What a set of records stands for. */
 internal enum class RegistryRead {
@@ -40,6 +42,8 @@
     var evacuated: Set<FailureDomainId> = emptySet()
         private set
 
+    private val notices = TargetNotices()
+
     /** Until when entries that a whole read lacks may come back. */
     private var missingKeptUntil = Long.MIN_VALUE
 
@@ -56,11 +60,25 @@
 
     /** Drops entries that have been missing for too long at [now]. */
     fun expire(now: Long) {
+        notices.tidy(now)
         val left = directory.expired(now)
         (directory.entries.keys - left.entries.keys).forEach { lines.record("target-expired", "target" to it) }
         directory = left
     }
 
+    /** [run] itself has said that it leaves, whatever the registry lists; [source] tells who heard it. */
+    fun leaves(
+        run: TargetRun,
+        source: String,
+    ) {
+        if (!notices.leaves(run, clock.steady())) return
+        lines.record("target-leaves", "target" to run.id, "bornAt" to run.bornAt, "heardBy" to source)
+        directory.entries[run.id]?.let { directory = directory.listed(noticed(it)) }
+    }
+
+    private fun noticed(entry: TargetEntry): TargetEntry =
+        if (entry.isLeaving || !notices.isLeaving(entry.run)) entry else entry.copy(isLeaving = true)
+
     private fun replace(
         records: List<RegistryRecord>,
         read: RegistryRead,
@@ -73,7 +91,7 @@
         val now = clock.steady()
         if (read == RegistryRead.WHOLE_AFTER_OUTAGE) missingKeptUntil = now + relistMilliseconds
         val until = maxOf(now, missingKeptUntil)
-        val entries = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry }
+        val entries = records.filterIsInstance<RegistryRecord.Listed>().map { noticed(it.entry) }
         directory = directory.replaced(entries, until)
         expire(now)
     }
@@ -83,7 +101,7 @@
             is RegistryRecord.Configuration -> configured(record.configuration)
             is RegistryRecord.Evacuated -> evacuated = evacuated + record.failureDomain
             is RegistryRecord.TakenBack -> evacuated = evacuated - record.failureDomain
-            is RegistryRecord.Listed -> listed(record.entry)
+            is RegistryRecord.Listed -> listed(noticed(record.entry))
             is RegistryRecord.Removed -> removed(record.target)
             is RegistryRecord.Unreadable -> unreadable(record)
         }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetRun
 
 /** What the control loop reads of the traffic side; safe from any thread. */
 interface TrafficSummary {
@@ -15,6 +16,9 @@
     /** Groups whose answers stand still here. */
     fun suspects(): Set<GroupKey>
 
+    /** Targets that have lately told this daemon that they leave. */
+    fun leaving(): Set<TargetRun>
+
     /** Whether a request has ever come. */
     fun hasTraffic(): Boolean
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -17,6 +17,7 @@
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetRun
 import org.vanillalink.transport.Json
 import org.vanillalink.transport.MalformedJson
 import org.vanillalink.transport.read
@@ -33,7 +34,7 @@
     private fun message(node: JsonNode) = PeerMessage(
         daemon = DaemonId(node.text("daemon")),
         failureDomain = FailureDomainId(node.text("failureDomain")),
-        endpoint = endpoint(node.required("endpoint")),
+        endpoint = node.required("endpoint").let { Endpoint(it.text("address"), it.required("port").asInt()) },
         startedAt = node.number("startedAt"),
         sequence = node.number("sequence"),
         storeAge = node.number("storeAge"),
@@ -42,6 +43,7 @@
         inFlight = node.required("inFlight").properties().associate { (id, count) -> HostId(id) to count.asInt() },
         suspects = node.required("suspects").map(::groupKey).toSet(),
         strikes = node.required("strikes").map(::strike),
+        leaving = node.required("leaving").map(::run).toSet(),
         controlled = node.required("controlled").map(::controlled),
     )
 
@@ -53,8 +55,6 @@
         isSameAsBefore = node.required("isSameAsBefore").asBoolean(),
     )
 
-    private fun endpoint(node: JsonNode) = Endpoint(node.text("address"), node.required("port").asInt())
-
     private fun group(node: JsonNode) = AnnouncedGroup(
         key = groupKey(node.required("key")),
         model = node.text("model"),
@@ -63,6 +63,9 @@
 
     private fun groupKey(node: JsonNode) = GroupKey(node.text("group"), node.number("epoch"))
 
+    private fun run(node: JsonNode) =
+        TargetRun(HostId(node.text("id")), node.required("bornAt").takeUnless { it.isNull }?.asLong())
+
     private fun strike(node: JsonNode) =
         Strike(RequestFingerprint(node.required("fingerprint").text("value")), HostId(node.text("target")))
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -40,6 +40,10 @@
     val faultyTarget: String?,
     /** Whether the body was changed by an encoding that nobody asked for. */
     val isEncoded: Boolean,
+    /** Whether the target says that it leaves. */
+    val isLeaving: Boolean,
+    /** How long the target wants no further requests, in milliseconds, or null where it doesn't say. */
+    val restMilliseconds: Long?,
 )
 
 /** Reads and writes the marks. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
@@ -26,8 +26,13 @@
 ) {
     /**
      * When room is likely: engines work off a batch, or groups form anew, in a second or two; plain services sooner.
+     * Targets that all want nothing for [restLeft] milliseconds have said themselves when to come back.
      */
-    fun retryAfter(now: Long): Duration {
+    fun retryAfter(
+        now: Long,
+        restLeft: Long?,
+    ): Duration {
+        if (restLeft != null) return Duration.ofMillis(restLeft)
         val usual = if (service.engine == null) PLAIN_RETRY_AFTER else ENGINE_RETRY_AFTER
         val left = Duration.ofMillis(maxOf(0, callerDeadline - now))
         return minOf(usual, left.dividedBy(RETRY_AFTER_SHARE_OF_REST))
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -11,6 +11,7 @@
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetRun
 import org.vanillalink.transport.NettyEventLoops
 import java.time.Duration
 import kotlin.random.Random
@@ -35,6 +36,9 @@
     @Volatile
     private var strikes: List<Strike> = emptyList()
 
+    @Volatile
+    private var leaving: Set<TargetRun> = emptySet()
+
     @Volatile
     private var hasTraffic = false
     private var tidiedAt = 0L
@@ -48,6 +52,8 @@
 
     override fun suspects(): Set<GroupKey> = standing
 
+    override fun leaving(): Set<TargetRun> = leaving
+
     override fun hasTraffic(): Boolean = hasTraffic
 
     /** Strikes seen lately. */
@@ -83,7 +89,8 @@
         active.stalled(state.unreachableTargets(), "path-cut")
         active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys, "group-stalled")
         counts = state.inFlight.own()
-        strikes = state.failures.since(at - STRIKES_TOLD_MILLISECONDS).takeLast(STRIKES_TOLD_AT_MOST)
+        strikes = state.failures.since(at - TOLD_MILLISECONDS).takeLast(STRIKES_TOLD_AT_MOST)
+        leaving = state.leavingSince(at - TOLD_MILLISECONDS)
         if (at - tidiedAt > TIDY_MILLISECONDS) {
             tidiedAt = at
             state.tidy(at)
@@ -101,7 +108,7 @@
         const val GIVEN_UP_MILLISECONDS = 1_200L
 
         /** Two of the longest periods between heartbeats, since a datagram may be lost. */
-        const val STRIKES_TOLD_MILLISECONDS = HeartbeatSchedule.LONGEST_MILLISECONDS * 2
+        const val TOLD_MILLISECONDS = HeartbeatSchedule.LONGEST_MILLISECONDS * 2
 
         /** Bounds the size of a datagram; targets that fail faster than this tell of another cause. */
         const val STRIKES_TOLD_AT_MOST = 50
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -14,6 +14,7 @@
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.choice.Strike
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.transport.AnswerWriter
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.OutgoingExchange
@@ -34,9 +35,10 @@
     var currentGroup: GroupKey? = null
         private set
 
+    private var currentEntry: TargetEntry? = null
+
     /** The target that the request is at now. */
-    var currentTarget: HostId? = null
-        private set
+    val currentTarget: HostId? get() = currentEntry?.id
 
     protected var attempts = 0
         private set
@@ -81,7 +83,7 @@
         }
         val entry = chosen.entry
         tried.add(entry.id)
-        currentTarget = entry.id
+        currentEntry = entry
         currentGroup = chosen.group?.key
         context.state.begun(entry, now)
         val place = chosen.group?.key?.group ?: entry.id.value
@@ -123,6 +125,8 @@
         headers: HeaderFields,
     ) {
         val marks = context.protocol.interpret(status, headers)
+        // What a target says of itself holds whatever becomes of its answer.
+        currentEntry?.let { context.state.noticed(it, marks, now) }
         val own = request.marks.requestId
         when {
             own != null && marks.requestId != null && marks.requestId != own -> crossed("crossed-answer")
@@ -212,7 +216,8 @@
     ) {
         if (ended) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) request.retryAfter(now) else null
+        val restLeft = context.state.restLeft(request.service, request.marks.model, now)
+        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) request.retryAfter(now, restLeft) else null
         finish(reason.problemType, reason.status)
         answer.refuse(Refusal(reason, outcome, detail, retryAfter), request.marks.requestId, RetryAfterPrecision.TENTHS)
     }
@@ -234,7 +239,7 @@
     /** The attempt's answer has come whole; its target is free again. */
     protected fun releaseTarget() {
         currentTarget?.let { context.state.ended(it) }
-        currentTarget = null
+        currentEntry = null
         currentGroup = null
         exchange = null
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -4,6 +4,7 @@
  */
 package org.vanillalink.gateway.traffic
 
+import org.vanillalink.gateway.ports.AnswerMarks
 import org.vanillalink.gateway.ports.EntryBounds
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
@@ -19,7 +20,9 @@
 import org.vanillalink.serving.choice.RetryBudgetSettings
 import org.vanillalink.serving.choice.StallWatch
 import org.vanillalink.serving.choice.TargetChoice
+import org.vanillalink.serving.choice.TargetNotices
 import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetRun
 import kotlin.random.Random
 
 /** A target chosen for an attempt; [group] is null for plain services. */
@@ -41,6 +44,8 @@
     val inFlight = InFlightCounts()
     val stalls = StallWatch()
     val failures = RepeatedFailures()
+    private val notices = TargetNotices()
+    private val leaving = HashMap<TargetRun, Long>()
     private val cold = ColdAllowance()
     private val choice = TargetChoice(random)
     private val budgets = HashMap<ServiceName, RetryBudget>()
@@ -96,7 +101,7 @@
         now: Long,
     ): Candidate? {
         val current = view
-        val usable = targets.filter { it.id !in excluded && isUsable(it) }
+        val usable = targets.filter { it.id !in excluded && isUsable(it, now) }
         val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
         val spread = if (excluded.isEmpty()) 0 else REPEATED_SPREAD
         return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread, current.sharers)
@@ -108,15 +113,60 @@
         model: String?,
         now: Long,
     ): String {
-        val groups = view.groups(service.name, model.orEmpty()).map { it.head }
-        val targets = if (service.engine == null) view.plainTargets[service.name].orEmpty() else groups
-        val usable = targets.filter { isUsable(it) }
+        val targets = targets(service, model)
+        val usable = targets.filter { isUsable(it, now) }
         val least = usable.minOfOrNull { inFlight.at(it.id, now) }
         val unsound = usable.count { !isSound(it, now) }
         return "full(targets=${targets.size},closed=${targets.size - usable.size},least=$least,unsound=$unsound)"
     }
 
-    private fun isUsable(target: TargetEntry): Boolean = target.failureDomain !in view.evacuated && !target.isLeaving
+    /**
+     * The milliseconds until the first target for a call of [model] to [service] takes requests again, where all that
+     * there are want none now; else null.
+     */
+    fun restLeft(
+        service: ServiceDefinition,
+        model: String?,
+        now: Long,
+    ): Long? = targets(service, model)
+        .filter { isOffered(it) }
+        .minOfOrNull { notices.restLeft(it.run, now) }
+        ?.takeIf { it > 0 }
+
+    private fun targets(
+        service: ServiceDefinition,
+        model: String?,
+    ): List<TargetEntry> {
+        if (service.engine == null) return view.plainTargets[service.name].orEmpty()
+        return view.groups(service.name, model.orEmpty()).map { it.head }
+    }
+
+    private fun isUsable(
+        target: TargetEntry,
+        now: Long,
+    ): Boolean = isOffered(target) && notices.restLeft(target.run, now) == 0L
+
+    private fun isOffered(target: TargetEntry): Boolean =
+        target.failureDomain !in view.evacuated && !target.isLeaving && !notices.isLeaving(target.run)
+
+    /** [target] has said of itself what the [marks] of its answer show. */
+    fun noticed(
+        target: TargetEntry,
+        marks: AnswerMarks,
+        now: Long,
+    ) {
+        if (marks.isLeaving) {
+            notices.leaves(target.run, now)
+            leaving[target.run] = now
+        }
+        marks.restMilliseconds?.let { notices.rests(target.run, it, now) }
+    }
+
+    /** Targets that have told this daemon since [since] that they leave. */
+    fun leavingSince(since: Long): Set<TargetRun> {
+        leaving.values.removeIf { it <= since }
+        return leaving.keys.toSet()
+    }
 
     private fun isSound(
         target: TargetEntry,
@@ -202,6 +252,7 @@
         val known = (current.groups.map { it.head } + current.plainTargets.values.flatten()).map { it.id }.toSet()
         domainOf.keys.retainAll(known + stalls.outstanding())
         cold.keep(known)
+        notices.tidy(now)
     }
 
     private fun budget(service: ServiceName): RetryBudget = budgets.getOrPut(service) {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryKnowledgeTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryKnowledgeTest.kt
@@ -8,8 +8,11 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetRun
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 internal class RegistryKnowledgeTest {
     private var now = 1_000L
@@ -43,7 +46,44 @@
         assertEquals(setOf(HostId("b")), testSubject.directory.entries.keys)
     }
 
-    private fun listed(id: String) = RegistryRecord.Listed(
+    @Test
+    fun `a target that says it leaves is not taken back by an older entry or a whole read`() {
+        testSubject.leaves(TargetRun(HostId("a"), bornAt = 1), source = "b")
+        assertTrue(isLeaving("a"))
+
+        testSubject.apply(listOf(listed("a")), RegistryRead.CHANGES)
+        assertTrue(isLeaving("a"))
+        testSubject.apply(listOf(listed("a"), listed("b")), RegistryRead.WHOLE)
+        assertTrue(isLeaving("a"))
+        assertFalse(isLeaving("b"))
+    }
+
+    @Test
+    fun `a target that leaves before it is known is leaving when it is listed`() {
+        testSubject.leaves(TargetRun(HostId("c"), bornAt = 1), source = "b")
+
+        testSubject.apply(listOf(listed("c")), RegistryRead.CHANGES)
+
+        assertTrue(isLeaving("c"))
+    }
+
+    @Test
+    fun `another run under the id of a target that left is used`() {
+        testSubject.leaves(TargetRun(HostId("a"), bornAt = 1), source = "b")
+
+        testSubject.apply(listOf(listed("a", bornAt = 2)), RegistryRead.CHANGES)
+
+        assertFalse(isLeaving("a"))
+    }
+
+    private fun isLeaving(id: String) = testSubject.directory.entries
+        .getValue(HostId(id))
+        .isLeaving
+
+    private fun listed(
+        id: String,
+        bornAt: Long = 1,
+    ) = RegistryRecord.Listed(
         TargetEntry(
             id = HostId(id),
             service = ServiceName("writer"),
@@ -52,7 +92,7 @@
             fabricDomain = "ikeja-d0",
             isLeaving = false,
             coldMilliseconds = 0,
-            bornAt = 1,
+            bornAt = bornAt,
             model = null,
             staged = emptySet(),
             membership = null,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -10,6 +10,7 @@
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetRun
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -30,6 +31,7 @@
             inFlight = mapOf(HostId("i-1") to 3),
             suspects = setOf(key),
             strikes = listOf(Strike(RequestFingerprint("f"), HostId("i-2"))),
+            leaving = setOf(TargetRun(HostId("i-3"), 8), TargetRun(HostId("i-4"), null)),
             controlled =
                 listOf(
                     ControlledDomain(
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
@@ -26,6 +26,7 @@
             inFlight = (1..TARGETS).associate { HostId("i-c94d8f36$it") to 1 },
             suspects = emptySet(),
             strikes = emptyList(),
+            leaving = emptySet(),
             controlled = emptyList(),
         )
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -0,0 +1,105 @@
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.ports.AnswerMarks
+import org.vanillalink.gateway.ports.EntryBounds
+import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.catalog.ServiceDefinition
+import org.vanillalink.serving.targets.TargetEntry
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+internal class TrafficStateTest {
+    private val desk = ServiceDefinition(ServiceName("desk"), "/health", 100, 0.0, engine = null)
+    private val first = target("d-1")
+    private val second = target("d-2")
+    private val leaving = AnswerMarks("r-1", true, false, null, false, isLeaving = true, restMilliseconds = null)
+    private val testSubject =
+        TrafficState(EntryBounds(), Random(1)).apply {
+            view = TrafficView(plainTargets = mapOf(desk.name to listOf(first, second)))
+        }
+
+    // Guards against requests that reach a target after it has said that it leaves (issue 17).
+    @Test
+    fun `a target that says it leaves gets nothing new, whatever the registry lists`() {
+        testSubject.noticed(first, leaving, now = 1_000)
+
+        assertEquals(setOf(second.id), chosen(now = 1_000))
+        testSubject.view = TrafficView(plainTargets = mapOf(desk.name to listOf(first, second)))
+        assertEquals(setOf(second.id), chosen(now = 60_000))
+    }
+
+    @Test
+    fun `a request that is about to be repeated does not go to a target that says it leaves`() {
+        testSubject.noticed(first, leaving, now = 1_000)
+
+        assertNull(testSubject.choose(desk, null, excluded = setOf(second.id), now = 1_000))
+    }
+
+    @Test
+    fun `another run of a target that left is used`() {
+        testSubject.noticed(first, leaving, now = 1_000)
+        testSubject.view = TrafficView(plainTargets = mapOf(desk.name to listOf(first.copy(bornAt = 2))))
+
+        assertEquals(setOf(first.id), chosen(now = 1_100))
+    }
+
+    // Guards against requests to a target that has turned one away with a time to come back (issue 17).
+    @Test
+    fun `half of the targets rest during a burst and the others take its requests`() {
+        testSubject.noticed(first, resting(2_000), now = 1_000)
+
+        assertEquals(setOf(second.id), chosen(now = 1_000))
+        assertEquals(setOf(second.id), chosen(now = 2_999))
+        assertNull(testSubject.restLeft(desk, null, now = 1_000))
+        assertEquals(setOf(first.id, second.id), chosen(now = 3_000))
+    }
+
+    @Test
+    fun `callers are told the shortest time where all targets rest`() {
+        testSubject.noticed(first, resting(2_000), now = 1_000)
+        testSubject.noticed(second, resting(1_500), now = 1_000)
+
+        assertEquals(emptySet(), chosen(now = 1_000))
+        assertEquals(1_500, testSubject.restLeft(desk, null, now = 1_000))
+    }
+
+    @Test
+    fun `peers hear for some time of a target that leaves`() {
+        testSubject.noticed(first, leaving, now = 1_000)
+
+        assertEquals(setOf(first.run), testSubject.leavingSince(999))
+        assertEquals(emptySet(), testSubject.leavingSince(1_000))
+    }
+
+    private fun chosen(now: Long): Set<HostId> = (1..CHOICES)
+        .mapNotNull { testSubject.choose(desk, null, emptySet(), now) }
+        .map { it.entry.id }
+        .toSet()
+
+    private fun resting(milliseconds: Long) = leaving.copy(isLeaving = false, restMilliseconds = milliseconds)
+
+    private fun target(id: String) = TargetEntry(
+        id = HostId(id),
+        service = ServiceName("desk"),
+        endpoint = Endpoint("127.0.0.1", 1),
+        failureDomain = FailureDomainId("ikeja"),
+        fabricDomain = null,
+        isLeaving = false,
+        coldMilliseconds = 0,
+        bornAt = 1,
+        model = null,
+        staged = emptySet(),
+        membership = null,
+        slots = 6,
+    )
+
+    private companion object {
+        /** Enough that each of two equal targets is drawn at least once. */
+        const val CHOICES = 50
+    }
+}
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
@@ -67,6 +67,8 @@
     val membership: GroupMembership?,
     /** How much slower than usual the target works; 1 is usual. */
     val pace: Double,
+    /** Whether the target says that it leaves, which its entry may not show yet. */
+    val isLeaving: Boolean = false,
 )
 
 /** The outcome of asking a target for its report. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -11,6 +11,7 @@
 import org.vanillalink.serving.choice.Strike
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetRun
 
 /** What one daemon says of itself and of the groups that it controls. */
 data class PeerMessage(
@@ -31,6 +32,8 @@
     /** Groups whose answers stand still here. */
     val suspects: Set<GroupKey>,
     val strikes: List<Strike>,
+    /** Targets that have lately told this daemon itself that they leave. */
+    val leaving: Set<TargetRun>,
     val controlled: List<ControlledDomain>,
 )
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
@@ -138,6 +138,7 @@
         inFlight = emptyMap(),
         suspects = emptySet(),
         strikes = emptyList(),
+        leaving = emptySet(),
         controlled = if (term == 0L) emptyList() else listOf(ControlledDomain(IKEJA, term, emptyList(), emptySet())),
     )
 
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -32,6 +32,12 @@
 
     /** Says that it is full. */
     FULL,
+
+    /** Says that it is full and wants no requests for a while. */
+    RESTING,
+
+    /** Says in each answer that it leaves, and never in its entry. */
+    LEAVING_UNLISTED,
 }
 
 /** Serves one runner. [changed] is called when its entry has changed. */
@@ -49,6 +55,9 @@
     /** The ids of the requests that ran here. */
     val ran = CopyOnWriteArrayList<String>()
 
+    /** The ids of the requests that were turned away with a time to rest. */
+    val turnedAway = CopyOnWriteArrayList<String>()
+
     /** The ids of the requests whose caller left before their answer was whole. */
     val abandoned = CopyOnWriteArrayList<String>()
 
@@ -90,6 +99,11 @@
                 answer.answer(UNAVAILABLE, HeaderFields.of("not-executed" to "1"))
             }
 
+            trouble == RunnerTrouble.RESTING -> {
+                turnedAway += request.headers["request-id"].orEmpty()
+                answer.answer(UNAVAILABLE, HeaderFields.of("not-executed" to "1", "retry-after" to REST_SECONDS))
+            }
+
             else -> {
                 run(request, answer)
             }
@@ -117,7 +131,8 @@
         answer.onCallerGone { abandoned += id }
         lastRequest = request
         val echoed = if (trouble == RunnerTrouble.CROSSED) "another" else id
-        val fields = HeaderFields.of("request-id" to echoed, "response-signature" to "${settings.id}.$id")
+        var fields = HeaderFields.of("request-id" to echoed, "response-signature" to "${settings.id}.$id")
+        if (trouble == RunnerTrouble.LEAVING_UNLISTED) fields = fields.with("server-leaving", "1")
         val tokens = request.headers["token-usage"]
         if (tokens == null) {
             answer.answer(OK, fields, request.body)
@@ -151,5 +166,8 @@
     private companion object {
         const val MISDIRECTED = 421
         const val UNAVAILABLE = 503
+
+        /** Longer than a test's requests take. */
+        const val REST_SECONDS = "30.5"
     }
 }
