Give up answers whose bytes never end

Cause: servers in trouble may send bytes that are no answer until the caller closes. Interim answers (1xx) were taken for the answer itself: a caller would have got status 100, and without end they would have been read on. An event of a stream that never ends, and the body of a failure on a streaming route, were kept in memory without bound. Ruled out by test: status lines, header fields and chunk sizes without end (the codec bounds them), bodies of collected answers. Change: interim answers are passed over, and more than eight end the exchange; an event or a failure over 1 MB ends the attempt, which goes on as with any broken answer.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
@@ -16,6 +16,9 @@
 internal class EventSplitter {
     private val pending = ByteArrayOutputStream()
 
+    /** Whether an event has grown so large that its end isn't worth waiting for. */
+    val isEndless: Boolean get() = pending.size() > EVENT_BYTES
+
     /** Whether an event has begun and not ended. */
     val isMidEvent: Boolean get() = pending.size() > 0
 
@@ -60,6 +63,8 @@
     }
 
     private companion object {
+        /** Far more than an event of some tokens. */
+        const val EVENT_BYTES = 1_048_576
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -42,10 +42,21 @@
 
     override fun piece(bytes: ByteArray) {
         if (!isStream) {
-            failureBody.write(bytes)
+            if (failureBody.size() + bytes.size >
+                FAILURE_BYTES
+            ) {
+                crossed("failure-too-large")
+            } else {
+                failureBody.write(bytes)
+            }
             return
         }
-        val events = splitter.add(bytes) ?: return
+        val events = splitter.add(bytes)
+        if (splitter.isEndless) {
+            crossed("event-without-end")
+            return
+        }
+        if (events == null) return
         val expected = lastId?.plus(1)
         if (expected != null && events.firstId != null && events.firstId != expected) {
             crossed("event-${events.firstId}-after-${expected - 1}")
@@ -124,5 +135,8 @@
 
     private companion object {
         const val STATUS_OK = 200
+
+        /** A failure's explanation is a page at the most. */
+        const val FAILURE_BYTES = 1_048_576
     }
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
@@ -8,12 +8,15 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
 internal class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
     private var exchange: NettyExchange? = null
     private var reusable = false
+    private var informational = 0
+    private var isPassingOver = false
 
     /** How long the other side keeps an idle connection, where the last answer told. */
     var keepAliveSeconds: Int? = null
@@ -22,6 +25,8 @@
     fun use(next: NettyExchange) {
         exchange = next
         reusable = false
+        informational = 0
+        isPassingOver = false
     }
 
     fun leave() {
@@ -38,6 +43,14 @@
             current?.fail(TransportFailure.MalformedAnswer("not HTTP"))
             return
         }
+        if (isInformational(part)) {
+            // Interim answers tell nothing of the one that is due, and a server in trouble may send them without end.
+            if (informational > INFORMATIONAL_AT_MOST) {
+                context.close()
+                current.fail(TransportFailure.MalformedAnswer("interim answers without end"))
+            }
+            return
+        }
         if (part is HttpResponse) {
             reusable = HttpUtil.isKeepAlive(part)
             keepAliveSeconds =
@@ -64,6 +77,17 @@
         context.close()
     }
 
+    /** Whether [part] belongs to an interim answer. */
+    private fun isInformational(part: HttpObject): Boolean {
+        if (part is HttpResponse && part.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            informational += 1
+            isPassingOver = true
+        }
+        val isPart = isPassingOver
+        if (part is LastHttpContent) isPassingOver = false
+        return isPart
+    }
+
     private fun passContent(
         current: NettyExchange,
         content: HttpContent,
@@ -78,6 +102,8 @@
     }
 
     private companion object {
+        /** Sound servers send one or two. */
+        const val INFORMATIONAL_AT_MOST = 8
         val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
     }
 }
--- /dev/null
+++ b/transport/src/test/kotlin/org/vanillalink/transport/EndlessAnswerTest.kt
@@ -0,0 +1,102 @@
+package org.vanillalink.transport
+
+import org.vanillalink.model.Endpoint
+import java.net.ServerSocket
+import java.net.SocketException
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Servers in trouble: bytes that are no answer come until the caller closes. */
+internal class EndlessAnswerTest {
+    private val loops = NettyEventLoops(1)
+    private val testSubject = NettyHttpClient(loops)
+    private val server = ServerSocket(0)
+    private val sent = AtomicLong()
+
+    @AfterTest
+    fun stop() {
+        server.close()
+        loops.close()
+    }
+
+    @Test
+    fun `a status line without end is given up`() = assertGivenUp(start = "HTTP/1.1 200 ", repeated = "O")
+
+    @Test
+    fun `header fields without end are given up`() =
+        assertGivenUp(start = "HTTP/1.1 200 OK\r\n", repeated = "X-Field: some-value\r\n")
+
+    @Test
+    fun `interim answers without end are given up`() =
+        assertGivenUp(start = "", repeated = "HTTP/1.1 100 Continue\r\n\r\n")
+
+    @Test
+    fun `the size of a chunk without end is given up`() =
+        assertGivenUp(start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated = "0")
+
+    @Test
+    fun `a body without end is given up`() =
+        assertGivenUp(start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated = "4\r\nbody\r\n")
+
+    @Test
+    fun `an answer after an interim one is that of the request`() {
+        serve("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", repeated = "")
+
+        val answer = call().getOrNull()
+        assertEquals(200, answer?.status)
+        assertEquals("ok", answer?.body?.decodeToString())
+    }
+
+    private fun assertGivenUp(
+        start: String,
+        repeated: String,
+    ) {
+        serve(start, repeated)
+
+        assertIs<TransportFailure>(call().leftOrNull())
+        val end = System.nanoTime() + TIMEOUT.toNanos()
+        while (sent.get() >= 0 && System.nanoTime() < end) TimeUnit.MILLISECONDS.sleep(PAUSE_MILLISECONDS)
+        assertTrue(sent.get() < 0, "the connection was not closed")
+    }
+
+    private fun call() = testSubject
+        .call(Endpoint("127.0.0.1", server.localPort), HttpRequestMessage("GET", "/"), TIMEOUT)
+        .get(TIMEOUT.toSeconds() * 2, TimeUnit.SECONDS)
+
+    /** Answers one connection with [start] and then [repeated] for as long as it is open; then [sent] is negative. */
+    private fun serve(
+        start: String,
+        repeated: String,
+    ) {
+        thread(isDaemon = true) {
+            server.accept().use { connection ->
+                val output = connection.getOutputStream()
+                output.write(start.toByteArray())
+                val more = repeated.repeat(REPETITIONS).toByteArray()
+                try {
+                    while (more.isNotEmpty()) {
+                        output.write(more)
+                        sent.addAndGet(more.size.toLong())
+                    }
+                    TimeUnit.SECONDS.sleep(TIMEOUT.toSeconds())
+                } catch (closed: SocketException) {
+                    sent.set(if (closed.message == null) 0 else CLOSED)
+                }
+            }
+        }
+    }
+
+    private companion object {
+        val TIMEOUT: Duration = Duration.ofSeconds(20)
+        const val PAUSE_MILLISECONDS = 20L
+        const val REPETITIONS = 1_000
+        const val CLOSED = Long.MIN_VALUE
+    }
+}
