Keep a sixth of the grace time for ending the process

With work under way it waited until 0.7 s before the end; then the waiting lines are written (up to 0.3 s) and the virtual machine ends, on a host that may be slow at that moment. Ruled out: requests that are still being taken in (connections are closed from 2.5 s on). Change: waiting for work ends a sixth of the grace time (1.3 s of 8) before the end; a request that is still at work then came before 2.5 s.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/EntryDaemon.kt
@@ -98,7 +98,8 @@
         callers.announceEnd()
         sleepUntil(began + REDIRECTION_MILLISECONDS) { false }
         callers.drain()
-        val last = began + settings.bounds.graceMilliseconds - END_MARGIN_MILLISECONDS
+        val grace = settings.bounds.graceMilliseconds
+        val last = began + grace - grace / END_MARGIN_PART
         sleepUntil(last) { callers.requestsInProgress == 0 }
         lines.record("stopped", "inProgress" to callers.requestsInProgress, "tookMs" to clock.steady() - began)
     }
@@ -158,7 +159,7 @@
         /** Callers are sent elsewhere once two readiness checks, a second apart, have failed. */
         const val REDIRECTION_MILLISECONDS = 2_500L
 
-        /** Kept for ending the process itself. */
-        const val END_MARGIN_MILLISECONDS = 700L
+        /** One part in so many of the grace time is kept for ending the process itself, also on a slow host. */
+        const val END_MARGIN_PART = 6
     }
 }
