Try a group that was quiet for a moment before a caller is refused

A group is unsound for a second after any failure, and once it has been quiet for 250 ms, which is what its first prompts take to read; such groups were only looked at when no sound one was left at all. After a great loss nearly all groups are like that. Ruled out: the allowance for cold targets (no refusal below the limit without an unsound group). Change: where the sound ones have no room, groups that have been quiet for less than 600 ms are tried, in failure domains that can be reached. Test: two cases of TrafficStateTest failed before (expected <h-2> but was: <null>); a third keeps long-stalled groups out.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -51,7 +51,7 @@
     private val budgets = HashMap<ServiceName, RetryBudget>()
     private val avoidedUntil = HashMap<HostId, Long>()
     private val domainOf = HashMap<HostId, FailureDomainId>()
-    private var stalled: Set<HostId> = emptySet()
+    private var stalled: Map<HostId, Long> = emptyMap()
     private var unreachable: Set<FailureDomainId> = emptySet()
     val paths = PathWatch()
 
@@ -102,11 +102,18 @@
     ): Candidate? {
         val current = view
         val usable = targets.filter { it.id !in excluded && isUsable(it, now) }
-        val sound = usable.filter { isSound(it, now) }.ifEmpty { usable }
+        val (sound, unsound) = usable.partition { isSound(it, now) }
         val spread = if (excluded.isEmpty()) 0 else REPEATED_SPREAD
-        return choice.choose(sound.map { candidate(service, it, limit, now, current.sharers) }, spread, current.sharers)
+        val secondChoice = if (sound.isEmpty()) unsound else unsound.filter(::isDoubtful)
+        return listOf(sound, secondChoice).firstNotNullOfOrNull { tier ->
+            choice.choose(tier.map { candidate(service, it, limit, now, current.sharers) }, spread, current.sharers)
+        }
     }
 
+    /** Whether [target] has been quiet for so short a time that a request there is worth more than a refusal. */
+    private fun isDoubtful(target: TargetEntry): Boolean =
+        target.failureDomain !in unreachable && (stalled[target.id] ?: 0) < DOUBTFUL_MILLISECONDS
+
     /** What stands against sending a call of [model] to [service] now, for the log. */
     fun describe(
         service: ServiceDefinition,
@@ -189,7 +196,7 @@
                 },
                 now,
             )
-        stalled = standing.keys
+        stalled = standing
         return standing
     }
 
@@ -272,6 +279,9 @@
         /** Plain services queue a few requests behind those that run. */
         const val PLAIN_LIMIT_PER_SLOT = 3
 
+        /** Twice the time that a long prompt takes until its first event in a group that has just begun. */
+        const val DOUBTFUL_MILLISECONDS = 600L
+
         /** About the time in which the registry or a repeated try tells more. */
         const val AVOID_MILLISECONDS = 1_000L
     }
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -6,7 +6,9 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.catalog.EngineDefinition
 import org.vanillalink.serving.catalog.ServiceDefinition
+import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetEntry
 import kotlin.random.Random
 import kotlin.test.Test
@@ -15,6 +17,9 @@
 
 internal class TrafficStateTest {
     private val desk = ServiceDefinition(ServiceName("desk"), "/health", 100, 0.0, engine = null)
+    private val engine =
+        EngineDefinition(SLOTS, emptyList(), 6.0, 0.3, 46_000.0, 5, 4.0, 6, 300, modelsKeptByHost = 1)
+    private val writer = ServiceDefinition(ServiceName("desk"), "/health", 100, 0.0, engine)
     private val first = target("d-1")
     private val second = target("d-2")
     private val leaving = AnswerMarks("r-1", true, false, null, false, isLeaving = true, restMilliseconds = null)
@@ -68,6 +73,40 @@
         assertEquals(1_500, testSubject.restLeft(desk, null, now = 1_000))
     }
 
+    // Guards against refusals while groups that have only been quiet for a moment have room (issue 17).
+    @Test
+    fun `after a great loss a group that was avoided a moment ago takes what the others have no room for`() {
+        val heads = listOf(target("h-1"), target("h-2"))
+        testSubject.view = groupsOf(heads)
+        repeat(SLOTS + 1) { testSubject.begun(heads[0], now = 1_000) }
+        testSubject.avoid(heads[1].id, now = 1_000)
+
+        assertEquals(heads[1].id, testSubject.choose(writer, "m0", emptySet(), now = 1_100)?.entry?.id)
+    }
+
+    // Guards against refusals while groups that have only been quiet for a moment have room (issue 17).
+    @Test
+    fun `a group that reads its first prompts takes what the others have no room for`() {
+        val heads = listOf(target("h-1"), target("h-2"))
+        testSubject.view = groupsOf(heads)
+        repeat(SLOTS + 1) { testSubject.begun(heads[0], now = 1_290) }
+        testSubject.begun(heads[1], now = 1_000)
+        testSubject.watch(now = 1_300)
+
+        assertEquals(heads[1].id, testSubject.choose(writer, "m0", emptySet(), now = 1_300)?.entry?.id)
+    }
+
+    @Test
+    fun `a group that has stood still for long takes nothing while others only lack room`() {
+        val heads = listOf(target("h-1"), target("h-2"))
+        testSubject.view = groupsOf(heads)
+        repeat(SLOTS + 1) { testSubject.begun(heads[0], now = 1_990) }
+        testSubject.begun(heads[1], now = 1_000)
+        testSubject.watch(now = 2_000)
+
+        assertNull(testSubject.choose(writer, "m0", emptySet(), now = 2_000))
+    }
+
     @Test
     fun `peers hear for some time of a target that leaves`() {
         testSubject.noticed(first, leaving, now = 1_000)
@@ -76,6 +115,9 @@
         assertEquals(emptySet(), testSubject.leavingSince(1_000))
     }
 
+    private fun groupsOf(heads: List<TargetEntry>) =
+        TrafficView(groups = heads.map { RoutableGroup(GroupKey("g-${it.id}", 1), "m0", it) })
+
     private fun chosen(now: Long): Set<HostId> = (1..CHOICES)
         .mapNotNull { testSubject.choose(desk, null, emptySet(), now) }
         .map { it.entry.id }
@@ -99,6 +141,8 @@
     )
 
     private companion object {
+        const val SLOTS = 12
+
         /** Enough that each of two equal targets is drawn at least once. */
         const val CHOICES = 50
     }
