Form groups and keep spares by what callers ask for

Cause: groups and spares followed the configured share of members alone. Change: each daemon measures for each model how often callers come, refused ones too, and how long an answer takes its place (ModelDemand); daemons tell each other inside a failure domain, and one for all to others. The plan shares members out by that, with a fifth by configuration, gives the reserve to a model whose groups are filled beyond seven tenths, and spares load for it. Tests: ModelDemandTest; two cases of GroupControllerScenarios (idle reserve for a short model; left alone otherwise). Left: a caller that comes back counts once more; groups of a model with room aren't given up.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -135,6 +135,7 @@
             isLeaving = isLeaving,
             period = word.period(isInside),
             inFlight = word.inFlight(isInside, traffic.inFlight()),
+            demand = word.demand(isInside, traffic.demand()),
             suspects = traffic.suspects(),
             strikes = strikes,
             leaving = traffic.leaving(),
@@ -231,9 +232,11 @@
                 ?.configuration
                 ?.services
                 ?.firstOrNull { it.engine != null } ?: return null
-        val isInside = { entry: TargetEntry -> entry.failureDomain == failureDomain && entry.service == service.name }
-        val entries = knowledge.directory.entries.filterValues(isInside)
-        val former = knowledge.directory.former.filterValues(isInside)
+        val ofService = knowledge.directory.entries.filterValues { it.service == service.name }
+        val entries = ofService.filterValues { it.failureDomain == failureDomain }
+        val former =
+            knowledge.directory.former.filterValues { it.failureDomain == failureDomain && it.service == service.name }
+        val part = entries.size.toDouble() / maxOf(1, ofService.size)
         return DomainView(
             failureDomain,
             entries,
@@ -241,6 +244,7 @@
             service.engine!!,
             settings.failureDomains.size,
             traffic.hasTraffic(),
+            board.demand(traffic.demand(), clock.steady()).mapValues { (_, places) -> places * part },
         )
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -13,6 +13,9 @@
     /** Requests under way by target, and groups that stand still. */
     fun inFlight(): Map<HostId, Int>
 
+    /** The places that callers of this daemon ask for at once, by model. */
+    fun demand(): Map<String, Double>
+
     /** Groups whose answers stand still here. */
     fun suspects(): Set<GroupKey>
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -41,6 +41,7 @@
         isLeaving = node.required("isLeaving").asBoolean(),
         period = node.number("period"),
         inFlight = node.required("inFlight").properties().associate { (id, count) -> HostId(id) to count.asInt() },
+        demand = node.required("demand").properties().associate { (model, places) -> model to places.asDouble() },
         suspects = node.required("suspects").map(::groupKey).toSet(),
         strikes = node.required("strikes").map(::strike),
         leaving = node.required("leaving").map(::run).toSet(),
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -75,7 +75,7 @@
         val needsKey = catalog.needsKeys && !route.isPublic
         if (needsKey && (!isFresh || workspace == null)) return if (isFresh) UNKNOWN_KEY else STALE
         val service = chooseService(catalog, route) ?: return NO_SERVICE
-        context.state.requested(service.name, now)
+        context.state.requested(service, marks.model, now)
         return begin(admitted(request, marks, route, service, workspace, now), answer)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LiveTraffic.kt
@@ -30,6 +30,9 @@
     @Volatile
     private var counts: Map<HostId, Int> = emptyMap()
 
+    @Volatile
+    private var demand: Map<String, Double> = emptyMap()
+
     @Volatile
     private var standing: Set<GroupKey> = emptySet()
 
@@ -50,6 +53,8 @@
 
     override fun inFlight(): Map<HostId, Int> = counts
 
+    override fun demand(): Map<String, Double> = demand
+
     override fun suspects(): Set<GroupKey> = standing
 
     override fun leaving(): Set<TargetRun> = leaving
@@ -89,6 +94,7 @@
         active.stalled(state.unreachableTargets(), "path-cut")
         active.stalled(stalled.filterValues { it > GIVEN_UP_MILLISECONDS }.keys, "group-stalled")
         counts = state.inFlight.own()
+        demand = state.demand.places(at)
         strikes = state.failures.since(at - TOLD_MILLISECONDS).takeLast(STRIKES_TOLD_AT_MOST)
         leaving = state.leavingSince(at - TOLD_MILLISECONDS)
         if (at - tidiedAt > TIDY_MILLISECONDS) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -52,6 +52,8 @@
     private var timeout: ScheduledAction? = null
     protected val trail = StringBuilder()
 
+    /** How long the attempt under way has taken. */
+    protected val attemptMilliseconds: Long get() = now - attemptBeganAt
     protected val isEnded: Boolean get() = ended
     protected val now: Long get() = context.now()
 
@@ -228,7 +230,7 @@
         status: Int,
     ) {
         if (ended) return
-        val atTarget = currentTarget?.let { now - attemptBeganAt }
+        val atTarget = currentTarget?.let { attemptMilliseconds }
         dropExchange()
         ended = true
         timeout?.cancel()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -89,6 +89,7 @@
 
             else -> {
                 start()
+                request.marks.model?.let { context.state.demand.worked(it, attemptMilliseconds, now) }
                 finish(if (resumes == 0) "answered" else "answered-resumed", status)
                 answer.finish()
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.serving.choice.Candidate
 import org.vanillalink.serving.choice.ColdAllowance
 import org.vanillalink.serving.choice.InFlightCounts
+import org.vanillalink.serving.choice.ModelDemand
 import org.vanillalink.serving.choice.OutstandingWork
 import org.vanillalink.serving.choice.PathWatch
 import org.vanillalink.serving.choice.RepeatedFailures
@@ -44,6 +45,7 @@
     val inFlight = InFlightCounts()
     val stalls = StallWatch()
     val failures = RepeatedFailures()
+    val demand = ModelDemand()
     private val notices = TargetNotices()
     private val leaving = HashMap<TargetRun, Long>()
     private val cold = ColdAllowance()
@@ -240,11 +242,15 @@
         stalls.ended(target)
     }
 
-    /** A caller's request for [service] has arrived. */
+    /** A caller's request for [service] has arrived, of [model] where it has an engine. */
     fun requested(
-        service: ServiceName,
+        service: ServiceDefinition,
+        model: String?,
         now: Long,
-    ) = budget(service).requested(now)
+    ) {
+        budget(service.name).requested(now)
+        if (service.engine != null && model != null) demand.asked(model, now)
+    }
 
     /** Whether one more target may be tried for a request to [service]. */
     fun takeRetry(
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -29,6 +29,7 @@
             isLeaving = true,
             period = 100,
             inFlight = mapOf(HostId("i-1") to 3),
+            demand = mapOf("m0" to 1.5),
             suspects = setOf(key),
             strikes = listOf(Strike(RequestFingerprint("f"), HostId("i-2"))),
             leaving = setOf(TargetRun(HostId("i-3"), 8), TargetRun(HostId("i-4"), null)),
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerTrafficTest.kt
@@ -24,6 +24,7 @@
             isLeaving = false,
             period = HeartbeatSchedule.inside(part),
             inFlight = (1..TARGETS).associate { HostId("i-c94d8f36$it") to 1 },
+            demand = emptyMap(),
             suspects = emptySet(),
             strikes = emptyList(),
             leaving = emptySet(),
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -21,6 +21,8 @@
     val failureDomains: Int,
     /** Whether requests have come; before that, loads from the weight store are cheap and not limited. */
     val trafficSeen: Boolean,
+    /** The places that callers ask for at once, by model, as far as they fall to this failure domain. */
+    val demand: Map<String, Double> = emptyMap(),
 )
 
 /** Something that happened. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -2,8 +2,8 @@
  * Chooses which groups to form from free targets, and which models free hosts keep ready.
  *
  * Each fabric domain gets one group of each model first, the model with the greatest lack first; more groups only
- * beyond a reserve. The reserve is what makes repairs fast: a spare that has the right model stands in for a lost
- * member within a fraction of a load from the weight store.
+ * beyond a reserve, or of a model whose groups can't take what callers ask for. The reserve is what makes repairs fast:
+ * a spare that has the right model stands in for a lost member within a fraction of a load from the weight store.
  */
 package org.vanillalink.serving.control
 
@@ -23,6 +23,7 @@
     )
 
     private val standing: MutableList<StandingGroup> = standingGroups().toMutableList()
+    private val shares = DemandShares(view.engine, view.demand)
 
     fun apply() {
         fillAllowance()
@@ -84,14 +85,17 @@
     ): ModelDefinition? = view.engine.models
         .filter { model ->
             val isFirst = standing.none { it.fabricDomain == domain && it.model == model.name }
-            val needed = if (isFirst) model.size else model.size + work.settings.reservePerFabricDomain
-            free >= needed
+            val needsReserve = !isFirst && !isShort(model)
+            free >= if (needsReserve) model.size + work.settings.reservePerFabricDomain else model.size
         }.maxByOrNull(::lack)
 
+    private fun isShort(model: ModelDefinition): Boolean =
+        shares.isShort(model, standing.count { it.model == model.name })
+
     /** How far [model] is from its share of all members in groups; positive where it has too few. */
     private fun lack(model: ModelDefinition): Double {
         val total = standing.sumOf { it.members } + model.size
-        return model.share * total - standing.filter { it.model == model.name }.sumOf { it.members }
+        return shares.of(model) * total - standing.filter { it.model == model.name }.sumOf { it.members }
     }
 
     /** The members that would be ready soonest, or null where the model should first be staged. */
@@ -174,7 +178,9 @@
         domain: String?,
         free: List<TargetEntry>,
     ) {
-        val spares = SpareChoice(view.engine.models, free.map(::stagedModel), groupsIn(domain), groupsEverywhere())
+        val models = view.engine.models.map { it.copy(share = shares.of(it)) }
+        val short = models.filter(::isShort).map { it.name }.toSet()
+        val spares = SpareChoice(models, free.map(::stagedModel), groupsIn(domain), groupsEverywhere(), short)
         free.filter { it.id !in work.state.staging }.forEach { target ->
             val current = stagedModel(target)
             val model = spares.next(current) ?: return@forEach
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/SpareChoice.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/SpareChoice.kt
@@ -4,7 +4,8 @@
  * A spare is worth the harm that it prevents: how likely a group of its model in the same fabric domain is to lose a
  * member, times the share of the traffic that a group of that model carries. Each further spare for the same model is
  * worth much less, as two losses must come close together before it is needed. A model that has no group in the fabric
- * domain at all, and too few targets for one, needs its members for certain.
+ * domain at all, and too few targets for one, needs its members for certain; so does one that callers ask for more than
+ * its groups can take.
  */
 package org.vanillalink.serving.control
 
@@ -12,13 +13,15 @@
 
 /**
  * The choice for one fabric domain. [staged] holds the model of each free target, or null where it has none;
- * [groupsHere] and [groupsInDomain] count standing groups by model, here and in the whole failure domain.
+ * [groupsHere] and [groupsInDomain] count standing groups by model, here and in the whole failure domain; [short] names
+ * models whose groups can't take what callers ask for.
  */
 internal class SpareChoice(
     private val models: List<ModelDefinition>,
     staged: List<String?>,
     private val groupsHere: Map<String, Int>,
     private val groupsInDomain: Map<String, Int>,
+    private val short: Set<String> = emptySet(),
 ) {
     private val spares: MutableMap<String, Int> =
         staged
@@ -54,7 +57,8 @@
         others: Int,
     ): Double {
         val harm = model.share / maxOf(1, groupsInDomain[model.name] ?: 0)
-        if (isMissing(model) && others < model.size) return harm * CERTAIN
+        val isNeeded = isMissing(model) || model.name in short
+        if (isNeeded && others < model.size) return harm * CERTAIN
         return harm / ((others + 1) * (others + 1))
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnWord.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnWord.kt
@@ -30,12 +30,25 @@
     fun inFlight(
         isInside: Boolean,
         counts: Map<HostId, Int>,
-    ): Map<HostId, Int> {
-        if (isInside) return counts
+    ): Map<HostId, Int> = told(isInside, counts, PeerMessage::inFlight, Int::plus)
+
+    /** The places asked for by model that peers inside, or elsewhere, are told of; [places] are this daemon's own. */
+    fun demand(
+        isInside: Boolean,
+        places: Map<String, Double>,
+    ): Map<String, Double> = told(isInside, places, PeerMessage::demand, Double::plus)
+
+    private fun <K, V : Any> told(
+        isInside: Boolean,
+        own: Map<K, V>,
+        ofPeer: (PeerMessage) -> Map<K, V>,
+        plus: (V, V) -> V,
+    ): Map<K, V> {
+        if (isInside) return own
         if (!speaksForDomain) return emptyMap()
-        val sum = HashMap(counts)
-        board.inside(own.failureDomain, now).forEach { peer ->
-            peer.inFlight.forEach { (target, count) -> sum.merge(target, count, Int::plus) }
+        val sum = HashMap(own)
+        board.inside(this.own.failureDomain, now).forEach { peer ->
+            ofPeer(peer).forEach { (key, value) -> sum.merge(key, value, plus) }
         }
         return sum
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerBoard.kt
@@ -55,6 +55,18 @@
     /** Peers heard of lately. */
     fun alive(now: Long): List<PeerState> = peers.values.filter { isAlive(it, now) }
 
+    /** The places asked for by model, of this daemon's callers ([own]) and of those of all live peers. */
+    fun demand(
+        own: Map<String, Double>,
+        now: Long,
+    ): Map<String, Double> {
+        val sum = HashMap(own)
+        alive(now).forEach { peer ->
+            peer.message.demand.forEach { (model, places) -> sum.merge(model, places, Double::plus) }
+        }
+        return sum
+    }
+
     /** The failure domain of [peer], or null before it was heard. */
     fun failureDomain(peer: DaemonId): FailureDomainId? = peers[peer]?.message?.failureDomain
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -29,6 +29,8 @@
     val period: Long,
     /** This daemon's requests by target; to other failure domains those of all daemons that it speaks for. */
     val inFlight: Map<HostId, Int>,
+    /** Places that callers of this daemon ask for, by model; like [inFlight] for those it speaks for. */
+    val demand: Map<String, Double>,
     /** Groups whose answers stand still here. */
     val suspects: Set<GroupKey>,
     val strikes: List<Strike>,
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -45,6 +45,9 @@
     val runners = LinkedHashMap<HostId, FakeRunner>()
     var now = 0L
     var trafficSeen = false
+
+    /** Places that callers ask for, by model. */
+    var demand: Map<String, Double> = emptyMap()
     var state = GroupControlState(nextEpoch = 1_000_000)
     val orders = mutableListOf<Pair<HostId, GroupOrder>>()
 
@@ -94,7 +97,7 @@
         domain: String,
     ): FakeRunner = FakeRunner(HostId(id), domain, now + 1).also { runners[it.id] = it }
 
-    fun view() = DomainView(IKEJA, listed(), former(), engine, failureDomains = 1, trafficSeen = trafficSeen)
+    fun view() = DomainView(IKEJA, listed(), former(), engine, failureDomains = 1, trafficSeen, demand)
 
     /** Lets [milliseconds] pass. */
     fun run(milliseconds: Long) {
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -21,6 +21,28 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against hosts that stand idle while callers of a model are refused (issue 17).
+    @Test
+    fun `a model that is asked for beyond its groups gets the reserve`() {
+        val fleet = settled(mapOf("d0" to 10, "d1" to 10))
+        val before = fleet.serving().count { it.model == "small" }
+        val large = fleet.serving().count { it.model == "large" }
+        fleet.demand = mapOf("small" to before * 18 * 0.95, "large" to large * 9.0)
+        val took = fleet.runUntil(30_000) { fleet.serving().count { it.model == "small" } > before }
+        assertTrue(took <= 12_000 + 3_000, "took $took ms")
+        assertEquals(large, fleet.serving().count { it.model == "large" })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    @Test
+    fun `a model that is not short leaves the reserve alone`() {
+        val fleet = settled(mapOf("d0" to 10, "d1" to 10))
+        val before = fleet.serving().map { it.key }.toSet()
+        fleet.demand = mapOf("small" to 36.0, "large" to 18.0)
+        fleet.run(30_000)
+        assertEquals(before, fleet.serving().map { it.key }.toSet())
+    }
+
     @Test
     fun `a member's loss costs about a second when a warm spare stands by`() {
         val fleet = settled(mapOf("d0" to 8))
--- a/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerBoardTest.kt
@@ -136,6 +136,7 @@
         isLeaving = false,
         period = period,
         inFlight = emptyMap(),
+        demand = emptyMap(),
         suspects = emptySet(),
         strikes = emptyList(),
         leaving = emptySet(),
