Ask targets before a new controller uses them by old entries

Class: a decision by knowledge that is older than another's decision. RegistryCurrency only covers outages of the store. Ruled out: the plan by demand (the order was a standby join of a spare that its entry shows free; any plan sends it). Change: where a term has a predecessor, a target that is in no group of this term is asked before it is used. Its word holds for 0.9 s, and one that says otherwise than its entry is left alone until the entry shows it. A standby join fences the others out. Cost: a report for each free target in the first moments of a term.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -152,7 +152,12 @@
         term = next
         takenAt = clock.steady()
         onTaken()
-        state = GroupControlState(nextEpoch = next * EPOCHS_PER_TERM, loadAllowanceAt = clock.steady())
+        state =
+            GroupControlState(
+                nextEpoch = next * EPOCHS_PER_TERM,
+                hasPredecessor = next > 1,
+                loadAllowanceAt = clock.steady(),
+            )
         lines.record("control-taken", "failureDomain" to failureDomain, "term" to term)
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -26,6 +26,11 @@
     val pollMilliseconds: Long = 100,
     /** How long members with the model in memory take to join. */
     val rejoinMilliseconds: Long = 200,
+    /**
+     * How long a target's word about itself holds. Two controllers that don't hear of each other differ for longer, but
+     * a group needs more than half of this to open.
+     */
+    val vouchMilliseconds: Long = 900,
     /** Slack after the expected end of a formation before it is given up. */
     val formationSlackMilliseconds: Long = 2_500,
     /** How long work in progress may hold back a planned change of members; most answers take less. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -45,11 +45,23 @@
     val unanswered: Int = 0,
 )
 
+/** Whether [run] itself has said that it is as free as its entry shows; null while the question is under way. */
+data class Vouch(
+    val run: TargetRun,
+    val key: GroupKey?,
+    val agrees: Boolean?,
+    val at: Long,
+)
+
 /** The state of [GroupController]. */
 data class GroupControlState(
     val nextEpoch: Long,
     /** The first epoch of this term; groups with a lower one were formed by another controller. */
     val firstEpoch: Long = nextEpoch,
+    /** Whether another controller may have used targets in a way that their entries don't show yet. */
+    val hasPredecessor: Boolean = false,
+    /** What targets said of themselves before they were used. */
+    val vouches: Map<HostId, Vouch> = emptyMap(),
     val formations: Map<GroupKey, Formation> = emptyMap(),
     val dissolutions: Map<GroupKey, Dissolution> = emptyMap(),
     /** Groups whose head certainly serves no more under this key, with the time of that. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -48,6 +48,7 @@
     ): List<TargetEntry> {
         val model = nextModel(domain, targets.size) ?: return targets
         val members = choose(targets, model) ?: return targets
+        if (members.count { !work.isVouched(it) } > 0) return targets
         form(members, model)
         standing += StandingGroup(domain, model.name, model.size)
         return formGroups(domain, targets - members.toSet())
@@ -70,7 +71,7 @@
         free.forEach { target ->
             val model = view.engine.models.firstOrNull { it.name in target.staged } ?: return@forEach
             val isOnItsWay = target.id in work.state.standby || target.id in work.state.staging
-            if (isOnItsWay || isStandingBy(target, model)) return@forEach
+            if (isOnItsWay || isStandingBy(target, model) || !work.isVouched(target)) return@forEach
             val epoch = work.nextEpoch()
             val key = StandbyGroups.key(view.failureDomain, epoch)
             val standby = Staging(model.name, work.now + STANDBY_AGAIN_MILLISECONDS)
@@ -233,7 +234,8 @@
                 .flatMap { it.members }
         val taken = (forming + leaving).toSet()
         return view.entries.values.filter { entry ->
-            !entry.isLeaving && entry.run !in work.state.silent && entry.id !in taken && isUnused(entry)
+            val isSound = !entry.isLeaving && entry.run !in work.state.silent && !work.isDoubted(entry)
+            isSound && entry.id !in taken && isUnused(entry)
         }
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -91,6 +91,28 @@
         return head.membership?.state == MemberState.READY || head.membership?.state == MemberState.JOINING
     }
 
+    /**
+     * Whether [target] may be used by what its entry shows. An entry is as old as its target's way to the registry, and
+     * an earlier controller may have gone on meanwhile; so a target that is in no group of this term is asked.
+     */
+    fun isVouched(target: TargetEntry): Boolean {
+        val key = target.membership?.key
+        val isOfThisTerm = key != null && key.epoch >= state.firstEpoch
+        if (!state.hasPredecessor || isOfThisTerm) return true
+        val vouch = state.vouches[target.id]?.takeIf { it.run == target.run && it.key == key }
+        val isCurrent = vouch != null && now - vouch.at < settings.vouchMilliseconds
+        if (isCurrent) return vouch.agrees == true
+        state = state.copy(vouches = state.vouches + (target.id to Vouch(target.run, key, agrees = null, now)))
+        ask(target)
+        return false
+    }
+
+    /** Whether [target] has just said, or left unsaid, that its entry doesn't show how it stands. */
+    fun isDoubted(target: TargetEntry): Boolean {
+        val vouch = state.vouches[target.id]?.takeIf { it.run == target.run } ?: return false
+        return vouch.agrees == false && now - vouch.at < settings.vouchMilliseconds
+    }
+
     /** Asks some other target of the failure domain, so that a broken path isn't taken for a silent target. */
     fun askWitness(
         view: DomainView,
@@ -116,6 +138,7 @@
                 known = view.entries.keys,
                 lastNewAt = if (state.known.containsAll(view.entries.keys)) state.lastNewAt else now,
                 askedAt = state.askedAt.filterValues { it > oldest },
+                vouches = state.vouches.filterValues { it.at > oldest },
                 staging = state.staging.filter { (id, staging) -> isUnderWay(view.entries[id], staging) },
             )
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.serving.control
 
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
@@ -15,6 +16,7 @@
         work.state.dissolutions.values
             .filter { it.head.id == event.target }
             .forEach { headAnswered(it, event.result) }
+        vouched(event)
         val entry = entry(event.target) ?: return
         when (val result = event.result) {
             is ReportResult.Answered -> answered(entry, result.report)
@@ -22,6 +24,23 @@
         }
     }
 
+    private fun vouched(event: GroupEvent.ReportAnswered) {
+        val vouch = work.state.vouches[event.target]?.takeIf { it.agrees == null } ?: return
+        val report = (event.result as? ReportResult.Answered)?.report
+        val isSameRun = report != null && (report.bornAt == null || report.bornAt == vouch.run.bornAt)
+        val answered = vouch.copy(agrees = isSameRun && isFree(report?.membership?.key, vouch.key), at = work.now)
+        work.state = work.state.copy(vouches = work.state.vouches + (event.target to answered))
+        if (answered.agrees == false) {
+            work.note("entry-doubted", "target" to event.target, "listed" to vouch.key, "said" to report?.membership)
+        }
+    }
+
+    /** Whether a target in the group [said] may be used where its entry shows it in [listed], which is over. */
+    private fun isFree(
+        said: GroupKey?,
+        listed: GroupKey?,
+    ): Boolean = said == null || said == listed || said in work.state.dissolved || StandbyGroups.isStandby(said)
+
     /** Whether another target has answered about when [target] was asked, so that its silence is its own. */
     private fun isPathProved(
         target: HostId,
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -152,7 +152,7 @@
 
     /** Another daemon takes control with nothing but a greater epoch. */
     fun takeOver() {
-        state = GroupControlState(nextEpoch = (state.nextEpoch / 1_000_000 + 1) * 1_000_000)
+        state = GroupControlState((state.nextEpoch / 1_000_000 + 1) * 1_000_000, hasPredecessor = true)
     }
 
     /** The registry shows things as they were at the call. */
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -79,6 +79,35 @@
         assertEquals(before, fleet.serving().map { it.key }.toSet())
     }
 
+    // Guards against a head that is told to join another group, as its entry is from before a cut (issue 17).
+    @Test
+    fun `a daemon that takes over by old entries does not use a target that an earlier controller has used`() {
+        val fleet = settled(mapOf("d0" to 8))
+        fleet.add("a-new", "d0").apply {
+            model = "large"
+            staged = "large"
+        }
+        fleet.freezeRegistry()
+        val lost = fleet.serving().first { it.model == "large" }
+        fleet.loseMember(lost.members.last())
+        fleet.runUntil(3_000) { fleet.serving().any { it.model == "large" && it.key != lost.key } }
+        assertEquals(
+            HostId("a-new"),
+            fleet
+                .serving()
+                .first { it.model == "large" }
+                .members
+                .first(),
+        )
+
+        fleet.takeOver()
+        fleet.run(1_000)
+        fleet.thawRegistry()
+        fleet.run(3_000)
+
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `a leaving member is replaced after work in progress has ended`() {
         val fleet = settled(mapOf("d0" to 8))
@@ -224,11 +253,8 @@
             val alive = fleet.runners.values.filter { !it.isDead }
             fleet.loseMember(alive[random.nextInt(alive.size)].id)
             fleet.add("new-$round", "d${round % 2}")
-            if (random.nextInt(4) == 0) {
-                // Control is taken with the store's help, and decides by what is read afterwards.
-                fleet.thawRegistry()
-                fleet.takeOver()
-            }
+            // The daemon that takes over may read entries that are as old as a cut of the failure domain.
+            if (random.nextInt(4) == 0) fleet.takeOver()
             if (random.nextInt(5) == 0) fleet.freezeRegistry()
             if (random.nextInt(3) == 0) fleet.thawRegistry()
             if (random.nextInt(6) == 0) fleet.cutOff(random.nextLong(1_000, 7_000))
