--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -151,7 +151,10 @@
         get() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
 
     private val pauseForTargets: Duration
-        get() = RegistryPace.pause(domains.values.any { it.isHeld }, board.sharers(clock.steady()))
+        get() {
+            val drain = Duration.ofMillis(settings.bounds.drainMilliseconds)
+            return RegistryPace.pause(domains.values.any { it.isHeld }, board.sharers(clock.steady()), drain)
+        }
 
     private fun follower(
         part: RegistryPart,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPace.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPace.kt
@@ -9,14 +9,16 @@
 internal object RegistryPace {
     /**
      * The pause after an answer, where [daemons] follow the store. A daemon that decides about groups asks promptly;
-     * the others hear of groups from it, and only learn from the store what they reach targets by.
+     * the others hear of groups from it, and only learn from the store what they reach targets by. A target that leaves
+     * must get nothing more after [drain].
      */
     fun pause(
         hasControl: Boolean,
         daemons: Int,
+        drain: Duration,
     ): Duration {
         if (hasControl) return SHORTEST
-        return SPACING.multipliedBy(daemons.toLong()).coerceIn(SHORTEST, LONGEST)
+        return SPACING.multipliedBy(daemons.toLong()).coerceIn(SHORTEST, maxOf(SHORTEST, drain.dividedBy(2)))
     }
 
     /** Bounds the calls of one daemon. */
@@ -24,7 +26,4 @@
 
     /** With this pause between them all daemons ask 25 times a second, an eightieth of what a small store allows. */
     private val SPACING: Duration = Duration.ofMillis(40)
-
-    /** Half of the shortest time within which a leaving target must get nothing more. */
-    private val LONGEST: Duration = Duration.ofMillis(1_000)
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/EntrySettings.kt
@@ -30,6 +30,8 @@
     val graceMilliseconds: Long = 8_000,
     /** How long a key that was taken away may still be accepted. */
     val revocationMilliseconds: Long = 5_000,
+    /** How long a target that leaves may still get new requests after its entry says so. */
+    val drainMilliseconds: Long = 2_000,
     /** How long entries that lapsed in an outage may take to come back. */
     val relistMilliseconds: Long = 2_000,
     val retryRatio: Double = 0.2,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -49,6 +49,7 @@
     private var exchange: OutgoingExchange? = null
     private var generation = 0
     private var attemptBeganAt = 0L
+    private var hasAttemptMoved = false
     private var timeout: ScheduledAction? = null
     protected val trail = StringBuilder()
 
@@ -95,6 +96,7 @@
         val options = SendOptions(answerTimeout = Duration.ofMillis(left + ANSWER_SLACK_MILLISECONDS))
         generation += 1
         attemptBeganAt = now
+        hasAttemptMoved = false
         val listener = AttemptListener(this, generation)
         exchange =
             context.http.send(entry.endpoint, context.protocol.forward(request.message, marks), options, listener)
@@ -118,7 +120,8 @@
 
     /** Bytes of the answer have come. */
     fun moved() {
-        currentTarget?.let { context.state.stalls.moved(it, now) }
+        currentTarget?.let { context.state.stalls.moved(it, now, isFirst = !hasAttemptMoved) }
+        hasAttemptMoved = true
     }
 
     /** Checks that the answer is this request's own before anything is made of it. */
@@ -240,7 +243,7 @@
 
     /** The attempt's answer has come whole; its target is free again. */
     protected fun releaseTarget() {
-        currentTarget?.let { context.state.ended(it) }
+        currentTarget?.let { context.state.ended(it, hasAttemptMoved) }
         currentEntry = null
         currentGroup = null
         exchange = null
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -236,10 +236,13 @@
         domainOf[entry.id] = entry.failureDomain
     }
 
-    /** A request at [target] has ended, however. */
-    fun ended(target: HostId) {
+    /** A request at [target] has ended, however; [hadBegun] tells whether bytes of its answer had come. */
+    fun ended(
+        target: HostId,
+        hadBegun: Boolean,
+    ) {
         inFlight.ended(target)
-        stalls.ended(target)
+        stalls.ended(target, hadBegun)
     }
 
     /** A caller's request for [service] has arrived, of [model] where it has an engine. */
