Send a request anew when its kept connection has ended before it left

What callers saw: a request could wait until its route's time was over without ever having been sent. Found by ReusedConnectionTest, written for another question: 'NullPointerException: get(...) must not be null, NettyExchange.begin'. Cause: a connection is taken from the idle ones on one turn of the event loop and used on the next. If the server closes it in between, its handlers are gone; the exception ended the task, and neither the request nor its listener heard of it again. Ruled out: connections that end after the request was written (they fail as lost). Change: such a connection is passed over and a new one is opened; nothing of the request has left, so any kind of request may. Tests: StaleConnectionTest; ReusedConnectionTest for a second copy of an answer on a kept connection, which was given up already.

--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
@@ -50,14 +50,24 @@
         if (ended.compareAndSet(false, true)) channel?.close()
     }
 
-    fun begin(connected: Channel) {
+    /** Sends the request on [connected], or calls [whenStale] where that has ended before a byte could leave. */
+    fun begin(
+        connected: Channel,
+        whenStale: () -> Unit,
+    ) {
         channel = connected
         connected.eventLoop().execute {
             if (ended.get()) {
                 connected.close()
                 return@execute
             }
-            connected.connection().use(this)
+            // A kept connection may end between its choice and this moment.
+            val connection = connected.pipeline().get(ClientConnection::class.java)
+            if (connection == null || !connected.isActive) {
+                whenStale()
+                return@execute
+            }
+            connection.use(this)
             connected.config().isAutoRead = reading
             listener.sending()
             scheduleTimeout(connected, options.answerTimeout)
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import org.vanillalink.model.Endpoint
+import java.nio.channels.ClosedChannelException
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -43,7 +44,7 @@
             }
         val exchange = NettyExchange(request, options, listener, pool)
         val reused = if (options.connection == ConnectionChoice.FRESH) null else idle.take(endpoint)
-        if (reused == null) connect(endpoint, exchange) else exchange.begin(reused)
+        if (reused == null) connect(endpoint, exchange) else exchange.begin(reused) { connect(endpoint, exchange) }
         return exchange
     }
 
@@ -79,7 +80,8 @@
             .connect(endpoint.address, endpoint.port)
             .addListener { attempt ->
                 if (attempt.isSuccess) {
-                    exchange.begin((attempt as ChannelFuture).channel())
+                    val connected = (attempt as ChannelFuture).channel()
+                    exchange.begin(connected) { exchange.notConnected(ClosedChannelException()) }
                 } else {
                     exchange.notConnected(attempt.cause())
                 }
