Take no success without the request's id for an answer

Cause: a server may send a second copy of an answer late, on a connection that is in use again. The id tells it from the answer that is due; but a success without an id passed. Change: a success must bear the request's id, where the request has one; else the attempt ends like any crossed answer.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -135,6 +135,7 @@
         val own = request.marks.requestId
         when {
             own != null && marks.requestId != null && marks.requestId != own -> crossed("crossed-answer")
+            own != null && marks.requestId == null && status in SUCCESS -> crossed("answer-without-id")
             marks.isNotRun -> rejected(status, marks)
             marks.isEncoded -> crossed("encoded-answer")
             status in SUCCESS && !marks.isSigned -> crossed("unsigned-answer")
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -30,6 +30,9 @@
     /** Answers with another request's id. */
     CROSSED,
 
+    /** Answers without the id of the request, as a copy of an older answer might. */
+    UNNAMED,
+
     /** Says that it is full. */
     FULL,
 
@@ -132,6 +135,7 @@
         lastRequest = request
         val echoed = if (trouble == RunnerTrouble.CROSSED) "another" else id
         var fields = HeaderFields.of("request-id" to echoed, "response-signature" to "${settings.id}.$id")
+        if (trouble == RunnerTrouble.UNNAMED) fields = fields.without(setOf("request-id"))
         if (trouble == RunnerTrouble.LEAVING_UNLISTED) fields = fields.with("server-leaving", "1")
         val tokens = request.headers["token-usage"]
         if (tokens == null) {
