Look at a failure domain without going through the fleet, and decide nothing right after a pause

Cause, from reading, confirmed by tests that count: every 50 ms each daemon filtered all targets once for each failure domain and once more for plain services, with nothing changed; a whole read of N targets copied the directory N times. A second cause, from the operators' list: after a pause of the process answers that had waited, and suspicions, let a controller decide by a term that may have run out; only its ticks waited to hear of others. Runners refuse a lower epoch, but not every one has seen a higher one. Tests: TargetIndexTest with 12,000 targets (same index and same directory while nothing changes). The guard after a pause has no test of its own: the control loop is only driven whole.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -32,6 +32,7 @@
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.ServingGroups
 import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetIndex
 import org.vanillalink.store.TableStore
 import java.time.Duration
 
@@ -41,7 +42,7 @@
     private val thread: ControlThread,
     registry: Registry,
     table: TableStore,
-    private val targets: TargetControl,
+    targets: TargetControl,
     private val traffic: TrafficSummary,
     private val lines: EventLines,
     private val clock: EntryClock,
@@ -52,6 +53,8 @@
     /** Read on the control thread only. */
     var board = PeerBoard()
         private set
+    private val work = DecisionExecutor(targets, thread, lines, ::answered)
+    private var index = TargetIndex(knowledge.directory)
     private var controlled: List<ControlledDomain> = emptyList()
     private var lastSuspects: Set<GroupKey> = emptySet()
     private val brokenUntil = HashMap<GroupKey, Long>()
@@ -222,7 +225,7 @@
 
     /** What another daemon did while it had control must be known before anything is decided. */
     private fun advance(domain: DomainControl) {
-        if (!domain.isHeld || !isKnown(domain)) return
+        if (!domain.isHeld || !isKnown(domain) || wasPaused()) return
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
@@ -235,19 +238,16 @@
                 ?.configuration
                 ?.services
                 ?.firstOrNull { it.engine != null } ?: return null
-        val ofService = knowledge.directory.entries.filterValues { it.service == service.name }
-        val entries = ofService.filterValues { it.failureDomain == failureDomain }
-        val former =
-            knowledge.directory.former.filterValues { it.failureDomain == failureDomain && it.service == service.name }
-        val part = entries.size.toDouble() / maxOf(1, ofService.size)
+        index = index.of(knowledge.directory)
+        val share = index.share(service.name, failureDomain)
         return DomainView(
             failureDomain,
-            entries,
-            former,
+            index.entries(service.name, failureDomain),
+            index.former(service.name, failureDomain),
             service.engine!!,
             settings.failureDomains.size,
             traffic.hasTraffic(),
-            board.demand(traffic.demand(), clock.steady()).mapValues { (_, places) -> places * part },
+            board.demand(traffic.demand(), clock.steady()).mapValues { (_, places) -> places * share },
         )
     }
 
@@ -259,7 +259,14 @@
         if (isNew) onSuspicion(board.controllers(now))
     }
 
+    /** Whether this process has just been paused, so that another daemon may have control without its knowledge. */
+    private fun wasPaused(): Boolean {
+        val now = clock.steady()
+        return now < electionsFrom || now - lastTickAt > PAUSE_MILLISECONDS
+    }
+
     private fun suspect(key: GroupKey) {
+        if (wasPaused()) return
         domains.values.filter { it.isHeld }.forEach { domain ->
             val view = view(domain.failureDomain) ?: return@forEach
             carryOut(domain, domain.apply(GroupEvent.Suspected(key, view)))
@@ -269,64 +276,21 @@
     private fun carryOut(
         domain: DomainControl,
         decisions: List<GroupDecision>,
-    ) {
-        decisions.forEach { decision ->
-            when (decision) {
-                is GroupDecision.Note -> {
-                    lines.record(
-                        decision.event,
-                        decision.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term),
-                    )
-                }
-
-                is GroupDecision.Send -> {
-                    send(domain, decision)
-                }
-
-                is GroupDecision.AskReport -> {
-                    ask(domain, decision)
-                }
-            }
-        }
-    }
+    ) = work.carryOut(domain, decisions)
 
-    private fun send(
+    /** A target has answered what the controller of [term] sent it, or not. */
+    private fun answered(
         domain: DomainControl,
-        decision: GroupDecision.Send,
+        term: Long,
+        target: TargetEntry,
+        event: GroupEvent,
     ) {
-        val term = domain.term
-        targets.order(decision.target, decision.order).thenAccept { result ->
-            thread.execute {
-                lines.record(
-                    "order",
-                    "target" to decision.target.id,
-                    "order" to decision.order,
-                    "result" to result,
-                    "term" to term,
-                )
-                if (domain.term == term) {
-                    carryOut(domain, domain.apply(GroupEvent.OrderAnswered(decision.target.id, decision.order, result)))
-                    advance(domain)
-                }
-            }
-        }
-    }
-
-    private fun ask(
-        domain: DomainControl,
-        decision: GroupDecision.AskReport,
-    ) {
-        val term = domain.term
-        targets.report(decision.target).thenAccept { result ->
-            thread.execute {
-                val isLeaving = result is ReportResult.Answered && result.report.isLeaving
-                if (isLeaving) knowledge.leaves(decision.target.run, settings.daemon.value)
-                if (domain.term != term) return@execute
-                carryOut(domain, domain.apply(GroupEvent.ReportAnswered(decision.target.id, result)))
-                advance(domain)
-                publish()
-            }
-        }
+        val report = ((event as? GroupEvent.ReportAnswered)?.result as? ReportResult.Answered)?.report
+        if (report?.isLeaving == true) knowledge.leaves(target.run, settings.daemon.value)
+        if (domain.term != term) return
+        carryOut(domain, domain.apply(event))
+        advance(domain)
+        if (event is GroupEvent.ReportAnswered) publish()
     }
 
     private fun ownDomains(): List<ControlledDomain> = domains.values.filter { it.isHeld }.mapNotNull { domain ->
@@ -345,10 +309,7 @@
                 catalog = knowledge.catalog,
                 groups = groups.filter { it.key !in brokenUntil },
                 broken = brokenUntil.keys.toSet(),
-                plainTargets =
-                    knowledge.directory.entries.values
-                        .filter { it.model == null && it.fabricDomain == null }
-                        .groupBy { it.service },
+                plainTargets = index.of(knowledge.directory).plain,
                 evacuated = knowledge.evacuated,
                 sharers = board.sharers(now),
             ),
@@ -380,9 +341,7 @@
     private fun listedGroups(failureDomain: FailureDomainId): List<AnnouncedGroup> {
         val view = view(failureDomain) ?: return emptyList()
         return ServingGroups
-            .open(view.entries.values)
-            .filter { group -> group.members.size == view.engine.groupSize(group.model) }
-            .filter { group -> group.members.none { it.isLeaving } }
+            .whole(view.entries.values, view.engine)
             .map { group -> AnnouncedGroup(group.key, group.model, group.members.map { it.id }) }
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/ServingGroup.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/ServingGroup.kt
@@ -3,6 +3,8 @@
  */
 package org.vanillalink.serving.targets
 
+import org.vanillalink.serving.catalog.EngineDefinition
+
 /** The name of one set of members; a group that is formed anew has a greater epoch. */
 data class GroupKey(
     val group: String,
@@ -25,6 +27,14 @@
         .groupBy { entry -> entry.membership!!.key }
         .mapNotNull { (key, members) -> group(key, members) }
 
+    /** The groups among [entries] that have all members that [engine] asks for, none of which leaves. */
+    fun whole(
+        entries: Collection<TargetEntry>,
+        engine: EngineDefinition,
+    ): List<ServingGroup> = open(entries)
+        .filter { group -> group.members.size == engine.groupSize(group.model) }
+        .filter { group -> group.members.none { it.isLeaving } }
+
     private fun group(
         key: GroupKey,
         members: List<TargetEntry>,
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
@@ -17,11 +17,15 @@
     private val formerUntil: Map<HostId, Long> = emptyMap(),
 ) {
     /** An entry was written or changed. */
-    fun listed(entry: TargetEntry): TargetDirectory = copy(
-        entries = entries + (entry.id to entry),
-        missingUntil = missingUntil - entry.id,
-        former = former - entry.id,
-    )
+    fun listed(entry: TargetEntry): TargetDirectory {
+        val isKnown = entries[entry.id] == entry && entry.id !in missingUntil && entry.id !in former
+        if (isKnown) return this
+        return copy(
+            entries = entries + (entry.id to entry),
+            missingUntil = missingUntil - entry.id,
+            former = former - entry.id,
+        )
+    }
 
     /** An entry was removed at [now], while the registry was in good order. */
     fun removed(
--- /dev/null
+++ b/serving/src/test/kotlin/org/vanillalink/serving/targets/TargetIndexTest.kt
@@ -0,0 +1,49 @@
+package org.vanillalink.serving.targets
+
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.IKEJA
+import org.vanillalink.serving.entry
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotSame
+import kotlin.test.assertSame
+
+internal class TargetIndexTest {
+    private val writer = ServiceName("writer")
+    private val apapa = FailureDomainId("apapa")
+    private val desk = entry("d").copy(service = ServiceName("desk"), fabricDomain = null)
+    private val directory =
+        TargetDirectory()
+            .replaced(listOf(entry("a"), entry("b"), entry("c").copy(failureDomain = apapa), desk), until = 0)
+            .removed(HostId("b"), now = 0)
+    private val testSubject = TargetIndex(directory)
+
+    @Test
+    fun `targets are found by service and failure domain`() {
+        assertEquals(setOf(HostId("a")), testSubject.entries(writer, IKEJA).keys)
+        assertEquals(setOf(HostId("b")), testSubject.former(writer, IKEJA).keys)
+        assertEquals(setOf(HostId("c")), testSubject.entries(writer, apapa).keys)
+        assertEquals(emptyMap(), testSubject.entries(desk.service, apapa))
+        assertEquals(listOf(desk), testSubject.plain[desk.service])
+        assertEquals(0.5, testSubject.share(writer, IKEJA))
+    }
+
+    // Guards against work for the whole fleet at each tick (issue 18).
+    @Test
+    fun `nothing is built anew while nothing changes`() {
+        assertSame(testSubject, testSubject.of(directory))
+        assertNotSame(testSubject, testSubject.of(directory.listed(entry("e"))))
+    }
+
+    // Guards against a whole read of a large fleet that copies the directory once for each of its targets (issue 18).
+    @Test
+    fun `entries that a whole read has brought do not change the directory once more`() {
+        val fleet = (1..12_000).map { entry("i-$it") }
+        val read = TargetDirectory().replaced(fleet, until = 0)
+
+        assertSame(read, fleet.fold(read) { known, entry -> known.listed(entry) })
+        assertSame(read, read.expired(now = 1))
+    }
+}
