Give the pause of decisions a module and tests of its own

Change: DecisionPause holds when decisions may be taken; the loop asks it. Behaviour as before. Tests: DecisionPauseTest.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -79,8 +79,7 @@
         settings.failureDomains.associateWith {
             DomainControl(it, settings.daemon, table, thread, lines, clock, listed::refresh)
         }
-    private var electionsFrom = clock.steady() + FIRST_HEARTBEATS_MILLISECONDS
-    private var lastTickAt = clock.steady()
+    private val pause = DecisionPause(clock.steady())
     private var storeAnsweredAt = clock.steady()
     private var currency = RegistryCurrency()
 
@@ -189,8 +188,7 @@
         sentAt: ClockReading,
     ) {
         val now = clock.steady()
-        // Peers that the store answers again haven't said so yet; their control isn't taken from them meanwhile.
-        if (storeAge() > OUTAGE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS * 2
+        if (storeAge() > OUTAGE_MILLISECONDS) pause.storeRegained(now)
         storeAnsweredAt = now
         if (part == RegistryPart.TARGETS) {
             currency = currency.copy(knownAt = maxOf(currency.knownAt, sentAt.steadyMilliseconds))
@@ -202,10 +200,8 @@
 
     private fun tick() {
         val now = clock.steady()
-        delay.began(lastTickAt + TICK.toMillis(), now)
-        // After a pause of the process no peer seems alive until its next heartbeat has been read.
-        if (now - lastTickAt > PAUSE_MILLISECONDS) electionsFrom = now + FIRST_HEARTBEATS_MILLISECONDS
-        lastTickAt = now
+        delay.began(pause.lastTickAt + TICK.toMillis(), now)
+        pause.ticked(now)
         knowledge.expire(now)
         traffic.leaving().forEach { knowledge.leaves(it, settings.daemon.value) }
         suspectStanding(now)
@@ -217,7 +213,7 @@
         domain: DomainControl,
         now: Long,
     ) {
-        if (now < electionsFrom) return
+        if (!pause.isOver(now)) return
         val isWanted = board.controllerFor(domain.failureDomain, ownState, domain.term, now) == settings.daemon
         domain.elect(isWanted, board.claimedTerm(domain.failureDomain, now))
         advance(domain)
@@ -225,7 +221,7 @@
 
     /** What another daemon did while it had control must be known before anything is decided. */
     private fun advance(domain: DomainControl) {
-        if (!domain.isHeld || !isKnown(domain) || wasPaused()) return
+        if (!domain.isHeld || !isKnown(domain) || !pause.isOver(clock.steady())) return
         val view = view(domain.failureDomain) ?: return
         carryOut(domain, domain.apply(GroupEvent.Tick(view)))
     }
@@ -259,14 +255,8 @@
         if (isNew) onSuspicion(board.controllers(now))
     }
 
-    /** Whether this process has just been paused, so that another daemon may have control without its knowledge. */
-    private fun wasPaused(): Boolean {
-        val now = clock.steady()
-        return now < electionsFrom || now - lastTickAt > PAUSE_MILLISECONDS
-    }
-
     private fun suspect(key: GroupKey) {
-        if (wasPaused()) return
+        if (!pause.isOver(clock.steady())) return
         domains.values.filter { it.isHeld }.forEach { domain ->
             val view = view(domain.failureDomain) ?: return@forEach
             carryOut(domain, domain.apply(GroupEvent.Suspected(key, view)))
@@ -348,10 +338,6 @@
     private companion object {
         val TICK: Duration = Duration.ofMillis(50)
 
-        /** Long enough to hear of the peers that are known, so that control isn't taken from one that has it. */
-        const val FIRST_HEARTBEATS_MILLISECONDS = 400L
-        const val PAUSE_MILLISECONDS = 500L
-
         /** The store has been away if it gave no answer for longer than a call that waits for changes takes. */
         const val OUTAGE_MILLISECONDS = 1_500L
 
