Bound what peers hear of leaving targets, and mend what reading the change found

A failure domain that empties could have made heartbeats larger than a datagram: 50 runs at the most are told. Models that callers make up are not counted beyond a hundred, without a shared counter for the rest. A condition in StreamCall has a method of its own.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -140,7 +140,7 @@
             demand = word.demand(isInside, traffic.demand()),
             suspects = traffic.suspects(),
             strikes = strikes,
-            leaving = traffic.leaving(),
+            leaving = traffic.leaving().take(LEAVING_TOLD_AT_MOST).toSet(),
             controlled = word.controlled(withGroups),
         )
     }
@@ -338,6 +338,9 @@
     private companion object {
         val TICK: Duration = Duration.ofMillis(50)
 
+        /** Bounds the size of a datagram; the registry tells of the others. */
+        const val LEAVING_TOLD_AT_MOST = 50
+
         /** The store has been away if it gave no answer for longer than a call that waits for changes takes. */
         const val OUTAGE_MILLISECONDS = 1_500L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -42,13 +42,7 @@
 
     override fun piece(bytes: ByteArray) {
         if (!isStream) {
-            if (failureBody.size() + bytes.size >
-                FAILURE_BYTES
-            ) {
-                crossed("failure-too-large")
-            } else {
-                failureBody.write(bytes)
-            }
+            failurePiece(bytes)
             return
         }
         val events = splitter.add(bytes)
@@ -68,6 +62,14 @@
         answer.write(events.bytes)
     }
 
+    private fun failurePiece(bytes: ByteArray) {
+        if (failureBody.size() + bytes.size > FAILURE_BYTES) {
+            crossed("failure-too-large")
+            return
+        }
+        failureBody.write(bytes)
+    }
+
     private fun start() {
         if (isStarted) return
         isStarted = true
--- a/serving/src/main/kotlin/org/vanillalink/serving/choice/ModelDemand.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/choice/ModelDemand.kt
@@ -39,7 +39,9 @@
     fun asked(
         model: String,
         now: Long,
-    ) = of(model).arrivals.add(1.0, now)
+    ) {
+        of(model)?.arrivals?.add(1.0, now)
+    }
 
     /** A whole answer of [model] took a place for [milliseconds]. */
     fun worked(
@@ -47,8 +49,9 @@
         milliseconds: Long,
         now: Long,
     ) {
-        of(model).ends.add(1.0, now)
-        of(model).work.add(milliseconds.toDouble(), now)
+        val counts = of(model) ?: return
+        counts.ends.add(1.0, now)
+        counts.work.add(milliseconds.toDouble(), now)
     }
 
     /** The places asked for by model; models without a whole answer of late are left out. */
@@ -60,8 +63,9 @@
         }
     }
 
-    private fun of(model: String): Model {
-        if (model !in models && models.size >= MODELS_KEPT) return UNCOUNTED
+    /** Callers may name any model, so no more than [MODELS_KEPT] are counted. */
+    private fun of(model: String): Model? {
+        if (model !in models && models.size >= MODELS_KEPT) return null
         return models.getOrPut(model) { Model() }
     }
 
@@ -75,8 +79,7 @@
         /** A single request of half a minute ago. */
         const val FORGOTTEN = 0.001
 
-        /** Callers may name any model, so their number is bounded. */
+        /** Far more than one deployment serves. */
         const val MODELS_KEPT = 100
-        val UNCOUNTED = Model()
     }
 }
