Fence a head that left its group against the group's late orders

A head that has left takes the late join, as it is not older than any it has seen, and then the late order to open. Change: where orders of a group had no answer, or an earlier controller formed it, its head must first take, or refuse, a join to a standby group of a later epoch; only then may members be used elsewhere. One round trip more on such ends.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -17,10 +17,14 @@
     private fun advance(dissolution: Dissolution) {
         val listed = view.entries[dissolution.head.id]
         val isGone = listed == null && dissolution.unanswered >= work.settings.unansweredBeforeGone
-        if (isGone || (listed != null && servesNoMore(dissolution, listed))) {
+        if (isGone || (listed != null && isElsewhere(dissolution, listed))) {
             work.dissolved(dissolution.key)
             return
         }
+        if (listed != null && isBroken(dissolution, listed)) {
+            work.left(dissolution.key)
+            return
+        }
         val isClosed = dissolution.isGentle && listed?.membership?.state == MemberState.READY
         val pause = if (isClosed) work.settings.pollMilliseconds else work.settings.resendMilliseconds
         if (work.now - dissolution.lastSentAt < pause) return
@@ -36,16 +40,22 @@
             )
     }
 
-    private fun servesNoMore(
+    private fun isElsewhere(
         dissolution: Dissolution,
         listed: TargetEntry,
     ): Boolean {
         if (listed.run != dissolution.head.run) return true
-        val membership = listed.membership ?: return false
         // An older entry may come from before this group: only a later group shows that the head has gone on.
-        if (membership.epoch > dissolution.key.epoch) return true
-        val isSame = membership.key == dissolution.key
-        return isSame && membership.state == MemberState.BROKEN
+        val epoch = listed.membership?.epoch ?: return false
+        return epoch > dissolution.key.epoch
+    }
+
+    private fun isBroken(
+        dissolution: Dissolution,
+        listed: TargetEntry,
+    ): Boolean {
+        val membership = listed.membership ?: return false
+        return membership.key == dissolution.key && membership.state == MemberState.BROKEN
     }
 
     /** A closed head is told to leave as well: an order to open that comes late would open it again. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -43,6 +43,11 @@
     val lastSentAt: Long = 0,
     /** Questions to the head without any answer, one right after the other. */
     val unanswered: Int = 0,
+    /** What the group served, or null where that isn't certain. */
+    val model: String? = null,
+    /** The standby group that the head was told to join so that late orders of this one are refused, and when. */
+    val fence: GroupKey? = null,
+    val fencedAt: Long = 0,
 )
 
 /** Whether [run] itself has said that it is as free as its entry shows; null while the question is under way. */
@@ -58,6 +63,8 @@
     val nextEpoch: Long,
     /** The first epoch of this term; groups with a lower one were formed by another controller. */
     val firstEpoch: Long = nextEpoch,
+    /** Groups with orders to join or to open that had no answer and may be carried out late, with the last one. */
+    val unsettled: Map<GroupKey, Long> = emptyMap(),
     /** Whether another controller may have used targets in a way that their entries don't show yet. */
     val hasPredecessor: Boolean = false,
     /** What targets said of themselves before they were used. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -55,10 +55,34 @@
     ) {
         if (key in state.dissolutions || key in state.dissolved) return
         note("group-dissolving", "group" to key.group, "epoch" to key.epoch, "reason" to reason, "gentle" to isGentle)
-        val dissolution = Dissolution(key, head, members(key).map { it.id }.toSet(), reason, now, isGentle)
+        val model = state.formations[key]?.model ?: head.model.takeIf { head.membership?.key == key }
+        val members = members(key).map { it.id }.toSet()
+        val dissolution = Dissolution(key, head, members, reason, now, isGentle, model = model)
         state = state.copy(dissolutions = state.dissolutions + (key to dissolution))
     }
 
+    /**
+     * The head of [key] serves no more. Where orders of the group may still be carried out late, it is first told to
+     * join a standby group, whose greater epoch has them refused; or else it could open the group once more.
+     */
+    fun left(key: GroupKey) {
+        val dissolution = state.dissolutions[key]
+        val isOfEarlierTerm = state.hasPredecessor && key.epoch < state.firstEpoch
+        val mayReopen = key in state.unsettled || isOfEarlierTerm
+        if (dissolution == null || !mayReopen || dissolution.model == null) {
+            dissolved(key)
+            return
+        }
+        if (dissolution.fence != null && now - dissolution.fencedAt < settings.resendMilliseconds) return
+        val head = dissolution.head
+        val epoch = nextEpoch()
+        val fence = StandbyGroups.key(head.failureDomain, epoch)
+        send(head, GroupOrder.Join(fence, dissolution.model, listOf(head.id)))
+        val fenced = dissolution.copy(fence = fence, fencedAt = now)
+        state = state.copy(dissolutions = state.dissolutions + (key to fenced))
+    }
+
+    /** Nothing of [key] can serve again; its members may be used elsewhere. */
     fun dissolved(key: GroupKey) {
         val after = state.dissolutions[key]?.let { now - it.startedAt }
         note("group-dissolved", "group" to key.group, "epoch" to key.epoch, "afterMs" to after)
@@ -138,6 +162,7 @@
                 known = view.entries.keys,
                 lastNewAt = if (state.known.containsAll(view.entries.keys)) state.lastNewAt else now,
                 askedAt = state.askedAt.filterValues { it > oldest },
+                unsettled = state.unsettled.filterValues { it > oldest },
                 vouches = state.vouches.filterValues { it.at > oldest },
                 staging = state.staging.filter { (id, staging) -> isUnderWay(view.entries[id], staging) },
             )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -12,14 +12,51 @@
     fun apply(event: GroupEvent.OrderAnswered) {
         if (event.result in ANSWERS) work.state = work.state.copy(answeredAt = work.now)
         when (val order = event.order) {
-            is GroupOrder.Join -> joinAnswered(event.target, order.key, event.result)
-            is GroupOrder.Open -> openAnswered(order.key, event.result)
-            is GroupOrder.Leave -> leaveAnswered(order.key, event.result)
-            is GroupOrder.Close -> Unit
-            is GroupOrder.Stage -> stageAnswered(event.target, event.result)
+            is GroupOrder.Join -> {
+                unsettled(order.key, event.result)
+                fenceAnswered(event.target, order.key, event.result)
+                joinAnswered(event.target, order.key, event.result)
+            }
+
+            is GroupOrder.Open -> {
+                unsettled(order.key, event.result)
+                openAnswered(order.key, event.result)
+            }
+
+            is GroupOrder.Leave -> {
+                leaveAnswered(order.key, event.result)
+            }
+
+            is GroupOrder.Close -> {
+                Unit
+            }
+
+            is GroupOrder.Stage -> {
+                stageAnswered(event.target, event.result)
+            }
         }
     }
 
+    private fun unsettled(
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        if (result != OrderResult.UNKNOWN || StandbyGroups.isStandby(key)) return
+        work.state = work.state.copy(unsettled = work.state.unsettled + (key to work.now))
+    }
+
+    /** A head that has taken a later order, or refuses it because it has seen a later one still, refuses older ones. */
+    private fun fenceAnswered(
+        target: HostId,
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        if (!StandbyGroups.isStandby(key) || result !in ANSWERS) return
+        work.state.dissolutions.values
+            .filter { it.head.id == target && it.fence != null && it.key.epoch < key.epoch }
+            .forEach { work.dissolved(it.key) }
+    }
+
     private fun joinAnswered(
         target: HostId,
         key: GroupKey,
@@ -62,7 +99,7 @@
         key: GroupKey,
         result: OrderResult,
     ) {
-        if (key in work.state.dissolutions && result in ANSWERS) work.dissolved(key)
+        if (key in work.state.dissolutions && result in ANSWERS) work.left(key)
     }
 
     private fun stageAnswered(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -60,7 +60,7 @@
         val said = (result as? ReportResult.Answered)?.report?.membership
         val isOther = said == null || said.key != dissolution.key
         if (result is ReportResult.Answered && (isOther || said?.state == MemberState.BROKEN)) {
-            work.dissolved(dissolution.key)
+            work.left(dissolution.key)
             return
         }
         val counted = dissolution.copy(unanswered = unanswered)
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -245,6 +245,14 @@
         repeat(SEEDS) { seed -> turbulentDay(seed) }
     }
 
+    // Guards against a group that opens again by late orders, after its members were used elsewhere (issue 17).
+    @Test
+    fun `a head that has left its group does not join and open it again by late orders`() = turbulentDay(seed = 139)
+
+    // Guards against the same with a group of an earlier controller (issue 17).
+    @Test
+    fun `a head that has left an earlier controller's group does not open it again`() = turbulentDay(seed = 1141)
+
     private fun turbulentDay(seed: Int) {
         val random = Random(seed)
         val fleet = settled(mapOf("d0" to 8, "d1" to 8))
