Fence only a head whose own word shows that it is in no other group

Change: an accepted order to leave, or a report that names no group, is fenced; a refusal waits for the report where late orders are possible; a report that names another group ends the matter without a fence.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupWork.kt
@@ -67,9 +67,7 @@
      */
     fun left(key: GroupKey) {
         val dissolution = state.dissolutions[key]
-        val isOfEarlierTerm = state.hasPredecessor && key.epoch < state.firstEpoch
-        val mayReopen = key in state.unsettled || isOfEarlierTerm
-        if (dissolution == null || !mayReopen || dissolution.model == null) {
+        if (dissolution == null || !mayReopen(key) || dissolution.model == null) {
             dissolved(key)
             return
         }
@@ -82,6 +80,10 @@
         state = state.copy(dissolutions = state.dissolutions + (key to fenced))
     }
 
+    /** Whether orders of [key] may still be carried out, so that its head could open it once more. */
+    fun mayReopen(key: GroupKey): Boolean =
+        key in state.unsettled || (state.hasPredecessor && key.epoch < state.firstEpoch)
+
     /** Nothing of [key] can serve again; its members may be used elsewhere. */
     fun dissolved(key: GroupKey) {
         val after = state.dissolutions[key]?.let { now - it.startedAt }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -99,7 +99,13 @@
         key: GroupKey,
         result: OrderResult,
     ) {
-        if (key in work.state.dissolutions && result in ANSWERS) work.left(key)
+        if (key !in work.state.dissolutions) return
+        // A head that refuses may be in another group by now, and only its report tells whether it may be fenced.
+        val isReportNeeded = result == OrderResult.REFUSED && work.mayReopen(key)
+        when {
+            result == OrderResult.ACCEPTED -> work.left(key)
+            result in ANSWERS && !isReportNeeded -> work.dissolved(key)
+        }
     }
 
     private fun stageAnswered(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -60,7 +60,8 @@
         val said = (result as? ReportResult.Answered)?.report?.membership
         val isOther = said == null || said.key != dissolution.key
         if (result is ReportResult.Answered && (isOther || said?.state == MemberState.BROKEN)) {
-            work.left(dissolution.key)
+            val isInAnother = said != null && said.key != dissolution.key
+            if (isInAnother) work.dissolved(dissolution.key) else work.left(dissolution.key)
             return
         }
         val counted = dissolution.copy(unanswered = unanswered)
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -253,6 +253,10 @@
     @Test
     fun `a head that has left an earlier controller's group does not open it again`() = turbulentDay(seed = 1141)
 
+    // Guards against a fence that takes a head out of the group that it serves meanwhile (issue 17).
+    @Test
+    fun `a head that is in another group than its entry shows is not told to stand by`() = turbulentDay(seed = 104)
+
     private fun turbulentDay(seed: Int) {
         val random = Random(seed)
         val fleet = settled(mapOf("d0" to 8, "d1" to 8))
