Say that a daemon is ready only once it has read its targets

What callers saw: 503 in the first moments of a daemon that said it was ready. Cause: readiness asked for a configuration and fresh keys, not for the targets, which are read beside them. Change: readiness waits for the first whole read of targets, and doesn't fall back when the store is lost later. Test: RegistryFollowerTest; the old code had no such state. WholePathTest passed after it.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -83,9 +83,11 @@
     private var storeAnsweredAt = clock.steady()
     private var currency = RegistryCurrency()
 
-    /** Whether this daemon can serve: it knows a configuration, recent enough to accept keys by it. */
+    /** Whether this daemon can serve: it knows targets, and a configuration recent enough to accept keys by it. */
     val isReady: Boolean
-        get() = !isLeaving && knowledge.catalog != null && freshness.isFresh(clock.reading(), keyBound())
+        get() =
+            !isLeaving && listed.hasRead && knowledge.catalog != null &&
+                freshness.isFresh(clock.reading(), keyBound())
 
     /** How old the knowledge of keys may be, in milliseconds. */
     fun keyBound(): Long = settings.bounds.revocationMilliseconds - KEY_MARGIN_MILLISECONDS
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -35,6 +35,11 @@
         private set
     private var failedSince: Long? = null
 
+    /** Whether this part has ever been read whole. Read on any thread. */
+    @Volatile
+    var hasRead = false
+        private set
+
     fun start() = thread.execute(::next)
 
     /** Reads all anew beside following changes, for a decision that needs to know how things stand now. */
@@ -79,6 +84,7 @@
         if (all.version < (version ?: all.version)) return
         version = all.version
         changed(all.records, read)
+        hasRead = true
     }
 
     private fun changes(
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
@@ -16,6 +16,8 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 internal class RegistryFollowerTest {
     private val thread = ControlThread()
@@ -36,6 +38,20 @@
     @AfterTest
     fun stop() = thread.close()
 
+    // Guards against a daemon that says it is ready before it knows a target (CI of eb52d2d, WholePathTest).
+    @Test
+    fun `a part counts as read from its first whole answer on, also when the store is lost`() {
+        testSubject.start()
+        settle()
+        assertFalse(testSubject.hasRead)
+        registry.answerWhole(1)
+        settle()
+        assertTrue(testSubject.hasRead)
+        registry.changesFail()
+        settle()
+        assertTrue(testSubject.hasRead)
+    }
+
     @Test
     fun `a read for a decision while the store seems away is taken over as one after an outage`() {
         testSubject.start()
