--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlan.kt
@@ -48,6 +48,7 @@
     ): List<TargetEntry> {
         val model = nextModel(domain, targets.size) ?: return targets
         val members = choose(targets, model) ?: return targets
+        // Goes through all of them, so that they are asked together and not one after the other.
         if (members.count { !work.isVouched(it) } > 0) return targets
         form(members, model)
         standing += StandingGroup(domain, model.name, model.size)
