--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -11,6 +11,7 @@
 import org.vanillalink.gateway.traffic.CallResult
 import org.vanillalink.model.KeyValueLine
 import org.vanillalink.model.RefusalReason
+import org.vanillalink.serving.targets.TargetInstance
 import java.time.Duration
 
 /** The daemon's state while a request was routed, logged to explain its outcome. */
@@ -24,6 +25,7 @@
 )
 
 /** Confined to the traffic thread; never blocks. */
+@Suppress("SpreadOperator")
 internal class RequestLogger(
     private val meterRegistry: MeterRegistry,
     private val now: () -> Long,
@@ -42,8 +44,9 @@
     ) {
         val durationMilliseconds = endedAt - request.arrivedAt
         timer(request.route.kind.name, result.outcome).record(Duration.ofMillis(durationMilliseconds))
+        val isFailure = result.status >= FIRST_ERROR_STATUS || !result.outcome.startsWith("answered")
         write(
-            isFailure = result.status >= FIRST_ERROR_STATUS || !result.outcome.startsWith("answered"),
+            isFailure,
             "event" to "request",
             "request" to request.metadata.requestId,
             "route" to request.route.name,
@@ -60,9 +63,44 @@
             "trail" to result.trail,
             "tokens" to request.metadata.promptTokens,
             "resumedAfter" to request.metadata.lastEventId,
+            *contentFields(request, isFailure),
         )
     }
 
+    /** What the request has in common with others, where that may explain its end. */
+    private fun contentFields(
+        request: AdmittedRequest,
+        isFailure: Boolean,
+    ): Array<Pair<String, Any?>> {
+        if (!isFailure) return emptyArray()
+        return arrayOf("digest" to request.fingerprint.value, "parts" to formatParts(request))
+    }
+
+    /** Logs and counts an attempt that ended with its connection, after [responseReads] reads of its response. */
+    fun logTargetLost(
+        request: AdmittedRequest,
+        target: TargetInstance,
+        responseReads: Int,
+        attemptMilliseconds: Long,
+    ) {
+        meterRegistry.counter("vanillalink.attempts.lost", "begun", (responseReads > 1).toString()).increment()
+        write(
+            isFailure = true,
+            "event" to "attempt-lost",
+            "request" to request.metadata.requestId,
+            "target" to target.id,
+            "bornAt" to target.bornAt,
+            "reads" to responseReads,
+            "atTargetMs" to attemptMilliseconds,
+            *contentFields(request, isFailure = true),
+        )
+    }
+
+    private fun formatParts(request: AdmittedRequest): String? = request.metadata.sharedPromptParts
+        .take(MAX_LOGGED_PARTS)
+        .joinToString(",")
+        .ifEmpty { null }
+
     /** Logs and counts a request that was refused before any attempt. */
     fun logRejected(
         metadata: RequestMetadata,
@@ -124,7 +162,6 @@
         logger.info { KeyValueLine.format(allFields.filter { it.second != null }) }
     }
 
-    @Suppress("SpreadOperator")
     private fun timer(
         kind: String,
         outcome: String,
@@ -139,6 +176,9 @@
 
     private companion object {
         const val FIRST_ERROR_STATUS = 400
+
+        /** Bounds the line; requests have two or three shared parts. */
+        const val MAX_LOGGED_PARTS = 8
         const val ABANDONED_OUTCOME = "caller-gone-before-begun"
 
         /** Smaller delays have no effect that a caller notices. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -19,6 +19,8 @@
     /** The id of the last event that the caller received, when it resumes a stream; null for a new stream. */
     val lastEventId: Long?,
     val promptTokens: Int,
+    /** The ids of the parts of the prompt that other requests may have in common with this one, in order. */
+    val sharedPromptParts: List<String> = emptyList(),
 )
 
 /** The metadata that is added to a request forwarded to a target. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -49,7 +49,9 @@
     private var exchange: OutgoingExchange? = null
     private var currentAttemptId = 0
     private var attemptStartedAt = 0L
-    private var hasResponseBegun = false
+
+    /** How many times bytes of the current response were received: its head, then chunks of its body. */
+    private var responseReads = 0
     private var timeout: ScheduledAction? = null
     protected val trail = StringBuilder()
 
@@ -96,7 +98,7 @@
         val options = SendOptions(responseTimeout = Duration.ofMillis(remaining + RESPONSE_TIMEOUT_MARGIN_MILLISECONDS))
         currentAttemptId += 1
         attemptStartedAt = now
-        hasResponseBegun = false
+        responseReads = 0
         val listener = AttemptListener(this, currentAttemptId)
         exchange =
             context.http.send(
@@ -124,8 +126,8 @@
 
     /** Records that bytes of the response were received. */
     fun recordProgress() {
-        currentTarget?.let { context.state.stallDetector.recordProgress(it, now, isFirst = !hasResponseBegun) }
-        hasResponseBegun = true
+        currentTarget?.let { context.state.stallDetector.recordProgress(it, now, isFirst = responseReads == 0) }
+        responseReads += 1
     }
 
     /** Checks that the response belongs to this request before any of it is used. */
@@ -173,7 +175,8 @@
 
     /** Called when the connection fails. */
     fun onFailure(failure: TransportFailure) {
-        val target = currentTarget ?: return
+        val entry = currentTargetEntry ?: return
+        val target = entry.id
         releaseTarget()
         context.state.avoid(target, now)
         if (!failure.requestMayHaveArrived) {
@@ -181,6 +184,7 @@
             onNotRun(countsAsAttempt = false)
             return
         }
+        context.requestLogger.logTargetLost(request, entry.instance, responseReads, attemptMilliseconds)
         context.state.poisonDetector.recordLocalStrike(Strike(request.fingerprint, target), now)
         onAttemptFailed("connection-lost")
     }
@@ -256,7 +260,7 @@
 
     /** Ends the attempt in progress in the counts of its target. */
     protected fun releaseTarget() {
-        currentTarget?.let { context.state.recordEnded(it, hasResponseBegun) }
+        currentTarget?.let { context.state.recordEnded(it, hasResponseBegun = responseReads > 0) }
         currentTargetEntry = null
         currentGroup = null
         exchange = null
