--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -57,7 +57,8 @@
     private val random = Random(settings.daemon.hashCode() + clock.wall())
     private val trafficLoopDelay = LoopDelayMonitor("traffic", meterRegistry, eventLogger, JvmUsageMeter)
     private val controlLoopDelay = LoopDelayMonitor("control", meterRegistry, eventLogger, JvmUsageMeter)
-    private val traffic = TrafficMonitor(settings.limits, eventLoops, random, clock::steady, trafficLoopDelay)
+    private val traffic =
+        TrafficMonitor(settings.limits, eventLoops, random, clock::steady, trafficLoopDelay, eventLogger)
     private val controlLoop =
         ControlLoop(
             settings,
@@ -113,6 +114,10 @@
             "vanillalink.configuration.version",
             controlLoop,
         ) { (it.configurationVersion ?: 0).toDouble() }
+        meterRegistry.gauge("vanillalink.poison.blocks", traffic) {
+            it.state.poisonDetector.blockCount
+                .toDouble()
+        }
         meterRegistry.gauge("vanillalink.log.dropped", ports) { it.droppedLogLines().toDouble() }
         controlLoop.start()
         peerExchange.start()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -16,7 +16,7 @@
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.catalog.CredentialFreshness
 import org.vanillalink.serving.control.AnnouncedGroup
@@ -126,7 +126,7 @@
         includesGroups: Boolean,
         sequence: Long,
         startedAt: Long,
-        strikes: List<Strike>,
+        poison: PoisonReport,
     ): PeerMessage {
         val ownStatus =
             OwnStatus(ownState, peerDirectory, controlledDomains, settings.failureDomains.size, clock.steady())
@@ -142,7 +142,7 @@
             inFlight = ownStatus.inFlight(isSameDomain, traffic.inFlight()),
             demand = ownStatus.demand(isSameDomain, traffic.demand()),
             suspects = traffic.suspects(),
-            strikes = strikes,
+            poison = poison,
             leaving = traffic.leavingTargets().take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet(),
             controlled = ownStatus.controlledDomains(includesGroups),
         )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -73,7 +73,7 @@
         isFailure: Boolean,
     ): Array<Pair<String, Any?>> {
         if (!isFailure) return emptyArray()
-        return arrayOf("digest" to request.fingerprint.value, "parts" to formatParts(request))
+        return arrayOf("digest" to request.signature.fingerprint.value, "parts" to formatParts(request))
     }
 
     /** Logs and counts an attempt that ended with its connection, after [responseReads] reads of its response. */
@@ -107,6 +107,7 @@
         path: String,
         reason: RefusalReason,
         detail: String,
+        details: List<Pair<String, Any?>> = emptyList(),
     ) {
         timer("none", reason.problemType).record(Duration.ZERO)
         write(
@@ -118,6 +119,7 @@
             "outcome" to reason.problemType,
             "status" to reason.status,
             "detail" to detail,
+            *details.toTypedArray(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.gateway.traffic.TrafficMonitor
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.store.ConditionalWrite
@@ -46,6 +47,9 @@
     private var isRegistered = false
     private val trafficMonitor = PeerTrafficMonitor(settings.linkBytesPerSecond, metrics, eventLogger)
 
+    /** Changes with the groups that this daemon controls and with its evidence about poison requests. */
+    private val detailsVersion: Long get() = controlLoop.groupsVersion + traffic.poisonVersion
+
     fun start() {
         controlLoop.onUrgentChange = { send(endpoints.keys) }
         controlLoop.onNewSuspects = ::send
@@ -64,17 +68,17 @@
         val now = clock.steady()
         recipients
             .filter { it in endpoints }
-            .groupBy { MessageVariant(isInSameDomain(it), needsGroups(it, now)) }
+            .groupBy { MessageVariant(isInSameDomain(it), needsDetails(it, now)) }
             .forEach { (variant, variantRecipients) -> send(variantRecipients, variant) }
     }
 
-    private fun needsGroups(
+    private fun needsDetails(
         peer: DaemonId,
         now: Long,
     ): Boolean {
         val state = sendStates[peer] ?: return true
-        return state.sentGroupsVersion != controlLoop.groupsVersion ||
-            now - state.groupsSentAt >= GROUPS_RESEND_MILLISECONDS
+        return state.sentDetailsVersion != detailsVersion ||
+            now - state.detailsSentAt >= DETAILS_RESEND_MILLISECONDS
     }
 
     private fun send(
@@ -82,16 +86,17 @@
         variant: MessageVariant,
     ) {
         sequence += 1
-        val strikes = traffic.strikes()
+        val detailsVersion = this.detailsVersion
+        val poison = if (variant.includesDetails) traffic.poisonReport() else PoisonReport()
         val message =
-            controlLoop.buildPeerMessage(variant.isSameDomain, variant.includesGroups, sequence, startedAt, strikes)
+            controlLoop.buildPeerMessage(variant.isSameDomain, variant.includesDetails, sequence, startedAt, poison)
         val content = PeerMessageCodec.encode(message)
         val now = clock.steady()
         recipients.forEach { daemon ->
             socket.send(endpoints.getValue(daemon), content)
             trafficMonitor.recordSent(content.size, now)
-            val groupsSentAt = if (variant.includesGroups) now else sendStates.getValue(daemon).groupsSentAt
-            sendStates[daemon] = PeerSendState(now + message.period, controlLoop.groupsVersion, groupsSentAt)
+            val detailsSentAt = if (variant.includesDetails) now else sendStates.getValue(daemon).detailsSentAt
+            sendStates[daemon] = PeerSendState(now + message.period, detailsVersion, detailsSentAt)
         }
     }
 
@@ -165,8 +170,8 @@
         /** Peers send their own endpoints; the list in the store is for peers without a received message. */
         val REFRESH_INTERVAL: Duration = Duration.ofSeconds(15)
 
-        /** Limits how long a peer uses outdated groups after a lost datagram. */
-        const val GROUPS_RESEND_MILLISECONDS = 1_000L
+        /** Limits how long a peer uses outdated groups and evidence after a lost datagram. */
+        const val DETAILS_RESEND_MILLISECONDS = 1_000L
         val STARTUP_REFRESH_INTERVAL: Duration = Duration.ofMillis(500)
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -11,8 +11,7 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
-import org.vanillalink.serving.balancing.RequestFingerprint
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
@@ -43,8 +42,8 @@
         inFlight = node.required("inFlight").properties().associate { (id, count) -> HostId(id) to count.asInt() },
         demand = node.required("demand").properties().associate { (model, slots) -> model to slots.asDouble() },
         suspects = node.required("suspects").map(::parseGroupKey).toSet(),
-        strikes = node.required("strikes").map(::parseStrike),
-        leaving = node.required("leaving").map(::parseInstance).toSet(),
+        poison = node.get("poison")?.let(PoisonReportParser::parse) ?: PoisonReport(),
+        leaving = node.required("leaving").map(PoisonReportParser::parseInstance).toSet(),
         controlled = node.required("controlled").map(::parseControlledDomain),
     )
 
@@ -63,14 +62,4 @@
     )
 
     private fun parseGroupKey(node: JsonNode) = GroupKey(node.text("group"), node.number("epoch"))
-
-    private fun parseInstance(node: JsonNode) =
-        TargetInstance(HostId(node.text("id")), node.required("bornAt").takeUnless { it.isNull }?.asLong())
-
-    private fun parseStrike(node: JsonNode) =
-        Strike(RequestFingerprint(node.required("fingerprint").text("value")), HostId(node.text("target")))
-
-    private fun JsonNode.text(field: String): String = required(field).asText()
-
-    private fun JsonNode.number(field: String): Long = required(field).asLong()
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerSendState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerSendState.kt
@@ -7,14 +7,14 @@
 internal data class PeerSendState(
     /** When the next message is due. */
     val nextSendAt: Long,
-    /** The version of this daemon's groups that was last sent. */
-    val sentGroupsVersion: Long,
-    /** When groups were last included in a message. */
-    val groupsSentAt: Long,
+    /** The version of this daemon's groups and evidence about poison requests that was last sent. */
+    val sentDetailsVersion: Long,
+    /** When these were last included in a message. */
+    val detailsSentAt: Long,
 )
 
 /** The properties by which messages to peers differ. */
 internal data class MessageVariant(
     val isSameDomain: Boolean,
-    val includesGroups: Boolean,
+    val includesDetails: Boolean,
 )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.PoisonRequestDetector
 import org.vanillalink.serving.targets.GroupKey
 
 /** Confined to the traffic thread. */
@@ -36,6 +37,14 @@
         calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.failOver(reason) }
     }
 
+    /** Stops the calls that [detector] blocks and that their targets have not begun to answer. */
+    fun stopBlocked(
+        detector: PoisonRequestDetector,
+        now: Long,
+    ) = calls.filter { it.currentTarget != null && detector.findBlock(it.signature, now) != null }.forEach {
+        it.stopBlocked()
+    }
+
     /** The groups at [targets] that have calls in progress. */
     fun groupsWithCallsAt(targets: Set<HostId>): Set<GroupKey> =
         calls.filter { it.currentTarget in targets }.mapNotNull { it.currentGroup }.toSet()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
@@ -4,7 +4,7 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.gateway.ports.RequestMetadata
-import org.vanillalink.serving.balancing.RequestFingerprint
+import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.catalog.Route
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.catalog.Workspace
@@ -22,7 +22,7 @@
     /** When the final response is due at the latest. */
     val responseDeadline: Long,
     val callerDeadline: Long,
-    val fingerprint: RequestFingerprint,
+    val signature: RequestSignature,
 ) {
     /**
      * When capacity is likely: engines finish a batch, or groups are formed again, within one or two seconds; plain
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -45,6 +45,7 @@
     override fun onComplete() {
         releaseTarget()
         mayHaveRun = true
+        if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
         val hasTargetFailed = status >= FIRST_SERVER_ERROR_STATUS
         if (hasTargetFailed && canRepeat()) {
             trail.append("!$status")
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -8,6 +8,7 @@
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestFingerprint
+import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.catalog.CallKind
 import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.catalog.Route
@@ -18,6 +19,7 @@
 import org.vanillalink.transport.ResponseWriter
 import org.vanillalink.transport.RetryAfterPrecision
 import org.vanillalink.transport.refuse
+import java.time.Duration
 import java.util.zip.CRC32
 import kotlin.random.Random
 
@@ -36,6 +38,8 @@
     private class Rejection(
         val reason: RefusalReason,
         val detail: String,
+        val retryAfter: Duration? = null,
+        val logFields: List<Pair<String, Any?>> = emptyList(),
     )
 
     override fun onAbandoned(request: HttpRequestMessage) =
@@ -52,8 +56,15 @@
         val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, metadata, now, response)
         if (rejection == null) return
         val canRetryElsewhere = rejection.reason.status == STATUS_UNAVAILABLE
-        val retryAfter = AdmittedRequest.OTHER_DAEMON_RETRY_AFTER.takeIf { canRetryElsewhere }
-        context.requestLogger.logRejected(metadata, request.path, rejection.reason, rejection.detail)
+        val retryAfter =
+            rejection.retryAfter ?: AdmittedRequest.OTHER_DAEMON_RETRY_AFTER.takeIf { canRetryElsewhere }
+        context.requestLogger.logRejected(
+            metadata,
+            request.path,
+            rejection.reason,
+            rejection.detail,
+            rejection.logFields,
+        )
         response.refuse(
             Refusal(rejection.reason, RefusalOutcome.NOT_RUN, rejection.detail, retryAfter),
             metadata.requestId,
@@ -84,9 +95,24 @@
         admitted: AdmittedRequest,
         response: ResponseWriter,
     ): Rejection? {
-        if (context.state.poisonDetector.isPoisonRequest(admitted.fingerprint, admitted.arrivedAt)) return POISONED
-        start(admitted, response)
-        return null
+        val now = admitted.arrivedAt
+        val block = context.state.poisonDetector.findBlockOrBeginTrial(admitted.signature, now)
+        if (block == null) {
+            start(admitted, response)
+            return null
+        }
+        return Rejection(
+            RefusalReason.POISON_SUSPECTED,
+            "targets failed when they began to answer requests like this one",
+            Duration.ofMillis(context.state.poisonDetector.remainingMilliseconds(block, now)),
+            listOf(
+                "trait" to block.trait.kind,
+                "value" to block.trait.value,
+                "blockedMs" to now - block.since,
+                "lastLossAgeMs" to now - block.lastLossAt,
+                "lost" to block.targets.joinToString(",") { it.id.value },
+            ),
+        )
     }
 
     private fun buildRequest(
@@ -109,7 +135,7 @@
             arrivedAt = now,
             responseDeadline = now + timeout,
             callerDeadline = now + callerTimeout,
-            fingerprint = computeFingerprint(request, metadata),
+            signature = RequestSignature(computeFingerprint(request, metadata), metadata.sharedPromptParts),
         )
     }
 
@@ -157,7 +183,5 @@
         val NO_ROUTE = Rejection(RefusalReason.UNKNOWN_SERVICE, "no route leads there")
         val UNKNOWN_KEY = Rejection(RefusalReason.UNAUTHENTICATED, "the key belongs to no workspace")
         val NO_SERVICE = Rejection(RefusalReason.NO_SERVING_TARGET, "the route's service is not configured")
-        val POISONED =
-            Rejection(RefusalReason.NO_SERVING_TARGET, "targets failed each time they ran this request")
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -12,7 +12,7 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.transport.HeaderFields
@@ -25,6 +25,22 @@
 import org.vanillalink.transport.refuse
 import java.time.Duration
 
+private val SUCCESSES = 200..299
+
+/** Returns why a response with [metadata] can't be passed on for the request [ownId], or null. */
+private fun findFault(
+    status: Int,
+    metadata: ResponseMetadata,
+    ownId: String?,
+): String? = when {
+    ownId != null && metadata.requestId != null && metadata.requestId != ownId -> "crossed-answer"
+    ownId != null && metadata.requestId == null && status in SUCCESSES -> "answer-without-id"
+    metadata.isNotRun -> null
+    metadata.isEncoded -> "encoded-answer"
+    status in SUCCESSES && !metadata.isSigned -> "unsigned-answer"
+    else -> null
+}
+
 /** Drives [request] to its final response. */
 internal abstract class ProxiedCall(
     protected val context: CallContext,
@@ -37,6 +53,9 @@
 
     private var currentTargetEntry: TargetEntry? = null
 
+    /** Identifies what the request has in common with others. */
+    val signature: RequestSignature get() = request.signature
+
     /** The target of the attempt in progress, or null. */
     val currentTarget: HostId? get() = currentTargetEntry?.id
 
@@ -48,21 +67,21 @@
     private val triedTargets = HashSet<HostId>()
     private var exchange: OutgoingExchange? = null
     private var currentAttemptId = 0
-    private var attemptStartedAt = 0L
 
-    /** How many times bytes of the current response were received: its head, then chunks of its body. */
-    private var responseReads = 0
+    /** What the attempt in progress shows, or the last one. */
+    protected var evidence = AttemptEvidence(context, request, now)
+        private set
     private var timeout: ScheduledAction? = null
     protected val trail = StringBuilder()
 
     /** How long the attempt in progress has taken. */
-    protected val attemptMilliseconds: Long get() = now - attemptStartedAt
+    protected val attemptMilliseconds: Long get() = now - evidence.startedAt
     protected val isEnded: Boolean get() = hasEnded
     protected val now: Long get() = context.now()
 
     fun startFirstAttempt() {
         context.activeCalls.add(this)
-        response.onCallerDisconnected(::onCallerDisconnected)
+        response.onCallerDisconnected { finish("caller-gone", STATUS_CALLER_DISCONNECTED) }
         if (hasEnded) return
         val remaining = Duration.ofMillis(maxOf(0, request.responseDeadline - now))
         timeout = context.schedule(remaining, ::onTimeout)
@@ -97,8 +116,7 @@
             ForwardingMetadata(entry, request.workspace?.id, remaining, lastEventId ?: request.metadata.lastEventId)
         val options = SendOptions(responseTimeout = Duration.ofMillis(remaining + RESPONSE_TIMEOUT_MARGIN_MILLISECONDS))
         currentAttemptId += 1
-        attemptStartedAt = now
-        responseReads = 0
+        evidence = AttemptEvidence(context, request, now)
         val listener = AttemptListener(this, currentAttemptId)
         exchange =
             context.http.send(
@@ -126,8 +144,8 @@
 
     /** Records that bytes of the response were received. */
     fun recordProgress() {
-        currentTarget?.let { context.state.stallDetector.recordProgress(it, now, isFirst = responseReads == 0) }
-        responseReads += 1
+        currentTarget?.let { context.state.stallDetector.recordProgress(it, now, isFirst = !evidence.hasResponseBegun) }
+        evidence.recordRead()
     }
 
     /** Checks that the response belongs to this request before any of it is used. */
@@ -138,28 +156,26 @@
         val metadata = context.protocol.readResponse(status, headers)
         // The target's announcements about itself apply even if its response is discarded.
         currentTargetEntry?.let { context.state.recordMetadata(it, metadata, now) }
-        val ownId = request.metadata.requestId
+        if (status in SUCCESSES && metadata.isSigned) currentTargetEntry?.let { evidence.recordSuccess(it.instance) }
+        val fault = findFault(status, metadata, request.metadata.requestId)
         when {
-            ownId != null && metadata.requestId != null && metadata.requestId != ownId -> failAttempt("crossed-answer")
-            ownId != null && metadata.requestId == null && status in SUCCESSES -> failAttempt("answer-without-id")
-            metadata.isNotRun -> onRejectedByTarget(status, metadata)
-            metadata.isEncoded -> failAttempt("encoded-answer")
-            status in SUCCESSES && !metadata.isSigned -> failAttempt("unsigned-answer")
-            else -> onAcceptedHead(status, headers, metadata)
+            fault != null -> {
+                failAttempt(fault)
+            }
+
+            metadata.isNotRun -> {
+                trail.append("!$status").append(metadata.faultyTarget?.let { "@$it" }.orEmpty())
+                currentTarget?.let { context.state.avoid(it, now) }
+                closeExchange()
+                onNotRun()
+            }
+
+            else -> {
+                onAcceptedHead(status, headers, metadata)
+            }
         }
     }
 
-    private fun onRejectedByTarget(
-        status: Int,
-        metadata: ResponseMetadata,
-    ) {
-        val target = currentTarget ?: return
-        trail.append("!$status").append(metadata.faultyTarget?.let { "@$it" }.orEmpty())
-        context.state.avoid(target, now)
-        closeExchange()
-        onNotRun()
-    }
-
     abstract fun onAcceptedHead(
         status: Int,
         headers: HeaderFields,
@@ -184,11 +200,26 @@
             onNotRun(countsAsAttempt = false)
             return
         }
-        context.requestLogger.logTargetLost(request, entry.instance, responseReads, attemptMilliseconds)
-        context.state.poisonDetector.recordLocalStrike(Strike(request.fingerprint, target), now)
+        evidence.recordLoss(entry.instance)
         onAttemptFailed("connection-lost")
     }
 
+    /** Ends an attempt whose response ended with its connection before it was complete. */
+    protected fun onBrokenOff(reason: String) {
+        val entry = currentTargetEntry ?: return
+        releaseTarget()
+        evidence.recordLoss(entry.instance)
+        onAttemptFailed(reason)
+    }
+
+    /** Ends the call unless its target has begun to answer: by then the request has not crashed it. */
+    fun stopBlocked() {
+        if (evidence.hasAnswered) return
+        trail.append("!blocked")
+        mayHaveRun = true
+        onNoTarget()
+    }
+
     /** Drops a connection whose response can't be trusted; the request may be executed all the same. */
     protected fun failAttempt(reason: String) {
         closeExchange()
@@ -206,8 +237,10 @@
     }
 
     /** Whether the request may be executed again at another target. */
-    protected fun canRepeat(): Boolean =
-        request.route.isRepeatable && now < request.responseDeadline && attempts < request.route.maxAttempts
+    protected fun canRepeat(): Boolean = request.route.isRepeatable &&
+        now < request.responseDeadline &&
+        attempts < request.route.maxAttempts &&
+        context.state.poisonDetector.findBlock(signature, now) == null
 
     protected open fun resumeFrom(): Long? = null
 
@@ -260,7 +293,7 @@
 
     /** Ends the attempt in progress in the counts of its target. */
     protected fun releaseTarget() {
-        currentTarget?.let { context.state.recordEnded(it, hasResponseBegun = responseReads > 0) }
+        currentTarget?.let { context.state.recordEnded(it, evidence.hasResponseBegun) }
         currentTargetEntry = null
         currentGroup = null
         exchange = null
@@ -283,14 +316,7 @@
         }
     }
 
-    private fun onCallerDisconnected() {
-        if (hasEnded) return
-        finish("caller-gone", STATUS_CALLER_DISCONNECTED)
-    }
-
     companion object {
-        private val SUCCESSES = 200..299
-
         /** Added so that the call's own timeout ends the attempt first. */
         private const val RESPONSE_TIMEOUT_MARGIN_MILLISECONDS = 500L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -23,6 +23,10 @@
     private var isEventStream = false
     private val failureBody = ByteArrayOutputStream()
     private var resumptions = 0
+
+    /** When the first event of the current response was received, or null. */
+    private var firstEventAt: Long? = null
+    private var endsWithConnection = false
     override val timing = StreamTiming(request.arrivedAt)
 
     override fun onAcceptedHead(
@@ -33,6 +37,8 @@
         splitter = EventSplitter()
         failureBody.reset()
         isEventStream = status == STATUS_OK
+        firstEventAt = null
+        endsWithConnection = headers["content-length"] == null && headers["transfer-encoding"] == null
         if (!isResponseStarted) {
             this.status = status
             this.headers = headers
@@ -56,6 +62,8 @@
             failAttempt("event-${events.firstId}-after-${expected - 1}")
             return
         }
+        firstEventAt?.let(evidence::recordAnswer)
+        firstEventAt = firstEventAt ?: now
         lastEventId = events.lastId ?: lastEventId
         startResponse()
         timing.recordEvent(now)
@@ -77,6 +85,10 @@
     }
 
     override fun onComplete() {
+        if (isEventStream && splitter.isMidEvent) {
+            onBrokenOff("ended-mid-event")
+            return
+        }
         releaseTarget()
         mayHaveRun = true
         when {
@@ -85,11 +97,8 @@
                 response.respond(status, context.protocol.responseHeaders(headers), failureBody.toByteArray())
             }
 
-            splitter.isMidEvent -> {
-                onAttemptFailed("ended-mid-event")
-            }
-
             else -> {
+                if (!endsWithConnection) evidence.recordAnswer(firstEventAt ?: now)
                 startResponse()
                 request.metadata.model?.let { context.state.demand.recordCompletion(it, attemptMilliseconds, now) }
                 finish(if (resumptions == 0) "answered" else "answered-resumed", status)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -4,10 +4,11 @@
 package org.vanillalink.gateway.traffic
 
 import org.vanillalink.gateway.control.TrafficSummary
+import org.vanillalink.gateway.logs.EventLogger
 import org.vanillalink.gateway.logs.LoopDelayMonitor
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.model.HostId
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
@@ -23,6 +24,7 @@
     random: Random,
     private val now: () -> Long,
     private val loopDelayMonitor: LoopDelayMonitor,
+    private val eventLogger: EventLogger,
 ) : TrafficSummary {
     val state = TrafficState(limits, random)
     val activeCalls = ActiveCalls()
@@ -37,7 +39,12 @@
     private var stalledGroups: Set<GroupKey> = emptySet()
 
     @Volatile
-    private var strikes: List<Strike> = emptyList()
+    private var poisonReport = PoisonReport()
+
+    /** Changes with the evidence in [poisonReport]. */
+    @Volatile
+    var poisonVersion = 0L
+        private set
 
     @Volatile
     private var leavingTargets: Set<TargetInstance> = emptySet()
@@ -61,8 +68,8 @@
 
     override fun hasTraffic(): Boolean = hasTraffic
 
-    /** Strikes recorded recently. */
-    fun strikes(): List<Strike> = strikes
+    /** The evidence about poison requests for peers. */
+    fun poisonReport(): PoisonReport = poisonReport
 
     /** Records that a request was received. */
     fun recordRequestArrival() {
@@ -76,7 +83,7 @@
         if (newlyBrokenGroups.isNotEmpty()) eventLoops.execute { activeCalls.failOverFromGroups(newlyBrokenGroups) }
     }
 
-    /** Applies a peer's requests in progress and its strikes, requests that took targets down. */
+    /** Applies a peer's requests in progress and its evidence about poison requests. */
     fun onPeerMessage(message: PeerMessage) = eventLoops.execute {
         val time = now()
         state.inFlight.recordPeerCounts(
@@ -86,7 +93,7 @@
             HeartbeatSchedule.livenessTimeout(message.period),
         )
         state.reachabilityMonitor.recordDaemonMessage(message.failureDomain, time)
-        message.strikes.forEach { state.poisonDetector.recordPeerStrike(it, time) }
+        state.poisonDetector.recordReport(message.poison, time)
     }
 
     private fun check() {
@@ -103,10 +110,7 @@
         )
         inFlightCounts = state.inFlight.localCounts()
         demand = state.demand.slotDemand(time)
-        strikes =
-            state.poisonDetector
-                .localStrikesSince(time - REPORT_WINDOW_MILLISECONDS)
-                .takeLast(MAX_STRIKES_PER_MESSAGE)
+        updatePoisonBlocks(time)
         leavingTargets = state.leavingSince(time - REPORT_WINDOW_MILLISECONDS)
         if (time - lastCleanupAt > CLEANUP_INTERVAL_MILLISECONDS) {
             lastCleanupAt = time
@@ -115,6 +119,31 @@
         eventLoops.schedule(CHECK_INTERVAL, ::check)
     }
 
+    private fun updatePoisonBlocks(time: Long) {
+        state.poisonDetector.update(time)
+        val changes = state.poisonDetector.takeChanges()
+        changes.begun.forEach { block ->
+            eventLogger.record(
+                "requests-blocked",
+                "trait" to block.trait.kind,
+                "value" to block.trait.value,
+                "lastLossAgeMs" to time - block.lastLossAt,
+                "lost" to block.targets.joinToString(",") { it.id.value },
+            )
+        }
+        changes.ended.forEach {
+            eventLogger.record(
+                "requests-unblocked",
+                "trait" to it.trait.kind,
+                "value" to it.trait.value,
+                "afterMs" to time - it.since,
+            )
+        }
+        if (changes.begun.isNotEmpty()) activeCalls.stopBlocked(state.poisonDetector, time)
+        poisonReport = state.poisonDetector.buildReport(time)
+        poisonVersion = state.poisonDetector.version
+    }
+
     private companion object {
         val CHECK_INTERVAL: Duration = Duration.ofMillis(50)
 
@@ -126,9 +155,6 @@
 
         /** Two of the longest heartbeat periods, since a datagram may be lost. */
         const val REPORT_WINDOW_MILLISECONDS = HeartbeatSchedule.MAX_PERIOD_MILLISECONDS * 2
-
-        /** Limits the datagram size; targets that fail more often than this have another cause than requests. */
-        const val MAX_STRIKES_PER_MESSAGE = 50
         const val CLEANUP_INTERVAL_MILLISECONDS = 5_000L
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -44,7 +44,7 @@
 
     val inFlight = InFlightCounts()
     val stallDetector = StallDetector()
-    val poisonDetector = PoisonRequestDetector()
+    val poisonDetector = PoisonRequestDetector(random)
     val demand = ModelDemand()
     private val targetAvailability = TargetAvailability()
     private val leavingNoticedAt = HashMap<TargetInstance, Long>()
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -4,8 +4,15 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.PoisonReport
+import org.vanillalink.serving.balancing.ReportedAnswer
+import org.vanillalink.serving.balancing.ReportedBlock
+import org.vanillalink.serving.balancing.ReportedLoss
+import org.vanillalink.serving.balancing.ReportedSurvival
 import org.vanillalink.serving.balancing.RequestFingerprint
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.RequestTrait
+import org.vanillalink.serving.balancing.TraitKind
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
@@ -18,6 +25,7 @@
 internal class PeerMessageCodecTest {
     private val testSubject = PeerMessageCodec
     private val key = GroupKey("ikeja-m0-7", 7)
+    private val target = TargetInstance(HostId("i-2"), 4)
     private val message =
         PeerMessage(
             daemon = DaemonId("a"),
@@ -31,7 +39,13 @@
             inFlight = mapOf(HostId("i-1") to 3),
             demand = mapOf("m0" to 1.5),
             suspects = setOf(key),
-            strikes = listOf(Strike(RequestFingerprint("f"), HostId("i-2"))),
+            poison =
+                PoisonReport(
+                    listOf(ReportedLoss(target, 9, listOf(RequestSignature(RequestFingerprint("f"), listOf("p"))))),
+                    listOf(ReportedAnswer(RequestTrait(TraitKind.PROMPT_PART, "p"), 10)),
+                    listOf(ReportedSurvival(target, 11)),
+                    listOf(ReportedBlock(RequestTrait(TraitKind.REQUEST, "f"), 12, setOf(target))),
+                ),
             leaving = setOf(TargetInstance(HostId("i-3"), 8), TargetInstance(HostId("i-4"), null)),
             controlled =
                 listOf(
@@ -50,6 +64,16 @@
         assertEquals(message, testSubject.decode(testSubject.encode(message)).getOrNull())
     }
 
+    // Guards against daemons of different versions that do not accept each other's messages during an update.
+    @Test
+    fun `a message of an earlier version is decoded, and the current one has the fields that it requires`() {
+        val content = testSubject.encode(message).decodeToString()
+        val earlier = content.replace("\"poison\"", "\"other\"")
+
+        assertEquals(message.copy(poison = PoisonReport()), testSubject.decode(earlier.toByteArray()).getOrNull())
+        assertTrue("\"strikes\":[]" in content)
+    }
+
     @Test
     fun `a message with a missing field is malformed`() {
         val content = testSubject.encode(message).decodeToString().replace("\"sequence\"", "\"other\"")
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageSizeTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageSizeTest.kt
@@ -4,6 +4,7 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.peers.HeartbeatRole
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
@@ -26,7 +27,7 @@
             inFlight = (1..TARGETS_IN_USE).associate { HostId("i-c94d8f36$it") to 1 },
             demand = emptyMap(),
             suspects = emptySet(),
-            strikes = emptyList(),
+            poison = PoisonReport(),
             leaving = emptySet(),
             controlled = emptyList(),
         )
--- a/model/src/main/kotlin/org/vanillalink/model/Refusal.kt
+++ b/model/src/main/kotlin/org/vanillalink/model/Refusal.kt
@@ -31,6 +31,7 @@
     REQUEST_TOO_LARGE(413, "request-too-large", "The request is larger than allowed"),
     HEADERS_TOO_LARGE(431, "headers-too-large", "The request's header fields are larger than allowed"),
     POISON_REQUEST(422, "poison-request", "Targets failed each time they ran this request"),
+    POISON_SUSPECTED(503, "poison-suspected", "Targets failed when they began to answer requests like this one"),
     OVERLOADED(503, "overloaded", "No capacity within the request's deadline"),
     NO_SERVING_TARGET(503, "no-serving-target", "No target serves this service now"),
     RECORD_UNAVAILABLE(503, "record-unavailable", "The request could not be recorded, so it was not sent"),
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -8,7 +8,7 @@
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
-import org.vanillalink.serving.balancing.Strike
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
@@ -35,11 +35,16 @@
     val demand: Map<String, Double>,
     /** Groups that are stalled as seen by this daemon. */
     val suspects: Set<GroupKey>,
-    val strikes: List<Strike>,
+    /** Empty unless it has changed or was last sent a second ago. */
+    val poison: PoisonReport,
     /** Targets that recently announced to this daemon that they are leaving. */
     val leaving: Set<TargetInstance>,
     val controlled: List<ControlledDomain>,
-)
+) {
+    /** Always empty, but daemons of earlier versions require it. */
+    @Suppress("unused")
+    val strikes: List<String> get() = emptyList()
+}
 
 /** The groups of a failure domain as announced by its controller in [term]. */
 data class ControlledDomain(
--- a/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerDirectoryTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/peers/PeerDirectoryTest.kt
@@ -5,6 +5,7 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.IKEJA
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.targets.GroupKey
 import kotlin.test.Test
@@ -139,7 +140,7 @@
         inFlight = emptyMap(),
         demand = emptyMap(),
         suspects = emptySet(),
-        strikes = emptyList(),
+        poison = PoisonReport(),
         leaving = emptySet(),
         controlled = if (term == 0L) emptyList() else listOf(ControlledDomain(IKEJA, term, emptyList(), emptySet())),
     )
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -14,9 +14,11 @@
 import org.vanillalink.transport.Json
 import org.vanillalink.transport.ResponseWriter
 import org.vanillalink.transport.read
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Faults that can be injected. */
 enum class RunnerFault {
@@ -56,6 +58,15 @@
     @Volatile
     var fault = RunnerFault.NONE
 
+    /** A part of a prompt that crashes the runner when it begins to answer a request with it, or null. */
+    @Volatile
+    var deadlyPromptPart: String? = null
+
+    /** How often the runner has crashed by [deadlyPromptPart]. */
+    val crashes = AtomicInteger()
+
+    private val openResponses = ConcurrentHashMap.newKeySet<ResponseWriter>()
+
     /** The ids of the requests that were executed here. */
     val executedRequestIds = CopyOnWriteArrayList<String>()
 
@@ -148,17 +159,38 @@
         }
         val count = tokenUsage.substringAfter(',').trim().toInt()
         val firstEvent = (request.headers["last-event-id"]?.toInt() ?: -1) + 1
+        openResponses += response
+        if (isDeadly(request)) {
+            timer.schedule(::crash, settings.tokenMilliseconds, TimeUnit.MILLISECONDS)
+            return
+        }
         response.start(OK, headers.with("content-type", "text/event-stream"))
         sendEvent(response, firstEvent, count)
     }
 
+    private fun isDeadly(request: HttpRequestMessage): Boolean {
+        val deadlyPart = deadlyPromptPart ?: return false
+        val parts = request.headers["prompt-prefix"].orEmpty().split(',')
+        return parts.any { it.substringBefore(':') == deadlyPart }
+    }
+
+    /** Ends all responses with their connections and starts anew, as another instance that is in no group. */
+    private fun crash() {
+        crashes.incrementAndGet()
+        state.restart()
+        openResponses.forEach { it.abort() }
+        openResponses.clear()
+        onEntryChanged()
+    }
+
     private fun sendEvent(
         response: ResponseWriter,
         event: Int,
         count: Int,
     ) {
-        if (fault == RunnerFault.DARK) return
+        if (fault == RunnerFault.DARK || response !in openResponses) return
         if (event >= count) {
+            openResponses -= response
             response.finish()
             return
         }
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
@@ -31,7 +31,7 @@
         var openAtMs: Long? = null,
     )
 
-    private val startMs = now()
+    private var startMs = now()
     private var membership: Membership? = null
     private var model: String? = null
     private var staged: String? = null
@@ -42,6 +42,16 @@
     @Volatile
     var isDraining = false
 
+    /** Starts a new instance on the same host: it is in no group and has accepted no orders. */
+    @Synchronized
+    fun restart() {
+        startMs = maxOf(now(), startMs + 1)
+        membership = null
+        model = null
+        sequence = 0
+        highestEpoch = 0
+    }
+
     /** True for a plain runner, and for the head of an open group. */
     @Synchronized
     fun acceptsRequests(): Boolean = settings.fabricDomain == null || groupState() == "open"
