--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -208,6 +208,7 @@
     protected fun onBrokenOff(reason: String) {
         val entry = currentTargetEntry ?: return
         releaseTarget()
+        context.state.avoid(entry.id, now)
         evidence.recordLoss(entry.instance)
         onAttemptFailed(reason)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -85,7 +85,7 @@
     }
 
     override fun onComplete() {
-        if (isEventStream && splitter.isMidEvent) {
+        if (isEventStream && (splitter.isMidEvent || isCutBeforeFirstEvent())) {
             onBrokenOff("ended-mid-event")
             return
         }
@@ -107,6 +107,9 @@
         }
     }
 
+    /** A stream that is resumed may have no events left; any other one has at least one. */
+    private fun isCutBeforeFirstEvent(): Boolean = endsWithConnection && firstEventAt == null && lastEventId == null
+
     override fun onAttemptFailed(reason: String) {
         mayHaveRun = true
         trail.append("!$reason")
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -0,0 +1,281 @@
+package org.vanillalink.gateway.traffic
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import org.vanillalink.gateway.logs.DecisionInputs
+import org.vanillalink.gateway.logs.RequestLogger
+import org.vanillalink.gateway.ports.CallProtocol
+import org.vanillalink.gateway.ports.ForwardingMetadata
+import org.vanillalink.gateway.ports.GatewayLimits
+import org.vanillalink.gateway.ports.RequestMetadata
+import org.vanillalink.gateway.ports.ResponseMetadata
+import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
+import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.balancing.RequestFingerprint
+import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.catalog.CallKind
+import org.vanillalink.serving.catalog.Route
+import org.vanillalink.serving.catalog.ServiceDefinition
+import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.transport.ConnectionPolicy
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpClient
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.OutgoingExchange
+import org.vanillalink.transport.ResponseListener
+import org.vanillalink.transport.ResponseWriter
+import org.vanillalink.transport.ScheduledAction
+import org.vanillalink.transport.SendOptions
+import org.vanillalink.transport.TransportFailure
+import java.time.Duration
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Streams whose responses have no length and no chunks, so that they end with their connections. */
+internal class StreamCallTest {
+    private val service = ServiceDefinition(ServiceName("writer"), "/health", 10, 0.0, engine = null)
+    private val route =
+        Route("r", "h", "/", CallKind.STREAM, emptyList(), 8_000, 500, 1, 2, isPublic = true, isResumable = true, 300)
+    private val targets = listOf("t-1", "t-2", "t-3").map(::target)
+    private val state =
+        TrafficState(GatewayLimits(), Random(1)).apply {
+            view = TrafficView(plainTargets = mapOf(service.name to targets))
+        }
+    private val http = FakeHttpClient()
+    private val response = RecordingResponse()
+    private val activeCalls = ActiveCalls()
+    private val context =
+        CallContext(
+            state,
+            http,
+            Protocol,
+            RequestLogger(SimpleMeterRegistry(), { 0 }, { DecisionInputs(null, null, 1, 0) }),
+            activeCalls,
+            { 0 },
+            { _, _ -> ScheduledAction {} },
+        )
+
+    @Test
+    fun `a stream that ends with its connection after an event is complete`() {
+        start()
+        http.last.onHead(200, HeaderFields())
+        http.last.onBodyChunk(event(0))
+        http.last.onComplete()
+
+        assertEquals("id: 0\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+        assertEquals(1, http.listeners.size)
+    }
+
+    // Guards against passing on a stream that was broken off inside an event as complete.
+    @Test
+    fun `a stream that ends with its connection inside an event is resumed after its last event`() {
+        start()
+        http.last.onHead(200, HeaderFields())
+        http.last.onBodyChunk(event(0) + "id: 1\nda".toByteArray())
+        http.last.onComplete()
+        assertFalse(response.isFinished)
+        http.last.onHead(200, HeaderFields())
+        http.last.onBodyChunk(event(1))
+        http.last.onComplete()
+
+        assertEquals("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+    }
+
+    // Guards against passing on the empty stream of a target that crashed when it began to answer as complete.
+    @Test
+    fun `a stream that ends with its connection before its first event is sent to another target`() {
+        start()
+        http.last.onHead(200, HeaderFields())
+        http.last.onComplete()
+
+        assertFalse(response.isFinished)
+        assertEquals(2, http.listeners.size)
+    }
+
+    @Test
+    fun `a resumed stream without further events is complete`() {
+        start(lastEventId = 7)
+        http.last.onHead(200, HeaderFields())
+        http.last.onComplete()
+
+        assertTrue(response.isFinished)
+        assertEquals(1, http.listeners.size)
+    }
+
+    // Guards against evidence that is missed because the connection of a crashed target ended in an orderly way.
+    @Test
+    fun `ends before the first event are losses of targets`() {
+        repeat(3) { index ->
+            start(fingerprint = "r$index", part = "bad")
+            http.last.onHead(200, HeaderFields())
+            http.last.onComplete()
+        }
+
+        assertNotNull(state.poisonDetector.findBlock(signature("new", "bad"), 0))
+    }
+
+    @Test
+    fun `losses after the second event do not count against the request`() {
+        repeat(3) { index ->
+            start(fingerprint = "r$index", part = "part")
+            http.last.onHead(200, HeaderFields())
+            http.last.onBodyChunk(event(0))
+            http.last.onBodyChunk(event(1))
+            http.last.onFailure(TransportFailure.ConnectionLost("reset"))
+        }
+
+        assertNull(state.poisonDetector.findBlock(signature("new", "part"), 0))
+    }
+
+    // Guards against crashing targets with requests that were waiting there when their part became known.
+    @Test
+    fun `a call that its target has not begun to answer is stopped when its part is blocked`() {
+        start(fingerprint = "waiting", part = "bad")
+        targets.forEachIndexed { index, target ->
+            state.poisonDetector.recordLoss(target.instance, signature("r$index", "bad"), 0)
+        }
+        state.poisonDetector.update(0)
+        activeCalls.stopBlocked(state.poisonDetector, 0)
+
+        assertEquals(502, response.status)
+        assertTrue(http.isClosed)
+    }
+
+    @Test
+    fun `a call whose part is blocked is not sent again`() {
+        listOf("t-8", "t-9").forEach { state.poisonDetector.recordLoss(target(it).instance, signature(it, "bad"), 0) }
+        start(fingerprint = "r", part = "bad")
+        http.last.onFailure(TransportFailure.ConnectionLost("reset"))
+
+        assertEquals(1, http.listeners.size)
+        assertEquals(502, response.status)
+    }
+
+    private fun start(
+        fingerprint: String = "f",
+        part: String = "p",
+        lastEventId: Long? = null,
+    ) {
+        val metadata = RequestMetadata("id", "h", 8_000, null, null, lastEventId, 0, listOf(part))
+        val message = HttpRequestMessage("POST", "/")
+        val signature = signature(fingerprint, part)
+        StreamCall(
+            context,
+            AdmittedRequest(message, metadata, route, service, null, 0, 8_000, 8_000, signature),
+            response,
+        ).startFirstAttempt()
+    }
+
+    private fun signature(
+        fingerprint: String,
+        part: String,
+    ) = RequestSignature(RequestFingerprint(fingerprint), listOf(part))
+
+    private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
+
+    private fun target(id: String) = TargetEntry(
+        HostId(id),
+        service.name,
+        Endpoint("127.0.0.1", 1),
+        FailureDomainId("ikeja"),
+        fabricDomain = null,
+        isLeaving = false,
+        coldMilliseconds = 0,
+        bornAt = 1,
+        model = null,
+        staged = emptySet(),
+        membership = null,
+        slots = 6,
+    )
+
+    private class FakeHttpClient : HttpClient {
+        val listeners = ArrayList<ResponseListener>()
+        var isClosed = false
+        val last: ResponseListener get() = listeners.last()
+
+        override fun send(
+            endpoint: Endpoint,
+            request: HttpRequestMessage,
+            options: SendOptions,
+            listener: ResponseListener,
+        ): OutgoingExchange {
+            listeners.add(listener)
+            return object : OutgoingExchange {
+                override fun setReading(isReading: Boolean) = Unit
+
+                override fun close() {
+                    isClosed = true
+                }
+            }
+        }
+
+        override fun call(
+            endpoint: Endpoint,
+            request: HttpRequestMessage,
+            timeout: Duration,
+            connectionPolicy: ConnectionPolicy,
+        ) = error("not used")
+
+        override fun closeIdleConnections(endpoint: Endpoint) = error("not used")
+    }
+
+    private class RecordingResponse : ResponseWriter {
+        var status = 0
+        var body = ""
+        var isFinished = false
+        override val isWritable = true
+
+        override fun start(
+            status: Int,
+            headers: HeaderFields,
+        ) {
+            this.status = status
+        }
+
+        override fun write(bytes: ByteArray) {
+            body += bytes.decodeToString()
+        }
+
+        override fun finish() {
+            isFinished = true
+        }
+
+        override fun respond(
+            status: Int,
+            headers: HeaderFields,
+            body: ByteArray,
+        ) {
+            this.status = status
+        }
+
+        override fun abort() = Unit
+
+        override fun onWritable(action: () -> Unit) = Unit
+
+        override fun onCallerDisconnected(action: () -> Unit) = Unit
+    }
+
+    private object Protocol : CallProtocol {
+        override fun readRequest(request: HttpRequestMessage) = error("not used")
+
+        override fun buildForwardedRequest(
+            request: HttpRequestMessage,
+            metadata: ForwardingMetadata,
+        ) = request
+
+        override fun readResponse(
+            status: Int,
+            headers: HeaderFields,
+        ) = ResponseMetadata("id", isSigned = true, isNotRun = false, null, false, false, null)
+
+        override fun responseHeaders(headers: HeaderFields) = headers
+    }
+}
