--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -15,6 +15,7 @@
 import org.vanillalink.gateway.logs.LoopDelayMonitor
 import org.vanillalink.gateway.logs.RequestLogger
 import org.vanillalink.gateway.peers.PeerExchange
+import org.vanillalink.gateway.peers.PoisonBlockRecords
 import org.vanillalink.gateway.ports.CallProtocol
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.gateway.ports.Registry
@@ -83,6 +84,8 @@
             clock,
             meterRegistry,
         )
+    private val poisonBlockRecords =
+        PoisonBlockRecords(ports.table, traffic, controlLoop::hasControl, controlThread, eventLogger, clock)
     private val requestLogger = RequestLogger(meterRegistry, clock::steady, ::decisionInputs)
     private val callHandler =
         CallHandler(
@@ -121,6 +124,7 @@
         meterRegistry.gauge("vanillalink.log.dropped", ports) { it.droppedLogLines().toDouble() }
         controlLoop.start()
         peerExchange.start()
+        poisonBlockRecords.start()
         eventLogger.record("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerEndpoint)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -92,6 +92,9 @@
     /** The maximum age of the configuration by which keys are accepted. */
     fun maxKeyAgeMilliseconds(): Long = settings.limits.revocationMilliseconds - KEY_AGE_MARGIN_MILLISECONDS
 
+    /** Whether this daemon has control of any failure domain. */
+    val hasControl: Boolean get() = domainControls.values.any { it.isHeld }
+
     /** The version of the configuration in force, or null before the first is read. */
     val configurationVersion: Long? get() = registryState.catalog?.configuration?.version
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -6,9 +6,11 @@
 import org.vanillalink.gateway.control.TrafficSummary
 import org.vanillalink.gateway.logs.EventLogger
 import org.vanillalink.gateway.logs.LoopDelayMonitor
+import org.vanillalink.gateway.peers.PoisonBlocks
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
+import org.vanillalink.serving.balancing.ReportedBlock
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
@@ -25,7 +27,8 @@
     private val now: () -> Long,
     private val loopDelayMonitor: LoopDelayMonitor,
     private val eventLogger: EventLogger,
-) : TrafficSummary {
+) : TrafficSummary,
+    PoisonBlocks {
     val state = TrafficState(limits, random)
     val activeCalls = ActiveCalls()
 
@@ -71,6 +74,12 @@
     /** The evidence about poison requests for peers. */
     fun poisonReport(): PoisonReport = poisonReport
 
+    override fun current(): List<ReportedBlock> = poisonReport.blocks
+
+    override fun adopt(blocks: List<ReportedBlock>) = eventLoops.execute {
+        state.poisonDetector.recordReport(PoisonReport(blocks = blocks), now())
+    }
+
     /** Records that a request was received. */
     fun recordRequestArrival() {
         hasTraffic = true
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
@@ -0,0 +1,144 @@
+package org.vanillalink.gateway.peers
+
+import org.vanillalink.gateway.control.ControlThread
+import org.vanillalink.gateway.control.GatewayClock
+import org.vanillalink.gateway.logs.EventLogger
+import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.ReportedBlock
+import org.vanillalink.serving.balancing.RequestTrait
+import org.vanillalink.serving.balancing.TraitKind
+import org.vanillalink.serving.targets.TargetInstance
+import org.vanillalink.testing.InMemoryTableStore
+import org.vanillalink.testing.StoreBehaviour
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+internal class PoisonBlockRecordsTest {
+    private val table = InMemoryTableStore()
+    private val controlThread = ControlThread()
+    private val clock = FakeClock()
+    private val targets = setOf(TargetInstance(HostId("a"), 1), TargetInstance(HostId("b"), null))
+    private val block = ReportedBlock(RequestTrait(TraitKind.PROMPT_PART, "bad"), 500, targets)
+
+    private class FakeClock : GatewayClock {
+        var time = 1_000_000L
+
+        override fun steady() = time
+
+        override fun wall() = time
+    }
+
+    private class FakeBlocks : PoisonBlocks {
+        @Volatile
+        var blocks: List<ReportedBlock> = emptyList()
+
+        @Volatile
+        var adopted: List<ReportedBlock> = emptyList()
+
+        override fun current() = blocks
+
+        override fun adopt(blocks: List<ReportedBlock>) {
+            adopted = blocks
+        }
+    }
+
+    @AfterTest
+    fun stop() = controlThread.close()
+
+    // Guards against crashing targets again with the same requests after all daemons were killed at once.
+    @Test
+    fun `a daemon that starts after all others ended adopts the block that they had`() {
+        val earlier = FakeBlocks()
+        val earlierRecords = records(earlier)
+        synchronize(earlierRecords)
+        earlier.blocks = listOf(block)
+        synchronize(earlierRecords)
+        clock.time += 10_000
+        val later = FakeBlocks()
+        synchronize(records(later))
+
+        assertEquals(listOf(block.copy(age = 10_500)), later.adopted)
+    }
+
+    @Test
+    fun `a block that ended is not adopted`() {
+        val earlier = FakeBlocks()
+        val earlierRecords = records(earlier)
+        synchronize(earlierRecords)
+        earlier.blocks = listOf(block)
+        synchronize(earlierRecords)
+        earlier.blocks = emptyList()
+        synchronize(earlierRecords)
+        val later = FakeBlocks()
+        synchronize(records(later))
+
+        assertEquals(emptyList(), later.adopted)
+    }
+
+    @Test
+    fun `a daemon that has not adopted the blocks yet does not remove them`() {
+        val earlier = FakeBlocks().apply { blocks = listOf(block) }
+        records(earlier).let { records -> repeat(2) { synchronize(records) } }
+        val starting = records(FakeBlocks())
+        repeat(3) { synchronize(starting) }
+
+        assertEquals(1, table.scanNow("poison/").getOrNull()?.size)
+    }
+
+    @Test
+    fun `only daemons with control write, and a block is written once`() {
+        val blocks = FakeBlocks().apply { blocks = listOf(block) }
+        records(blocks, isWriter = false).let { records -> repeat(2) { synchronize(records) } }
+        assertTrue(
+            table
+                .scanNow("poison/")
+                .getOrNull()
+                .orEmpty()
+                .isEmpty(),
+        )
+        records(blocks).let { records -> repeat(5) { synchronize(records) } }
+
+        assertEquals(
+            listOf(1L),
+            table
+                .scanNow("poison/")
+                .getOrNull()
+                ?.values
+                ?.map { it.version },
+        )
+    }
+
+    @Test
+    fun `a block is written and read once the table responds again`() {
+        table.behaviour = StoreBehaviour.UNAVAILABLE
+        val blocks = FakeBlocks().apply { blocks = listOf(block) }
+        val records = records(blocks)
+        repeat(2) { synchronize(records) }
+        table.behaviour = StoreBehaviour.LOSES_ANSWERS
+        repeat(2) { synchronize(records) }
+        table.behaviour = StoreBehaviour.ANSWERS
+        repeat(3) { synchronize(records) }
+
+        assertEquals(1, table.scanNow("poison/").getOrNull()?.size)
+    }
+
+    private fun records(
+        blocks: PoisonBlocks,
+        isWriter: Boolean = true,
+    ) = PoisonBlockRecords(table, blocks, { isWriter }, controlThread, EventLogger(DaemonId("a"), clock::steady), clock)
+
+    /** Also waits until the response of the table has been processed. */
+    private fun synchronize(records: PoisonBlockRecords) {
+        controlThread.execute(records::synchronize)
+        repeat(2) {
+            val done = CompletableFuture<Unit>()
+            controlThread.execute { done.complete(Unit) }
+            done.get(10, TimeUnit.SECONDS)
+        }
+    }
+}
