--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -129,6 +129,7 @@
     }
 
     private fun updatePoisonBlocks(time: Long) {
+        state.poisonDetector.daemons = state.view.budgetDaemons
         state.poisonDetector.update(time)
         val changes = state.poisonDetector.takeChanges()
         changes.begun.forEach { block ->
@@ -136,6 +137,7 @@
                 "requests-blocked",
                 "trait" to block.trait.kind,
                 "value" to block.trait.value,
+                "ambiguous" to block.isAmbiguous,
                 "lastLossAgeMs" to time - block.lastLossAt,
                 "lost" to block.targets.joinToString(",") { it.id.value },
             )
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/LossAttribution.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/LossAttribution.kt
@@ -35,6 +35,12 @@
     }
 }
 
+/** Explains [losses]. If [isAmbiguous], other traits explain the same losses as well. */
+internal class LossCause(
+    val losses: Set<TargetLoss>,
+    val isAmbiguous: Boolean,
+)
+
 /** Attributes losses; [lastAnsweredAt] is when a target last began to answer a request with a trait, or null. */
 internal class LossAttribution(
     private val lastAnsweredAt: (RequestTrait) -> Long?,
@@ -46,20 +52,20 @@
         val requests: Set<RequestFingerprint>,
     )
 
-    /** Returns the traits that cause [losses], with the losses that each explains. */
+    /** Returns the traits that cause [losses]. */
     fun findCauses(
         losses: Collection<TargetLoss>,
         now: Long,
-    ): Map<RequestTrait, Set<TargetLoss>> {
-        val causes = LinkedHashMap<RequestTrait, Set<TargetLoss>>()
+    ): Map<RequestTrait, LossCause> {
+        val causes = LinkedHashMap<RequestTrait, LossCause>()
         var unexplained = losses.toSet()
         // Parts come first: a request that is sent again with such a part is explained by it, but not the reverse.
         for (kind in listOf(TraitKind.PROMPT_PART, TraitKind.REQUEST)) {
             while (unexplained.isNotEmpty()) {
                 val candidates = collectCandidates(unexplained, kind, now).filter(::isSufficient)
                 val best = candidates.minWithOrNull(STRONGEST_FIRST) ?: break
-                val indistinguishable = candidates.filter { it.losses == best.losses && !it.wasAnswered }
-                (indistinguishable + best).forEach { causes[it.trait] = it.losses }
+                val equals = candidates.filter { it == best || (it.losses == best.losses && !it.wasAnswered) }
+                equals.forEach { causes[it.trait] = LossCause(it.losses, isAmbiguous = equals.size > 1) }
                 unexplained = unexplained - best.losses
             }
         }
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
@@ -15,19 +15,33 @@
 import kotlin.random.Random
 
 /** Requests with [trait] are refused [since] a time on the steady clock, because it caused the loss of [targets]. */
-class PoisonBlock(
+class PoisonBlock internal constructor(
     val trait: RequestTrait,
     val since: Long,
-    lastLossAt: Long,
-    internal var trialAt: Long,
+    private val trialDelayFraction: Double,
 ) {
+    private val lostTargets = LinkedHashSet<TargetInstance>()
+
+    val targets: Set<TargetInstance> get() = lostTargets
+
     /** When the last of [targets] was lost, on the steady clock. */
-    var lastLossAt: Long = lastLossAt
+    var lastLossAt: Long = Long.MIN_VALUE
         internal set
 
-    private val lostTargets = LinkedHashSet<TargetInstance>()
+    /** Whether other traits explain the same losses, so that this one may be innocent. */
+    var isAmbiguous = false
+        private set
 
-    val targets: Set<TargetInstance> get() = lostTargets
+    /** When a single request may be tried. Daemons that wait for different times learn from each other's trials. */
+    internal fun trialAt(daemons: Int): Long {
+        if (!isAmbiguous) return lastLossAt + (TRIAL_DELAY_MILLISECONDS * (1 + trialDelayFraction)).toLong()
+        val spread = AMBIGUOUS_TRIAL_SPREAD_MILLISECONDS * daemons
+        return lastLossAt + AMBIGUOUS_TRIAL_DELAY_MILLISECONDS + (spread * trialDelayFraction).toLong()
+    }
+
+    internal fun setAmbiguous(isAmbiguous: Boolean) {
+        this.isAmbiguous = isAmbiguous
+    }
 
     internal fun add(targets: Collection<TargetInstance>): Boolean =
         lostTargets.addAll(targets.take(maxOf(0, MAX_TARGETS - lostTargets.size)))
@@ -37,6 +51,13 @@
     private companion object {
         /** More losses would not make the evidence stronger. */
         const val MAX_TARGETS = 8
+
+        /** A trial can cost a group; until then callers of a repaired target wait. */
+        const val TRIAL_DELAY_MILLISECONDS = 300_000L
+
+        /** Another request that crashes a target shows within about a second which trait it is. */
+        const val AMBIGUOUS_TRIAL_DELAY_MILLISECONDS = 1_000L
+        const val AMBIGUOUS_TRIAL_SPREAD_MILLISECONDS = 1_000L
     }
 }
 
@@ -66,6 +87,9 @@
     var version = 0L
         private set
 
+    /** How many daemons there are; with more of them, trials are spread over a longer time. */
+    var daemons = 1
+
     /** How many traits are blocked; may be read on any thread. */
     @Volatile
     var blockCount = 0
@@ -131,8 +155,9 @@
             )
         }
         val causes = attribution.findCauses(losses.values, now)
-        causes.forEach { (trait, explained) ->
-            block(trait, explained.map { it.target }, explained.maxOf { it.at }, tolerance = 0, now)
+        causes.forEach { (trait, cause) ->
+            val lastLossAt = cause.losses.maxOf { it.at }
+            block(trait, cause.losses.map { it.target }, lastLossAt, tolerance = 0, now).setAmbiguous(cause.isAmbiguous)
         }
         blocks.values.removeIf { !isSupported(it, causes) }
         blockCount = blocks.size
@@ -156,7 +181,9 @@
     ): PoisonBlock? {
         if (blocks.isEmpty()) return null
         val applicable = request.traits().mapNotNull { blocks[it] }
-        return applicable.firstOrNull { now < it.trialAt || isTrialInProgress(it, now) }
+        // A request with all traits that may be the cause shows nothing about any of them.
+        if (applicable.size > 1 && applicable.all { it.isAmbiguous }) return applicable.first()
+        return applicable.firstOrNull { now < it.trialAt(daemons) || isTrialInProgress(it, now) }
     }
 
     /** As [findBlock], but lets [request] through as the trial of a block that is due for one. */
@@ -173,7 +200,7 @@
     fun remainingMilliseconds(
         block: PoisonBlock,
         now: Long,
-    ): Long = maxOf(0, block.trialAt - now)
+    ): Long = maxOf(0, block.trialAt(daemons) - now)
 
     /** The evidence to report to peers. Older losses are reported as the blocks that they led to. */
     fun buildReport(now: Long): PoisonReport {
@@ -248,22 +275,25 @@
         lastLossAt: Long,
         tolerance: Long,
         now: Long,
-    ) {
-        val block = blocks.getOrPut(trait) { PoisonBlock(trait, now, Long.MIN_VALUE, 0) }
+    ): PoisonBlock {
+        val block = blocks.getOrPut(trait) { PoisonBlock(trait, now, random.nextDouble()) }
         block.add(targets)
-        if (block.lastLossAt != Long.MIN_VALUE && lastLossAt <= block.lastLossAt + tolerance) return
-        block.lastLossAt = lastLossAt
-        block.trialAt = lastLossAt + TRIAL_DELAY_MILLISECONDS + random.nextLong(TRIAL_DELAY_MILLISECONDS)
+        if (block.lastLossAt == Long.MIN_VALUE ||
+            lastLossAt > block.lastLossAt + tolerance
+        ) {
+            block.lastLossAt = lastLossAt
+        }
+        return block
     }
 
     /** Of the losses that led to a block, enough must have no other cause. */
     private fun isSupported(
         block: PoisonBlock,
-        causes: Map<RequestTrait, Set<TargetLoss>>,
+        causes: Map<RequestTrait, LossCause>,
     ): Boolean {
         if (answers.isAnsweredSince(block.trait, block.lastLossAt + 1)) return false
         if (block.trait in causes) return true
-        val explained = causes.values.flatMapTo(HashSet()) { losses -> losses.map { it.target } }
+        val explained = causes.values.flatMapTo(HashSet()) { cause -> cause.losses.map { it.target } }
         return block.targets.count { it !in explained } >= LossAttribution.MIN_LOSSES
     }
 
@@ -295,9 +325,6 @@
         /** A process that crashed needs longer to start and to join a group. */
         const val MIN_RESTART_MILLISECONDS = 1_000L
 
-        /** A trial can cost a group; until then callers of a repaired target wait. */
-        const val TRIAL_DELAY_MILLISECONDS = 300_000L
-
         /** Longer than a request takes to be answered or to crash its target. */
         const val TRIAL_TIMEOUT_MILLISECONDS = 30_000L
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetectorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetectorTest.kt
@@ -88,6 +88,30 @@
         assertTrue(testSubject.isBlocked(request("new", "bad"), now = 5_000))
     }
 
+    // Guards against refusing all requests of a rarely used route for minutes because none was answered before.
+    @Test
+    fun `a part that was never answered is tried alone soon, and an answer leaves only the other one blocked`() {
+        repeat(3) { testSubject.lose("t$it", request("r$it", "first", "bad"), now = 0) }
+        assertNotNull(testSubject.findBlockOrBeginTrial(request("early", "first"), now = 500))
+        assertNotNull(testSubject.findBlockOrBeginTrial(request("both", "first", "bad"), now = 2_500))
+        assertNull(testSubject.findBlockOrBeginTrial(request("alone", "first"), now = 2_500))
+        testSubject.recordAnswer(request("alone", "first"), begunAt = 2_600)
+        testSubject.update(now = 2_600)
+
+        assertFalse(testSubject.isBlocked(request("new", "first"), now = 2_600))
+        assertTrue(testSubject.isBlocked(request("new", "first", "bad"), now = 2_600))
+        assertTrue(testSubject.isBlocked(request("new", "bad"), now = 200_000))
+    }
+
+    @Test
+    fun `a loss during the trial of one of two parts leaves only that one blocked`() {
+        repeat(3) { testSubject.lose("t$it", request("r$it", "first", "bad"), now = 0) }
+        testSubject.lose("t3", request("alone", "bad"), now = 2_500)
+
+        assertFalse(testSubject.isBlocked(request("new", "first"), now = 2_500))
+        assertTrue(testSubject.isBlocked(request("new", "bad"), now = 200_000))
+    }
+
     @Test
     fun `a single request that is sent again does not block its parts`() {
         repeat(3) { testSubject.lose("t$it", request("r", "first", "rare"), now = it.toLong()) }
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/SimulatedFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/SimulatedFleet.kt
@@ -111,7 +111,7 @@
 
     val crashes: Int get() = deadlyCrashes.size
 
-    private fun newDetector() = PoisonRequestDetector(Random(random.nextLong()))
+    private fun newDetector() = PoisonRequestDetector(Random(random.nextLong())).also { it.daemons = settings.daemons }
 
     private fun schedule(
         delay: Long,
