--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
@@ -6,6 +6,9 @@
  */
 package org.vanillalink.gateway.peers
 
+import arrow.core.Either
+import arrow.core.flatMap
+import com.fasterxml.jackson.databind.JsonNode
 import org.vanillalink.gateway.control.ControlThread
 import org.vanillalink.gateway.control.GatewayClock
 import org.vanillalink.gateway.logs.EventLogger
@@ -19,6 +22,7 @@
 import org.vanillalink.store.TableStore
 import org.vanillalink.store.TransactionResult
 import org.vanillalink.transport.Json
+import org.vanillalink.transport.MalformedJson
 import org.vanillalink.transport.read
 import java.time.Duration
 
@@ -89,10 +93,20 @@
     }
 
     private fun readRecord(row: Row): PoisonBlockRecord? = Json
-        .read<PoisonBlockRecord>(row.value.toByteArray())
-        .onLeft { eventLogger.record("poison-record-unreadable", "reason" to it.detail) }
+        .read<JsonNode>(row.value.toByteArray())
+        .flatMap { node ->
+            Either
+                .catchOrThrow<IllegalArgumentException, PoisonBlockRecord> { parseRecord(node) }
+                .mapLeft { MalformedJson(it.message.orEmpty()) }
+        }.onLeft { eventLogger.record("poison-record-unreadable", "reason" to it.detail) }
         .getOrNull()
 
+    private fun parseRecord(node: JsonNode) = PoisonBlockRecord(
+        PoisonReportParser.parseTrait(node.required("trait")),
+        node.number("lastLossAt"),
+        node.required("targets").map(PoisonReportParser::parseInstance).toSet(),
+    )
+
     private fun writeChanges() {
         val now = clock.wall()
         val current = blocks.current().filter { it.trait.value.length <= MAX_KEY_LENGTH }.associateBy(::key)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonReportParser.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonReportParser.kt
@@ -45,7 +45,7 @@
         node.required("sharedParts").map { it.asText() },
     )
 
-    private fun parseTrait(node: JsonNode) = RequestTrait(TraitKind.valueOf(node.text("kind")), node.text("value"))
+    fun parseTrait(node: JsonNode) = RequestTrait(TraitKind.valueOf(node.text("kind")), node.text("value"))
 
     fun parseInstance(node: JsonNode) =
         TargetInstance(HostId(node.text("id")), node.required("bornAt").takeUnless { it.isNull }?.asLong())
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
@@ -9,6 +9,8 @@
 import org.vanillalink.serving.balancing.RequestTrait
 import org.vanillalink.serving.balancing.TraitKind
 import org.vanillalink.serving.targets.TargetInstance
+import org.vanillalink.store.ConditionalWrite
+import org.vanillalink.store.RowKey
 import org.vanillalink.testing.InMemoryTableStore
 import org.vanillalink.testing.StoreBehaviour
 import java.util.concurrent.CompletableFuture
@@ -127,6 +129,16 @@
         assertEquals(1, table.scanNow("poison/").getOrNull()?.size)
     }
 
+    @Test
+    fun `a row that can't be read is left out`() {
+        table.transactNow(listOf(ConditionalWrite(RowKey("poison/x"), ConditionalWrite.ABSENT, "{\"trait\":7}")))
+        records(FakeBlocks().apply { blocks = listOf(block) }).let { records -> repeat(2) { synchronize(records) } }
+        val later = FakeBlocks()
+        synchronize(records(later))
+
+        assertEquals(listOf(block), later.adopted)
+    }
+
     private fun records(
         blocks: PoisonBlocks,
         isWriter: Boolean = true,
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/DeploymentCommand.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/deployment/DeploymentCommand.kt
@@ -42,6 +42,9 @@
     @Option(names = ["--desks"], description = ["Number of runners of the plain service in each zone."])
     private var desks: Int = 1
 
+    @Option(names = ["--deadly-part"], description = ["A part of prompts that crashes the runners of the model."])
+    private var deadlyPart: String? = null
+
     override fun call(): Int {
         val store = RowStore()
         val loops = NettyEventLoops(THREADS)
@@ -85,7 +88,9 @@
         ports: Iterator<Int>,
     ) {
         val endpoint = loopback(ports.next())
-        FakeRunner(loops, endpoint, RunnerSettings(id, service, zone, fabricDomain, endpoint.toString()), store)
+        val runner =
+            FakeRunner(loops, endpoint, RunnerSettings(id, service, zone, fabricDomain, endpoint.toString()), store)
+        runner.handler.deadlyPromptPart = deadlyPart
     }
 
     private fun loopback(port: Int) = Endpoint("127.0.0.1", port)
