--- a/transport/src/test/kotlin/org/vanillalink/transport/UnboundedResponseTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/UnboundedResponseTest.kt
@@ -79,6 +79,9 @@
     ) {
         thread(isDaemon = true) {
             server.accept().use { connection ->
+                // Bytes that arrive before the request is sent are no response, and the client closes the connection.
+                val reader = connection.getInputStream().bufferedReader()
+                generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.count()
                 val output = connection.getOutputStream()
                 output.write(start.toByteArray())
                 val repeatedBytes = repeated.repeat(REPETITIONS_PER_WRITE).toByteArray()
