--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
@@ -61,7 +61,10 @@
     /** Blocks that end are removed from the table only if this process had them: others may not have arrived yet. */
     private var heldKeys: Set<RowKey> = emptySet()
 
-    fun start() = controlThread.scheduleRepeatedly(SYNCHRONIZATION_INTERVAL, ::synchronize)
+    fun start() {
+        controlThread.execute(::synchronize)
+        controlThread.scheduleRepeatedly(SYNCHRONIZATION_INTERVAL, ::synchronize)
+    }
 
     /** Reads the table once, and then writes what has changed. */
     fun synchronize() {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
@@ -67,6 +67,17 @@
         assertEquals(listOf(block.copy(age = 10_500)), later.adopted)
     }
 
+    // Guards against requests that a daemon sends on in the second after its start.
+    @Test
+    fun `blocks are read as soon as a daemon starts`() {
+        records(FakeBlocks().apply { blocks = listOf(block) }).let { records -> repeat(2) { synchronize(records) } }
+        val later = FakeBlocks()
+        records(later).start()
+        awaitControlThread()
+
+        assertEquals(listOf(block), later.adopted)
+    }
+
     @Test
     fun `a block that ended is not adopted`() {
         val earlier = FakeBlocks()
@@ -147,6 +158,10 @@
     /** Also waits until the response of the table has been processed. */
     private fun synchronize(records: PoisonBlockRecords) {
         controlThread.execute(records::synchronize)
+        awaitControlThread()
+    }
+
+    private fun awaitControlThread() {
         repeat(2) {
             val done = CompletableFuture<Unit>()
             controlThread.execute { done.complete(Unit) }
