--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -9,15 +9,12 @@
 import org.vanillalink.gateway.ports.RequestMetadata
 import org.vanillalink.gateway.ports.ResponseMetadata
 import org.vanillalink.model.Endpoint
-import org.vanillalink.model.FailureDomainId
-import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.catalog.CallKind
 import org.vanillalink.serving.catalog.Route
 import org.vanillalink.serving.catalog.ServiceDefinition
-import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.transport.ConnectionPolicy
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.HttpClient
@@ -42,7 +39,7 @@
     private val service = ServiceDefinition(ServiceName("writer"), "/health", 10, 0.0, engine = null)
     private val route =
         Route("r", "h", "/", CallKind.STREAM, emptyList(), 8_000, 500, 1, 2, isPublic = true, isResumable = true, 300)
-    private val targets = listOf("t-1", "t-2", "t-3").map(::target)
+    private val targets = listOf("t-1", "t-2", "t-3").map { targetEntry(it) }
     private val state =
         TrafficState(GatewayLimits(), Random(1)).apply {
             view = TrafficView(plainTargets = mapOf(service.name to targets))
@@ -151,7 +148,10 @@
 
     @Test
     fun `a call whose part is blocked is not sent again`() {
-        listOf("t-8", "t-9").forEach { state.poisonDetector.recordLoss(target(it).instance, signature(it, "bad"), 0) }
+        listOf(
+            "t-8",
+            "t-9",
+        ).forEach { state.poisonDetector.recordLoss(targetEntry(it).instance, signature(it, "bad"), 0) }
         start(fingerprint = "r", part = "bad")
         http.last.onFailure(TransportFailure.ConnectionLost("reset"))
 
@@ -181,21 +181,6 @@
 
     private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
 
-    private fun target(id: String) = TargetEntry(
-        HostId(id),
-        service.name,
-        Endpoint("127.0.0.1", 1),
-        FailureDomainId("ikeja"),
-        fabricDomain = null,
-        isLeaving = false,
-        coldMilliseconds = 0,
-        bornAt = 1,
-        model = null,
-        staged = emptySet(),
-        membership = null,
-        slots = 6,
-    )
-
     private class FakeHttpClient : HttpClient {
         val listeners = ArrayList<ResponseListener>()
         var isClosed = false
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -2,8 +2,6 @@
 
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.gateway.ports.ResponseMetadata
-import org.vanillalink.model.Endpoint
-import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.catalog.EngineDefinition
@@ -20,8 +18,8 @@
     private val engine =
         EngineDefinition(SLOTS, emptyList(), 6.0, 0.3, 46_000.0, 5, 4.0, 6, 300, stagedModelsPerHost = 1)
     private val engineService = ServiceDefinition(ServiceName("desk"), "/health", 100, 0.0, engine)
-    private val first = target("d-1")
-    private val second = target("d-2")
+    private val first = targetEntry("d-1")
+    private val second = targetEntry("d-2")
     private val leaving =
         ResponseMetadata("r-1", true, false, null, false, isLeaving = true, retryAfterMilliseconds = null)
     private val testSubject =
@@ -77,7 +75,7 @@
     // Guards against refusals while a group that was only avoided after a failure has capacity.
     @Test
     fun `a recently avoided group is chosen when the other groups have no capacity`() {
-        val heads = listOf(target("h-1"), target("h-2"))
+        val heads = listOf(targetEntry("h-1"), targetEntry("h-2"))
         testSubject.view = groupsOf(heads)
         repeat(SLOTS + 1) { testSubject.recordSent(heads[0], now = 1_000) }
         testSubject.avoid(heads[1].id, now = 1_000)
@@ -88,7 +86,7 @@
     // Guards against refusals while a group that has only stalled briefly, on its first prompts, has capacity.
     @Test
     fun `a briefly stalled group is chosen when the other groups have no capacity`() {
-        val heads = listOf(target("h-1"), target("h-2"))
+        val heads = listOf(targetEntry("h-1"), targetEntry("h-2"))
         testSubject.view = groupsOf(heads)
         repeat(SLOTS + 1) { testSubject.recordSent(heads[0], now = 1_290) }
         testSubject.recordSent(heads[1], now = 1_000)
@@ -99,7 +97,7 @@
 
     @Test
     fun `a group stalled for long is not chosen while other groups only lack capacity`() {
-        val heads = listOf(target("h-1"), target("h-2"))
+        val heads = listOf(targetEntry("h-1"), targetEntry("h-2"))
         testSubject.view = groupsOf(heads)
         repeat(SLOTS + 1) { testSubject.recordSent(heads[0], now = 1_990) }
         testSubject.recordSent(heads[1], now = 1_000)
@@ -126,21 +124,6 @@
 
     private fun backingOff(milliseconds: Long) = leaving.copy(isLeaving = false, retryAfterMilliseconds = milliseconds)
 
-    private fun target(id: String) = TargetEntry(
-        id = HostId(id),
-        service = ServiceName("desk"),
-        endpoint = Endpoint("127.0.0.1", 1),
-        failureDomain = FailureDomainId("ikeja"),
-        fabricDomain = null,
-        isLeaving = false,
-        coldMilliseconds = 0,
-        bornAt = 1,
-        model = null,
-        staged = emptySet(),
-        membership = null,
-        slots = 6,
-    )
-
     private companion object {
         const val SLOTS = 12
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
@@ -72,8 +72,8 @@
     private val random: Random,
 ) {
     private val losses = LinkedHashMap<TargetInstance, TargetLoss>()
-
     private val answers = TraitAnswers()
+    private val lossReports = LossReports(answers)
     private val ownSurvivals = RecentTimes<TargetInstance>(MAX_LOSSES)
     private val peerSurvivals = RecentTimes<TargetInstance>(MAX_LOSSES)
     private val blocks = LinkedHashMap<RequestTrait, PoisonBlock>()
@@ -205,11 +205,11 @@
     /** The evidence to report to peers. Older losses are reported as the blocks that they led to. */
     fun buildReport(now: Long): PoisonReport {
         val recent = losses.values.filter { now - it.at < REPORTED_MILLISECONDS }.takeLast(MAX_REPORTED)
-        val ownAnswers = answers.reportOwn(recent, reportedBlocks.keys, now)
+        val ownAnswers = lossReports.reportAnswers(recent, reportedBlocks.keys, now)
         val survivals = ownSurvivals.since(now - REPORTED_MILLISECONDS).map { ReportedSurvival(it.key, now - it.value) }
         val latestBlocks = blocks.values.toList().takeLast(MAX_REPORTED)
         return PoisonReport(
-            answers.reportLosses(recent, now),
+            lossReports.reportLosses(recent, now),
             ownAnswers,
             survivals,
             latestBlocks.map { ReportedBlock(it.trait, now - it.lastLossAt, it.targets) },
