--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -233,15 +233,17 @@
             attempts -= 1
             sentAttempts -= 1
         }
-        val canTryAgain = now < request.responseDeadline && attempts < request.route.maxAttempts
-        if (canTryAgain) startAttempt(resumeFrom()) else onNoTarget()
+        if (mayAttemptAgain) startAttempt(resumeFrom()) else onNoTarget()
     }
 
     /** Whether the request may be executed again at another target. */
-    protected fun canRepeat(): Boolean = request.route.isRepeatable &&
-        now < request.responseDeadline &&
-        attempts < request.route.maxAttempts &&
-        context.state.poisonDetector.findBlock(signature, now) == null
+    protected fun canRepeat(): Boolean = request.route.isRepeatable && mayAttemptAgain
+
+    private val mayAttemptAgain: Boolean
+        get() =
+            now < request.responseDeadline &&
+                attempts < request.route.maxAttempts &&
+                context.state.poisonDetector.findBlock(signature, now) == null
 
     protected open fun resumeFrom(): Long? = null
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -159,6 +159,20 @@
         assertEquals(502, response.status)
     }
 
+    // Guards against crashing a target with a request that another target rejected before its part became known.
+    @Test
+    fun `a call that its target rejects is not sent again when its part is blocked`() {
+        start(fingerprint = "r", part = "bad")
+        listOf("t-7", "t-8", "t-9").forEach {
+            state.poisonDetector.recordLoss(targetEntry(it).instance, signature(it, "bad"), 0)
+        }
+        state.poisonDetector.update(0)
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1"))
+
+        assertEquals(1, http.listeners.size)
+        assertEquals(503, response.status)
+    }
+
     private fun start(
         fingerprint: String = "f",
         part: String = "p",
@@ -259,7 +273,15 @@
         override fun readResponse(
             status: Int,
             headers: HeaderFields,
-        ) = ResponseMetadata("id", isSigned = true, isNotRun = false, null, false, false, null)
+        ) = ResponseMetadata(
+            "id",
+            isSigned = true,
+            isNotRun = headers["not-executed"] != null,
+            null,
+            false,
+            false,
+            null,
+        )
 
         override fun responseHeaders(headers: HeaderFields) = headers
     }
