Share the limits that targets name among all daemons

Cause: the field was passed on to callers and nothing else read it. Class of fault: a bound on the sum over all daemons needs a rule for each daemon's part; there was one for cold targets and for retries, and none for what targets ask for.

The fix: a daemon remembers the last limit that each instance of a target named, reports it to its peers with its age, and takes a part of it in proportion to its callers' demand, which daemons report to each other anyway (LimitSharing). At most one daemon for each request per second of the limit, and three more, have a part, chosen by a hash that all agree on, so that the sum holds in fleets where a part would be less than a request. A leaky bucket for each target keeps the part. An answer without the field ends the limit if its request was sent after the limit was last named. A target whose part is used up is no candidate; a request that finds no other is refused at once with the time until the limit allows one. Lines target-limited, target-limit-ended and target-limit-unreadable, the trail of a refused request, and the metrics limits.allowed, limits.sent and targets.limited show the limit, this daemon's share and how much of it is used.

Evidence: both new tests of ServingPathTest fail without the change: "20 in 0.167555601 s" where 5.1 requests are allowed, and "timed out waiting until requests are refused". SharedLimitFleetTest holds the bound with lost messages, restarts and shifting loads in fleets of 1 to 60 daemons, and asks that four fifths of each limit are used while callers want twice as much.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -121,6 +121,19 @@
             it.state.poisonDetector.blockCount
                 .toDouble()
         }
+        meterRegistry.gauge("vanillalink.targets.limited", traffic) {
+            it
+                .limits()
+                .count { limit ->
+                    limit.requestsPerSecond !=
+                        null
+                }.toDouble()
+        }
+        meterRegistry.gauge("vanillalink.limits.allowed", traffic) { it.state.limitedTargets.usage.allowed }
+        meterRegistry.gauge("vanillalink.limits.sent", traffic) {
+            it.state.limitedTargets.usage.sent
+                .toDouble()
+        }
         meterRegistry.gauge("vanillalink.log.dropped", ports) { it.droppedLogLines().toDouble() }
         controlLoop.start()
         peerExchange.start()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -29,6 +29,7 @@
 import org.vanillalink.serving.peers.OwnStatus
 import org.vanillalink.serving.peers.PeerDirectory
 import org.vanillalink.serving.peers.PeerMessage
+import org.vanillalink.serving.peers.ReportedDemand
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.ServingGroups
 import org.vanillalink.serving.targets.TargetEntry
@@ -130,6 +131,7 @@
         sequence: Long,
         startedAt: Long,
         poison: PoisonReport,
+        includesLimits: Boolean,
     ): PeerMessage {
         val ownStatus =
             OwnStatus(ownState, peerDirectory, controlledDomains, settings.failureDomains.size, clock.steady())
@@ -148,6 +150,7 @@
             poison = poison,
             leaving = traffic.leavingTargets().take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet(),
             controlled = ownStatus.controlledDomains(includesGroups),
+            limits = if (includesLimits) ownStatus.limits(isSameDomain, traffic.limits()) else emptyList(),
         )
     }
 
@@ -324,6 +327,8 @@
                 plainTargets = targetIndex.updatedFor(registryState.directory).plainTargets,
                 evacuated = registryState.evacuated,
                 budgetDaemons = peerDirectory.budgetDaemons(now),
+                daemonDemand =
+                    ReportedDemand(settings.daemon, settings.failureDomain, traffic.demand(), peerDirectory, now),
             ),
         )
         recordOwnDomains(ownDomains)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
 
@@ -13,7 +14,7 @@
     /** Requests in progress at each target. */
     fun inFlight(): Map<HostId, Int>
 
-    /** The slot demand of callers of this daemon, by model. */
+    /** The slot demand of callers of this daemon, by model or plain service. */
     fun demand(): Map<String, Double>
 
     /** Groups whose responses are stalled at this daemon. */
@@ -22,6 +23,12 @@
     /** Targets that recently announced to this daemon that they leave. */
     fun leavingTargets(): Set<TargetInstance>
 
+    /** The limits that targets have named in answers to this daemon. */
+    fun limits(): List<ReportedLimit>
+
+    /** Changes with [limits]. */
+    val limitsVersion: Long
+
     /** Whether this daemon has received any request. */
     fun hasTraffic(): Boolean
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -65,8 +65,14 @@
         val now = clock.steady()
         recipients
             .filter { it in endpoints }
-            .groupBy { MessageVariant(isInSameDomain(it), needsGroups(it, now), needsPoisonReport(it, now)) }
-            .forEach { (variant, variantRecipients) -> send(variantRecipients, variant) }
+            .groupBy {
+                MessageVariant(
+                    isInSameDomain(it),
+                    needsGroups(it, now),
+                    needsPoisonReport(it, now),
+                    needsLimits(it, now),
+                )
+            }.forEach { (variant, variantRecipients) -> send(variantRecipients, variant) }
     }
 
     private fun needsGroups(
@@ -91,6 +97,14 @@
         return now - sent.at >= interval
     }
 
+    private fun needsLimits(
+        peer: DaemonId,
+        now: Long,
+    ): Boolean {
+        val sent = sendStates[peer]?.limits ?: return true
+        return sent.version != traffic.limitsVersion || now - sent.at >= LIMITS_RESEND_MILLISECONDS
+    }
+
     private fun send(
         recipients: List<DaemonId>,
         variant: MessageVariant,
@@ -99,9 +113,17 @@
         val now = clock.steady()
         val sentGroups = SentDetails(controlLoop.groupsVersion, now)
         val sentPoison = SentDetails(traffic.poisonVersion, now)
+        val sentLimits = SentDetails(traffic.limitsVersion, now)
         val poison = if (variant.includesPoison) traffic.poisonReport() else PoisonReport()
         val message =
-            controlLoop.buildPeerMessage(variant.isSameDomain, variant.includesGroups, sequence, startedAt, poison)
+            controlLoop.buildPeerMessage(
+                variant.isSameDomain,
+                variant.includesGroups,
+                sequence,
+                startedAt,
+                poison,
+                variant.includesLimits,
+            )
         val content = PeerMessageCodec.encode(message)
         recipients.forEach { daemon ->
             socket.send(endpoints.getValue(daemon), content)
@@ -112,6 +134,7 @@
                     now + message.period,
                     if (variant.includesGroups || previous == null) sentGroups else previous.groups,
                     if (variant.includesPoison || previous == null) sentPoison else previous.poison,
+                    if (variant.includesLimits || previous == null) sentLimits else previous.limits,
                 )
         }
     }
@@ -196,6 +219,9 @@
 
         /** Blocks change rarely, and losses reach other domains from each daemon that has heard of them. */
         const val POISON_RESEND_MILLISECONDS = 5_000L
+
+        /** Limits how long a peer doesn't know a limit, or its end, after a lost datagram. */
+        const val LIMITS_RESEND_MILLISECONDS = 3_000L
         val STARTUP_REFRESH_INTERVAL: Duration = Duration.ofMillis(500)
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
+import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
@@ -45,6 +46,13 @@
         poison = node.get("poison")?.let(PoisonReportParser::parse) ?: PoisonReport(),
         leaving = node.required("leaving").map(PoisonReportParser::parseInstance).toSet(),
         controlled = node.required("controlled").map(::parseControlledDomain),
+        limits = node.get("limits")?.map(::parseLimit).orEmpty(),
+    )
+
+    private fun parseLimit(node: JsonNode) = ReportedLimit(
+        target = PoisonReportParser.parseInstance(node.required("target")),
+        requestsPerSecond = node.required("requestsPerSecond").takeIf { it.isNumber }?.asDouble(),
+        age = node.number("age"),
     )
 
     private fun parseControlledDomain(node: JsonNode) = ControlledDomain(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerSendState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerSendState.kt
@@ -9,6 +9,7 @@
     val nextSendAt: Long,
     val groups: SentDetails,
     val poison: SentDetails,
+    val limits: SentDetails,
 )
 
 /** The version of a part of this daemon's messages that was last sent, and when. */
@@ -22,4 +23,5 @@
     val isSameDomain: Boolean,
     val includesGroups: Boolean,
     val includesPoison: Boolean,
+    val includesLimits: Boolean,
 )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -31,6 +31,22 @@
     val lastEventId: Long?,
 )
 
+/** What a target's response says about the requests per second that it takes from all daemons together. */
+sealed interface NamedLimit {
+    /** The response names no limit. */
+    data object None : NamedLimit
+
+    /** A limit of [requests] per second. */
+    data class PerSecond(
+        val requests: Double,
+    ) : NamedLimit
+
+    /** The response names a limit that is not a single decimal number; [text] is its beginning. */
+    data class Unreadable(
+        val text: String,
+    ) : NamedLimit
+}
+
 /** The metadata of a target's response. */
 data class ResponseMetadata(
     val requestId: String?,
@@ -46,6 +62,7 @@
     val isLeaving: Boolean,
     /** How long the target wants no further requests, or null where it sent no Retry-After. */
     val retryAfterMilliseconds: Long?,
+    val limit: NamedLimit = NamedLimit.None,
 )
 
 /** Reads and writes the metadata. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -43,6 +43,7 @@
     }
 
     override fun onComplete() {
+        context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
         releaseTarget()
         mayHaveRun = true
         if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -158,6 +158,9 @@
         currentTargetEntry?.let { context.state.recordMetadata(it, metadata, now) }
         if (status in SUCCESSES && metadata.isSigned) currentTargetEntry?.let { evidence.recordSuccess(it.instance) }
         val fault = findFault(status, metadata, request.metadata.requestId)
+        currentTargetEntry?.instance?.let {
+            context.state.limitedTargets.recordResponse(it, metadata, fault == null, evidence.startedAt, now)
+        }
         when {
             fault != null -> {
                 failAttempt(fault)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -100,7 +100,7 @@
             else -> {
                 if (!endsWithConnection) evidence.recordAnswer(firstEventAt ?: now)
                 startResponse()
-                request.metadata.model?.let { context.state.demand.recordCompletion(it, attemptMilliseconds, now) }
+                context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
                 finish(if (resumptions == 0) "answered" else "answered-resumed", status)
                 response.finish()
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -9,8 +9,10 @@
 import org.vanillalink.gateway.peers.PoisonBlocks
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.LimitEvent
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedBlock
+import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
@@ -52,6 +54,13 @@
     @Volatile
     private var leavingTargets: Set<TargetInstance> = emptySet()
 
+    @Volatile
+    private var limits: List<ReportedLimit> = emptyList()
+
+    @Volatile
+    override var limitsVersion = 0L
+        private set
+
     @Volatile
     private var hasTraffic = false
     private var lastCleanupAt = 0L
@@ -69,6 +78,8 @@
 
     override fun leavingTargets(): Set<TargetInstance> = leavingTargets
 
+    override fun limits(): List<ReportedLimit> = limits
+
     override fun hasTraffic(): Boolean = hasTraffic
 
     /** The evidence about poison requests for peers. */
@@ -103,6 +114,7 @@
         )
         state.reachabilityMonitor.recordDaemonMessage(message.failureDomain, time)
         state.poisonDetector.recordReport(message.poison, time)
+        state.limitedTargets.limits.recordReport(message.limits, time)
     }
 
     private fun check() {
@@ -120,6 +132,7 @@
         inFlightCounts = state.inFlight.localCounts()
         demand = state.demand.slotDemand(time)
         updatePoisonBlocks(time)
+        updateLimits(time)
         leavingTargets = state.leavingSince(time - REPORT_WINDOW_MILLISECONDS)
         if (time - lastCleanupAt > CLEANUP_INTERVAL_MILLISECONDS) {
             lastCleanupAt = time
@@ -128,6 +141,50 @@
         eventLoops.schedule(CHECK_INTERVAL, ::check)
     }
 
+    private fun updateLimits(time: Long) {
+        state.limitedTargets.updateUsage(time)
+        state.limitedTargets.limits.takeEvents().forEach { event ->
+            when (event) {
+                is LimitEvent.Changed -> {
+                    logLimit(event, time)
+                }
+
+                is LimitEvent.Unreadable -> {
+                    eventLogger.record(
+                        "target-limit-unreadable",
+                        "target" to event.target.id,
+                        "expected" to "requests per second as a decimal number",
+                        "limit" to event.text,
+                    )
+                }
+            }
+        }
+        limits = state.limitedTargets.limits.report(time)
+        limitsVersion = state.limitedTargets.limits.version
+    }
+
+    private fun logLimit(
+        change: LimitEvent.Changed,
+        time: Long,
+    ) {
+        val share = change.requestsPerSecond?.let { state.limitedTargets.share(change.target) }
+        val usage = state.limitedTargets.usage
+        eventLogger.record(
+            if (change.requestsPerSecond == null) "target-limit-ended" else "target-limited",
+            "target" to change.target.id,
+            "bornAt" to change.target.bornAt,
+            "limit" to change.requestsPerSecond,
+            "before" to change.previousRequestsPerSecond,
+            "source" to if (change.isReportedByPeer) "peer" else "response",
+            "sinceMs" to time - change.limitedSince,
+            "share" to share?.requestsPerSecond?.let(::roundForLog),
+            "holders" to share?.holders,
+            "daemons" to state.view.daemonDemand.daemons.size,
+            "allowed" to roundForLog(usage.allowed),
+            "sent" to usage.sent,
+        )
+    }
+
     private fun updatePoisonBlocks(time: Long) {
         state.poisonDetector.daemons = state.view.budgetDaemons
         state.poisonDetector.update(time)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -20,6 +20,7 @@
 import org.vanillalink.serving.balancing.RetryBudgetSettings
 import org.vanillalink.serving.balancing.StallDetector
 import org.vanillalink.serving.balancing.TargetAvailability
+import org.vanillalink.serving.balancing.TargetRateLimiter
 import org.vanillalink.serving.balancing.TargetSelector
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
@@ -49,6 +50,7 @@
     private val targetAvailability = TargetAvailability()
     private val leavingNoticedAt = HashMap<TargetInstance, Long>()
     private val coldTargetLimiter = ColdTargetLimiter()
+    val limitedTargets = LimitedTargets(coldTargetLimiter) { view }
     private val targetSelector = TargetSelector(random)
     private val retryBudgets = HashMap<ServiceName, RetryBudget>()
     private val avoidedUntil = HashMap<HostId, Long>()
@@ -130,21 +132,27 @@
         val usable = targets.filter { isUsable(it, now) }
         val least = usable.minOfOrNull { inFlight.total(it.id, now) }
         val unhealthy = usable.count { !isHealthy(it, now) }
-        return "full(targets=${targets.size},closed=${targets.size - usable.size},least=$least,unsound=$unhealthy)"
+        val counts = "targets=${targets.size},closed=${targets.size - usable.size},least=$least,unsound=$unhealthy"
+        return "full($counts${limitedTargets.describe(usable, now)})"
     }
 
     /**
-     * The milliseconds until the first target for a call of [model] to [service] takes requests again, if all of them
-     * sent a Retry-After; else null.
+     * The milliseconds until a target that has no room now takes a call of [model] to [service] again: the first one
+     * that sent a Retry-After, if all did, or whose limit is used up. Null if that isn't known.
      */
     fun retryAfterMilliseconds(
         service: ServiceDefinition,
         model: String?,
         now: Long,
-    ): Long? = targets(service, model)
-        .filter { acceptsRequests(it) }
-        .minOfOrNull { targetAvailability.remainingBackOff(it.instance, now) }
-        ?.takeIf { it > 0 }
+    ): Long? {
+        val accepting = targets(service, model).filter { acceptsRequests(it) }
+        val limitDelays = accepting.map { limitedTargets.delay(it, now) }
+        val backOffs = accepting.map { targetAvailability.remainingBackOff(it.instance, now) }
+        val delays = backOffs.zip(limitDelays, ::maxOf)
+        // If some targets are merely full, it isn't known when they have room.
+        val known = if (delays.all { it > 0 }) delays else limitDelays
+        return known.filter { it > 0 && it != TargetRateLimiter.NEVER }.minOrNull()
+    }
 
     private fun targets(
         service: ServiceDefinition,
@@ -220,7 +228,8 @@
     ): Candidate {
         val coldRate = service.coldRequestsPerSecond
         val isAdmitted = coldRate <= 0 || coldTargetLimiter.isAllowed(target.id, now, coldRate, budgetDaemons)
-        return Candidate(target.id, inFlight.total(target.id, now), limit, isAdmitted)
+        val isWithinRateLimits = isAdmitted && limitedTargets.delay(target, now) == 0L
+        return Candidate(target.id, inFlight.total(target.id, now), limit, isWithinRateLimits)
     }
 
     /** Prefers other targets over [target] for a while, after a failure. */
@@ -239,6 +248,7 @@
         inFlight.recordStart(entry.id)
         stallDetector.recordStart(entry.id, now)
         coldTargetLimiter.recordSent(entry.id, now)
+        limitedTargets.recordSent(entry.id)
         failureDomainByTarget[entry.id] = entry.failureDomain
     }
 
@@ -258,7 +268,17 @@
         now: Long,
     ) {
         retryBudget(service.name).recordRequest(now)
-        if (service.engine != null && model != null) demand.recordRequest(model, now)
+        service.capacityName(model)?.let { demand.recordRequest(it, now) }
+    }
+
+    /** Records a complete answer of [service], of [model] where it has an engine, that took [milliseconds]. */
+    fun recordCompletion(
+        service: ServiceDefinition,
+        model: String?,
+        milliseconds: Long,
+        now: Long,
+    ) {
+        service.capacityName(model)?.let { demand.recordCompletion(it, milliseconds, now) }
     }
 
     /** Takes one retry for [service] from the budget; returns whether it was available. */
@@ -271,10 +291,10 @@
     fun removeExpired(now: Long) {
         avoidedUntil.values.removeIf { it <= now }
         val currentView = view
-        val knownTargets =
-            (currentView.groups.map { it.head } + currentView.plainTargets.values.flatten()).map { it.id }.toSet()
+        val knownTargets = currentView.targets().map { it.id }.toSet()
         failureDomainByTarget.keys.retainAll(knownTargets + stallDetector.targetsWithRequests())
         coldTargetLimiter.retainTargets(knownTargets)
+        limitedTargets.removeExpired(knownTargets, now)
         targetAvailability.removeExpired(now)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
@@ -3,8 +3,11 @@
  */
 package org.vanillalink.gateway.traffic
 
+import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
+import org.vanillalink.serving.balancing.DaemonDemand
 import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetEntry
@@ -16,7 +19,15 @@
     val head: TargetEntry,
 )
 
-/** An immutable view. */
+/** Without peers, this daemon has each limit for itself. */
+private object SingleDaemon : DaemonDemand {
+    override val own = DaemonId("own")
+    override val daemons = setOf(own)
+
+    override fun demandFor(capacity: String): Map<DaemonId, Double> = emptyMap()
+}
+
+/** An immutable view, except that [daemonDemand] is evaluated by the traffic thread when it is needed. */
 class TrafficView(
     val catalog: Catalog? = null,
     val groups: List<RoutableGroup> = emptyList(),
@@ -26,9 +37,22 @@
     val evacuated: Set<FailureDomainId> = emptySet(),
     /** How many daemons share the budgets. */
     val budgetDaemons: Int = 1,
+    /** By which the limits that targets name are divided among daemons. */
+    val daemonDemand: DaemonDemand = SingleDaemon,
 ) {
     private val byModel = groups.groupBy { it.head.service to it.model }
 
+    private val capacityByTarget by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        groups.associate { it.head.id to it.model } +
+            plainTargets.flatMap { (service, targets) -> targets.map { it.id to service.value } }
+    }
+
+    /** All targets that requests are sent to: the heads of groups and those of plain services. */
+    fun targets(): List<TargetEntry> = groups.map { it.head } + plainTargets.values.flatten()
+
+    /** The model or plain service that [target] serves, or null if it gets no requests. */
+    fun capacityOf(target: HostId): String? = capacityByTarget[target]
+
     fun groups(
         service: ServiceName,
         model: String,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -7,6 +7,7 @@
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedAnswer
 import org.vanillalink.serving.balancing.ReportedBlock
+import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.balancing.ReportedLoss
 import org.vanillalink.serving.balancing.ReportedSurvival
 import org.vanillalink.serving.balancing.RequestFingerprint
@@ -57,6 +58,11 @@
                     ),
                     ControlledDomain(FailureDomainId("lekki"), 3, null, emptySet(), isSameAsBefore = true),
                 ),
+            limits =
+                listOf(
+                    ReportedLimit(target, 4.8, 13),
+                    ReportedLimit(TargetInstance(HostId("i-5"), null), null, 14),
+                ),
         )
 
     @Test
@@ -68,9 +74,12 @@
     @Test
     fun `a message of an earlier version is decoded, and the current one has the fields that it requires`() {
         val content = testSubject.encode(message).decodeToString()
-        val earlier = content.replace("\"poison\"", "\"other\"")
+        val earlier = content.replace("\"poison\"", "\"other\"").replace("\"limits\"", "\"another\"")
 
-        assertEquals(message.copy(poison = PoisonReport()), testSubject.decode(earlier.toByteArray()).getOrNull())
+        assertEquals(
+            message.copy(poison = PoisonReport(), limits = emptyList()),
+            testSubject.decode(earlier.toByteArray()).getOrNull(),
+        )
         assertTrue("\"strikes\":[]" in content)
     }
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageSizeTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageSizeTest.kt
@@ -8,6 +8,7 @@
 import org.vanillalink.serving.balancing.PoisonRequestDetector
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.TargetLimits
 import org.vanillalink.serving.peers.HeartbeatRole
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
@@ -76,6 +77,23 @@
         assertTrue(localBytes + remoteBytes <= MAX_INCIDENT_BYTES_PER_SECOND, "$size bytes")
     }
 
+    // Guards against limits of many targets that make the messages between daemons fill their links.
+    @Test
+    fun `the limits of many targets fit a part of the bandwidth budget for control`() {
+        val limits = TargetLimits()
+        repeat(
+            200,
+        ) { limits.recordNamed(TargetInstance(HostId("i-c94d8f36$it"), 1_778_560_409_160), 4.8 + it, now = 0) }
+        val reports = limits.report(now = 20_000)
+        val size = messageBytes(message.copy(limits = reports)) - messageBytes(message)
+
+        // Resent every three seconds.
+        val localBytes = (role.daemonsInDomain - 1) * size / 3
+        val remoteBytes = role.daemonsInDomain * (role.failureDomainCount - 1) * size * 2 / 3
+        assertTrue(localBytes <= BUDGET_BYTES_PER_SECOND / 2, "$localBytes bytes per second")
+        assertTrue(remoteBytes <= MAX_INCIDENT_BYTES_PER_SECOND, "$remoteBytes bytes per second of a representative")
+    }
+
     private fun messageBytes(message: PeerMessage): Long = PeerMessageCodec.encode(message).size.toLong()
 
     private companion object {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -12,6 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 internal class TrafficStateTest {
     private val plainService = ServiceDefinition(ServiceName("desk"), "/health", 100, 0.0, engine = null)
@@ -114,6 +115,67 @@
         assertEquals(emptySet(), testSubject.leavingSince(1_000))
     }
 
+    // Guards against requests that wait at a target, or are refused, because another one has named a limit.
+    @Test
+    fun `requests go to the other targets while the limit of one is used up`() {
+        nameLimit(first, 0.5)
+        repeat(10) {
+            testSubject.recordSent(first, now = 1_000)
+            testSubject.recordEnded(first.id, hasResponseBegun = true)
+        }
+
+        assertEquals(setOf(second.id), chooseRepeatedly(now = 1_000))
+        assertEquals(setOf(first.id, second.id), chooseRepeatedly(now = 60_000))
+    }
+
+    @Test
+    fun `a refusal names the time until a limit allows a request and, in the log, the limit and the share`() {
+        nameLimit(first, 0.5)
+        nameLimit(second, 0.5)
+        assertEquals(setOf(first.id, second.id), chooseRepeatedly(now = 1_000))
+        repeat(5) {
+            testSubject.recordSent(first, now = 1_000)
+            testSubject.recordSent(second, now = 1_000)
+        }
+
+        assertEquals(emptySet(), chooseRepeatedly(now = 1_000))
+        val delay = testSubject.retryAfterMilliseconds(plainService, null, now = 1_000) ?: 0
+        assertTrue(delay in 1..10_000, "$delay")
+        val description = testSubject.describe(plainService, null, now = 1_000)
+        assertTrue("limited=2" in description && "limit=0.5:share=0.5:in=${delay}ms" in description, description)
+    }
+
+    @Test
+    fun `a limit and the limit of a cold target apply together`() {
+        val coldService = plainService.copy(coldRequestsPerSecond = 2.0)
+        testSubject.view = TrafficView(plainTargets = mapOf(plainService.name to listOf(first)))
+        nameLimit(first, 100.0)
+        testSubject.recordSent(first, now = 1_000)
+        testSubject.recordSent(first, now = 1_000)
+
+        assertNull(testSubject.chooseTarget(coldService, null, emptySet(), now = 1_000))
+        assertEquals(first.id, testSubject.chooseTarget(coldService, null, emptySet(), now = 2_100)?.entry?.id)
+    }
+
+    // Guards against the response to another request, or a rejection, that ends a limit.
+    @Test
+    fun `only the own response of a request sent after the limit was named ends it`() {
+        nameLimit(first, 0.5)
+        val limitedTargets = testSubject.limitedTargets
+        val response = leaving.copy(isLeaving = false)
+        limitedTargets.recordResponse(first.instance, response, isUsable = false, sentAt = 1_100, now = 1_200)
+        limitedTargets.recordResponse(first.instance, response.copy(isNotRun = true), true, sentAt = 1_100, now = 1_200)
+        assertEquals(0.5, limitedTargets.limits.find(first.instance))
+
+        limitedTargets.recordResponse(first.instance, response, isUsable = true, sentAt = 1_100, now = 1_200)
+        assertNull(limitedTargets.limits.find(first.instance))
+    }
+
+    private fun nameLimit(
+        target: TargetEntry,
+        limit: Double,
+    ) = testSubject.limitedTargets.limits.recordNamed(target.instance, limit, now = 1_000)
+
     private fun groupsOf(heads: List<TargetEntry>) =
         TrafficView(groups = heads.map { RoutableGroup(GroupKey("g-${it.id}", 1), "m0", it) })
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ColdTargetLimiter.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ColdTargetLimiter.kt
@@ -31,6 +31,16 @@
         removeExpired(sentAt, now)
     }
 
+    /** How many requests this daemon has sent to [target] within the last second. */
+    fun sentWithinWindow(
+        target: HostId,
+        now: Long,
+    ): Int {
+        val sentAt = sentAtByTarget[target] ?: return 0
+        removeExpired(sentAt, now)
+        return sentAt.size
+    }
+
     /** Drops the state of all targets other than [targets]. */
     fun retainTargets(targets: Set<HostId>) {
         sentAtByTarget.keys.retainAll(targets)
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
@@ -1,5 +1,6 @@
 /*
- * Estimates how many slots the callers of each model need at once: arrival rate times slot occupancy (Little's law).
+ * Estimates how many slots the callers of each model, or of each plain service, need at once: arrival rate times slot
+ * occupancy (Little's law).
  *
  * Refused requests count as arrivals, since otherwise an overloaded model would appear to have enough slots. Occupancy
  * is taken from complete answers, so it follows the engine's batch sizes and the lengths of the prompts.
@@ -8,7 +9,7 @@
 
 import kotlin.math.exp
 
-/** Exponentially decaying estimates per model; times are milliseconds on the steady clock. Not thread safe. */
+/** Exponentially decaying estimates per model or plain service; times are in milliseconds. Not thread safe. */
 class ModelDemand {
     private class DecayingSum(
         private val timeConstantMilliseconds: Double,
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
@@ -13,8 +13,8 @@
     val inFlight: Int,
     /** The target is full with this many requests in flight: one more would not be answered in time. */
     val maxInFlight: Int,
-    /** Whether the rate limit of a cold target allows one more request. */
-    val isWithinColdLimit: Boolean,
+    /** Whether the limits of a cold target, and those that the target has named, allow one more request now. */
+    val isWithinRateLimits: Boolean,
     /** How much slower the target works than others; 1 is the usual speed. */
     val slowdownFactor: Double = 1.0,
 )
@@ -39,7 +39,7 @@
         loadTolerance: Int = 0,
         daemonCount: Int = 1,
     ): Candidate? {
-        val open = sample(candidates.filter { it.isWithinColdLimit && it.inFlight < it.maxInFlight }, daemonCount)
+        val open = sample(candidates.filter { it.isWithinRateLimits && it.inFlight < it.maxInFlight }, daemonCount)
         if (open.isEmpty()) return null
         val maxLoad = open.minOf(::load) + loadTolerance
         return open.filter { load(it) <= maxLoad }.random(random)
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
@@ -74,7 +74,10 @@
     val connectionsPerTarget: Int,
     val coldRequestsPerSecond: Double,
     val engine: EngineDefinition?,
-)
+) {
+    /** What a request of [model] needs the capacity of: the model, or this service if it has no engine. */
+    fun capacityName(model: String?): String? = if (engine == null) name.value else model
+}
 
 /** A workspace and its keys. Its [priority], if set, overrides that of the route. */
 data class Workspace(
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.serving.peers
 
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.ReportedLimit
 
 /** The status of the daemon [own], which has control of [controlledDomains]; [peers] holds its peers' messages. */
 class OwnStatus(
@@ -32,12 +33,26 @@
         counts: Map<HostId, Int>,
     ): Map<HostId, Int> = aggregate(isSameDomain, counts, PeerMessage::inFlight, Int::plus)
 
-    /** The slot demand by model to announce to such peers; [slots] is the demand of this daemon's own callers. */
+    /** The slot demand by model or plain service to announce to such peers; [slots] is that of own callers. */
     fun demand(
         isSameDomain: Boolean,
         slots: Map<String, Double>,
     ): Map<String, Double> = aggregate(isSameDomain, slots, PeerMessage::demand, Double::plus)
 
+    /** The limits of targets to report to such peers; [limits] is what this daemon has observed itself. */
+    fun limits(
+        isSameDomain: Boolean,
+        limits: List<ReportedLimit>,
+    ): List<ReportedLimit> {
+        if (isSameDomain) return limits
+        if (!representsDomain) return emptyList()
+        return (limits + peers.reportedLimits(own.failureDomain, now))
+            .groupBy { it.target.id }
+            .map { (_, reports) -> reports.minBy { it.age } }
+            .sortedBy { it.age }
+            .take(MAX_LIMITS_PER_MESSAGE)
+    }
+
     private fun <K, V : Any> aggregate(
         isSameDomain: Boolean,
         own: Map<K, V>,
@@ -56,4 +71,9 @@
     /** The domains that this daemon controls; [withGroups] is false for peers that have already received the groups. */
     fun controlledDomains(withGroups: Boolean): List<ControlledDomain> =
         if (withGroups) controlledDomains else controlledDomains.map { it.copy(groups = null, isSameAsBefore = true) }
+
+    private companion object {
+        /** Limits the datagram size. */
+        const val MAX_LIMITS_PER_MESSAGE = 32
+    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -6,11 +6,15 @@
 
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.serving.balancing.ReportedLimit
 
 /** The latest message of a peer. */
 data class PeerState(
     val message: PeerMessage,
     val receivedAt: Long,
+    /** The limits in the latest message that had any, and when it was received. */
+    val limits: List<ReportedLimit> = message.limits,
+    val limitsReceivedAt: Long = receivedAt,
 )
 
 /** This daemon's own properties that determine which daemon should control a failure domain. */
@@ -38,7 +42,16 @@
             )
         if (isOlder) return this
         val completed = message.copy(controlled = message.controlled.map { withPreviousGroups(it, previous) })
-        return PeerDirectory(peers + (message.daemon to PeerState(completed, now)))
+        return PeerDirectory(peers + (message.daemon to stateAfter(completed, now)))
+    }
+
+    private fun stateAfter(
+        message: PeerMessage,
+        now: Long,
+    ): PeerState {
+        val previous = peers[message.daemon]
+        if (previous == null || message.limits.isNotEmpty()) return PeerState(message, now)
+        return PeerState(message, now, previous.limits, previous.limitsReceivedAt)
     }
 
     /**
@@ -78,6 +91,15 @@
         now: Long,
     ): List<PeerMessage> = alivePeers(now).map { it.message }.filter { it.failureDomain == failureDomain }
 
+    /** The limits of targets that live peers in [failureDomain] have reported, with their ages [now]. */
+    fun reportedLimits(
+        failureDomain: FailureDomainId,
+        now: Long,
+    ): List<ReportedLimit> = alivePeers(now)
+        .filter { it.message.failureDomain == failureDomain }
+        .flatMap { peer -> peer.limits.map { it.copy(age = it.age + now - peer.limitsReceivedAt) } }
+        .filter { it.age < LIMIT_REPORT_MILLISECONDS }
+
     /**
      * Whether [own] represents its failure domain: it announces the requests of the domain to others. The
      * representative has control of the domain, or, if no daemon inside has, ranks first. There is only one, so that no
@@ -100,7 +122,17 @@
     ): Boolean = now - peer.receivedAt < HeartbeatSchedule.livenessTimeout(peer.message.period)
 
     /** The number of daemons that share budgets: this one and all with a message within the longest budget window. */
-    fun budgetDaemons(now: Long): Int = 1 + peers.values.count { now - it.receivedAt < BUDGET_SHARING_MILLISECONDS }
+    fun budgetDaemons(now: Long): Int = 1 + peers.values.count { sharesBudgets(it, now) }
+
+    /** The latest messages of the peers that share limits; one that left and ended has no more requests. */
+    fun sharingMessages(now: Long): List<PeerMessage> = peers.values
+        .filter { sharesBudgets(it, now) && (!it.message.isLeaving || isAlive(it, now)) }
+        .map { it.message }
+
+    private fun sharesBudgets(
+        peer: PeerState,
+        now: Long,
+    ): Boolean = now - peer.receivedAt < BUDGET_SHARING_MILLISECONDS
 
     /**
      * Returns the daemon that should control [domain], or null if none can. Daemons that reach the store are required
@@ -172,6 +204,9 @@
         /** Longer than the window of any budget that daemons share. */
         const val BUDGET_SHARING_MILLISECONDS = 12_000L
 
+        /** Peers report limits again within a few seconds; older ones may have ended. */
+        const val LIMIT_REPORT_MILLISECONDS = 10_000L
+
         /** A daemon that reaches the store gets at least one answer within a wait for changes. */
         const val STORE_FRESH_MILLISECONDS = 1_500L
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
+import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
@@ -31,7 +32,10 @@
      * Requests in flight by target: this daemon's own; to other failure domains, those of all daemons it represents.
      */
     val inFlight: Map<HostId, Int>,
-    /** Slot demand of callers by model: this daemon's own or, as for [inFlight], of all daemons it represents. */
+    /**
+     * Slot demand of callers by model or plain service: this daemon's own or, as for [inFlight], of all daemons it
+     * represents.
+     */
     val demand: Map<String, Double>,
     /** Groups that are stalled as seen by this daemon. */
     val suspects: Set<GroupKey>,
@@ -40,6 +44,11 @@
     /** Targets that recently announced to this daemon that they are leaving. */
     val leaving: Set<TargetInstance>,
     val controlled: List<ControlledDomain>,
+    /**
+     * Limits of targets: those in answers to this daemon; to other failure domains, to all daemons it represents. Empty
+     * unless it has changed or was last sent some seconds ago.
+     */
+    val limits: List<ReportedLimit> = emptyList(),
 ) {
     /** Always empty, but daemons of earlier versions require it. */
     @Suppress("unused")
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -58,6 +58,10 @@
     @Volatile
     var fault = RunnerFault.NONE
 
+    /** The limit that the runner names in its responses as the requests per second that it takes, or null. */
+    @Volatile
+    var namedLimit: String? = null
+
     /** A part of a prompt that crashes the runner when it begins to answer a request with it, or null. */
     @Volatile
     var deadlyPromptPart: String? = null
@@ -152,6 +156,7 @@
         var headers = HeaderFields.of("request-id" to echoedId, "response-signature" to "${settings.id}.$id")
         if (fault == RunnerFault.UNNAMED) headers = headers.without(setOf("request-id"))
         if (fault == RunnerFault.LEAVING_UNLISTED) headers = headers.with("server-leaving", "1")
+        namedLimit?.let { headers = headers.with("server-limit", it) }
         val tokenUsage = request.headers["token-usage"]
         if (tokenUsage == null) {
             response.respond(OK, headers, request.body)
