Keep what is known when the store comes back from an older copy

What callers would have seen: requests sent to targets that leave, or to a failure domain that is out, because a store that came back some seconds older lists them as they were.

Cause: a full read after an outage was taken for current, whatever the store had lost. Versions were compared across eras, and a full read of the operators' records without any record was taken for one of targets. Class of fault: a version, or a read, is only meaningful in the era of the store that gave it.

The fix: each read carries the store's era (Store-Era). A follower drops responses of an earlier era that arrive late, and starts with a full read in a new one, also when it noticed no outage. Changes, which were written after the return, apply at once. Targets that leave stay leaving; those that had been removed stay so until somebody writes them again. Changes are applied before their response counts as a confirmation. Lines store-restored, metric store.restorations. The stand-in's store can come back from a copy.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -117,6 +117,7 @@
             "vanillalink.configuration.version",
             controlLoop,
         ) { (it.configurationVersion ?: 0).toDouble() }
+        meterRegistry.gauge("vanillalink.store.restorations", controlLoop) { it.restorations.toDouble() }
         meterRegistry.gauge("vanillalink.poison.blocks", traffic) {
             it.state.poisonDetector.blockCount
                 .toDouble()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -83,6 +83,12 @@
     private val decisionHoldOff = DecisionHoldOff(clock.steady())
     private var lastStoreResponseAt = clock.steady()
     private var registryFreshness = RegistryFreshness()
+    private var restoredEra: Long? = null
+
+    /** How often the store has come back from an older copy since this daemon started. Safe to read from any thread. */
+    @Volatile
+    var restorations = 0
+        private set
 
     /** Whether this daemon can serve: it has read the targets and a configuration recent enough to accept keys. */
     val isReady: Boolean
@@ -181,15 +187,47 @@
         clock,
         eventLogger,
         !settings.isFirstStart,
-        ::applyRecords,
+        { records, readKind -> applyRecords(part, records, readKind) },
         ::onStoreResponse,
+        ::onStoreRestored,
     ) { if (part == RegistryPart.TARGETS) targetPollInterval else RegistryPollInterval.MIN_INTERVAL }
 
+    /** Both parts notice the same restoration, one after the other. */
+    private fun onStoreRestored(restoration: StoreRestoration) {
+        if (restoration.era == restoredEra) return
+        restoredEra = restoration.era
+        restorations += 1
+        val now = clock.steady()
+        registryState.onStoreRestored()
+        registryFreshness = registryFreshness.copy(storeRegainedAt = now)
+        if (storeAge() < STORE_OUTAGE_THRESHOLD_MILLISECONDS) {
+            registryFreshness = registryFreshness.copy(storeLostAt = now)
+        }
+        eventLogger.record(
+            "store-restored",
+            "part" to restoration.part,
+            "era" to restoration.era,
+            "previousEra" to restoration.previousEra,
+            "version" to restoration.version,
+            "previousVersion" to restoration.previousVersion,
+            "configuration" to configurationVersion,
+            "evacuated" to registryState.evacuated.joinToString(","),
+            "targetsKept" to registryState.directory.entries.size,
+            "terms" to
+                domainControls.values.filter { it.isHeld }.joinToString(
+                    ",",
+                ) { "${it.failureDomain}:${it.term}" },
+        )
+        controlThread.scheduleOnce(Duration.ofMillis(settings.limits.relistMilliseconds), targetsFollower::refresh)
+        controlThread.scheduleOnce(RegistryState.OPERATORS_REWRITE_TIME, operatorsFollower::refresh)
+    }
+
     private fun applyRecords(
+        part: RegistryPart,
         records: List<RegistryRecord>,
         readKind: RegistryReadKind,
     ) {
-        registryState.apply(records, readKind)
+        registryState.apply(part, records, readKind)
         if (readKind == RegistryReadKind.FULL_AFTER_OUTAGE) {
             registryFreshness =
                 registryFreshness.copy(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.gateway.ports.RegistryRecord
 import org.vanillalink.gateway.ports.RegistryRecords
 import org.vanillalink.serving.catalog.ClockReading
+import org.vanillalink.store.StoreFailure
 import java.time.Duration
 
 /** Calls [onRecords] and [onResponse] on the control thread. */
@@ -25,9 +26,12 @@
     private var mayHaveMissedChanges: Boolean,
     private val onRecords: (records: List<RegistryRecord>, readKind: RegistryReadKind) -> Unit,
     private val onResponse: (part: RegistryPart, requestedAt: ClockReading) -> Unit,
+    /** Called before the first records of a new era are applied. */
+    private val onRestored: (StoreRestoration) -> Unit = {},
     private val pollInterval: () -> Duration = { RegistryPollInterval.MIN_INTERVAL },
 ) {
     private var version: Long? = null
+    private var era = StoreEra()
     private var failures = 0
 
     /** When the last store outage was noticed, or null where there was none. */
@@ -48,6 +52,7 @@
         registry.readAll(part).thenAccept { result ->
             controlThread.execute {
                 result.onRight { fullRead ->
+                    if (!followEra(fullRead, requestedAt)) return@onRight
                     applyFullRead(fullRead, fullReadKind())
                     onResponse(part, requestedAt)
                 }
@@ -57,12 +62,13 @@
 
     private fun poll() {
         val requestedAt = clock.reading()
+        val requestedEra = era.current
         val knownVersion = version
         if (knownVersion == null) {
             registry.readAll(part).thenAccept { result -> controlThread.execute { onFullRead(requestedAt, result) } }
         } else {
             registry.readChanges(part, knownVersion, MAX_CHANGE_WAIT).thenAccept { result ->
-                controlThread.execute { onChanges(requestedAt, result) }
+                controlThread.execute { onChanges(requestedAt, requestedEra, result) }
             }
         }
     }
@@ -71,6 +77,7 @@
         requestedAt: ClockReading,
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::onFailure) { fullRead ->
+        if (!followEra(fullRead, requestedAt)) return onFailure(RESPONSE_OF_EARLIER_ERA)
         applyFullRead(fullRead, fullReadKind())
         onSuccess(requestedAt)
         schedulePoll(pollInterval())
@@ -91,15 +98,36 @@
 
     private fun onChanges(
         requestedAt: ClockReading,
+        requestedEra: Long?,
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::onFailure) { changes ->
-        onSuccess(requestedAt)
+        if (!followEra(changes, requestedAt)) return onFailure(RESPONSE_OF_EARLIER_ERA)
+        // Changes since a version of an earlier era are not all that changed.
+        if (requestedEra != null && era.current != requestedEra) return poll()
         val isOutdated = changes.version < (version ?: 0)
         version = maxOf(version ?: 0, changes.version)
         if (changes.records.isNotEmpty() && !isOutdated) onRecords(changes.records, RegistryReadKind.CHANGES)
+        onSuccess(requestedAt)
         schedulePoll(pollInterval())
     }
 
+    /** Notes the era of [records]; returns whether they may be used. */
+    private fun followEra(
+        records: RegistryRecords,
+        requestedAt: ClockReading,
+    ): Boolean {
+        val previousEra = era.current
+        val observation = era.observe(records.era, requestedAt.steadyMilliseconds, clock.steady())
+        era = observation.era
+        if (observation.isRestored) {
+            val restoration = StoreRestoration(part, previousEra, era.current, version, records.version)
+            version = null
+            mayHaveMissedChanges = true
+            onRestored(restoration)
+        }
+        return observation.isUsable
+    }
+
     private fun onSuccess(requestedAt: ClockReading) {
         failingSince?.let { eventLogger.record("registry-regained", "part" to part, "afterMs" to clock.steady() - it) }
         failingSince = null
@@ -128,6 +156,8 @@
     private fun schedulePoll(pollInterval: Duration) = controlThread.scheduleOnce(pollInterval, ::poll)
 
     private companion object {
+        val RESPONSE_OF_EARLIER_ERA = RegistryFailure.Unavailable(StoreFailure.AnswerLost)
+
         /** Limits the age of the confirmed state while nothing changes. */
         val MAX_CHANGE_WAIT: Duration = Duration.ofMillis(1_000)
         const val MAX_BACKOFF_FACTOR = 4
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryState.kt
@@ -1,10 +1,15 @@
 /*
  * The state that this daemon has read from the registry: the configuration, the targets, and the evacuated failure
  * domains. Each change is logged.
+ *
+ * When the store has come back from an older copy, what this daemon knows is newer than what full reads show, until
+ * operators and targets have written their records again. So for a while full reads only add to what is known, while
+ * changes, which were written after the return, apply as usual.
  */
 package org.vanillalink.gateway.control
 
 import org.vanillalink.gateway.logs.EventLogger
+import org.vanillalink.gateway.ports.RegistryPart
 import org.vanillalink.gateway.ports.RegistryRecord
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
@@ -14,6 +19,7 @@
 import org.vanillalink.serving.targets.TargetDirectory
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
+import java.time.Duration
 
 /** How a set of records was read. */
 internal enum class RegistryReadKind {
@@ -47,14 +53,57 @@
     /** Until when entries missing from a full read are kept, since their targets may write them again. */
     private var missingEntriesKeptUntil = Long.MIN_VALUE
 
-    /** Applies [records]. */
+    /** Until when full reads of each part may show older records than those known. */
+    private var olderRecordsUntil: Map<RegistryPart, Long> = emptyMap()
+
+    /** Targets whose entries had been removed before the store came back; older records may list them. */
+    private var removedBeforeRestoration: Set<TargetInstance> = emptySet()
+    private var removedEntriesListedUntil = Long.MIN_VALUE
+
+    /** Keeps what is known although the store has come back from an older copy. */
+    fun onStoreRestored() {
+        val now = clock.steady()
+        olderRecordsUntil =
+            mapOf(
+                RegistryPart.TARGETS to now + relistMilliseconds,
+                RegistryPart.OPERATORS to now + OPERATORS_REWRITE_TIME.toMillis(),
+            )
+        removedBeforeRestoration =
+            directory.removedEntries.values
+                .map { it.instance }
+                .toSet()
+        removedEntriesListedUntil = now + REMOVED_ENTRIES_LISTED_MILLISECONDS
+        // A target doesn't revoke that it leaves, but an older entry doesn't say it.
+        directory.entries.values
+            .filter { it.isLeaving }
+            .forEach { targetAvailability.recordLeaving(it.instance, now) }
+    }
+
+    /** Applies [records] of [part]. */
     fun apply(
+        part: RegistryPart,
         records: List<RegistryRecord>,
         readKind: RegistryReadKind,
     ) {
         val previous = evacuated
-        if (readKind != RegistryReadKind.CHANGES) replaceAll(records, readKind)
-        records.forEach(::apply)
+        val mayBeOlder = clock.steady() < (olderRecordsUntil[part] ?: Long.MIN_VALUE)
+        when {
+            readKind == RegistryReadKind.CHANGES -> {
+                val written = records.filterIsInstance<RegistryRecord.Listed>().map { it.entry.instance }
+                removedBeforeRestoration = removedBeforeRestoration - written.toSet()
+                records.forEach(::apply)
+            }
+
+            mayBeOlder -> {
+                addUnknown(records)
+            }
+
+            else -> {
+                val current = records.filterNot { it is RegistryRecord.Listed && isRemoved(it.entry) }
+                replaceAll(part, current, readKind)
+                current.forEach(::apply)
+            }
+        }
         if (evacuated != previous) eventLogger.record("evacuation", "failureDomains" to evacuated.joinToString(","))
     }
 
@@ -79,12 +128,34 @@
     private fun withLeavingNotice(entry: TargetEntry): TargetEntry =
         if (entry.isLeaving || !targetAvailability.isLeaving(entry.instance)) entry else entry.copy(isLeaving = true)
 
+    /** Applies those of [records] that don't contradict what is known, which may be newer. */
+    private fun addUnknown(records: List<RegistryRecord>) {
+        records
+            .filter { record ->
+                when (record) {
+                    is RegistryRecord.Listed -> isUnknown(record.entry)
+                    is RegistryRecord.Configuration, is RegistryRecord.Evacuated -> true
+                    is RegistryRecord.Restored, is RegistryRecord.Removed, is RegistryRecord.Unreadable -> false
+                }
+            }.forEach(::apply)
+    }
+
+    /** Whether [entry] had been removed before the store came back; the store removes it again if nobody writes it. */
+    private fun isRemoved(entry: TargetEntry): Boolean =
+        entry.instance in removedBeforeRestoration && clock.steady() < removedEntriesListedUntil
+
+    private fun isUnknown(entry: TargetEntry): Boolean {
+        if (isRemoved(entry)) return false
+        val known = directory.entries[entry.id] ?: return true
+        return (entry.bornAt ?: 0) > (known.bornAt ?: 0)
+    }
+
     private fun replaceAll(
+        part: RegistryPart,
         records: List<RegistryRecord>,
         readKind: RegistryReadKind,
     ) {
-        val isOperatorsPart = records.any { it is RegistryRecord.Configuration || it is RegistryRecord.Evacuated }
-        if (isOperatorsPart) {
+        if (part == RegistryPart.OPERATORS) {
             evacuated = emptySet()
             return
         }
@@ -141,4 +212,12 @@
         eventLogger.record("record-unreadable", "key" to record.key, "reason" to record.reason)
         directory = directory.withoutEntry(HostId(record.key), clock.steady())
     }
+
+    companion object {
+        /** Longer than operators take to write their records again after the store has come back. */
+        val OPERATORS_REWRITE_TIME: Duration = Duration.ofSeconds(10)
+
+        /** Longer than three heartbeats of targets, after which the store removes entries that nobody writes. */
+        private const val REMOVED_ENTRIES_LISTED_MILLISECONDS = 6_000L
+    }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/Registry.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/Registry.kt
@@ -49,10 +49,17 @@
     ) : RegistryRecord
 }
 
-/** All records as of [version], or those changed between a requested version and [version]. */
+/**
+ * All records as of [version], or those changed between a requested version and [version].
+ *
+ * A store that comes back from an older copy has lost its latest records and gives out versions a second time, so
+ * versions of different eras can't be compared.
+ */
 data class RegistryRecords(
     val records: List<RegistryRecord>,
     val version: Long,
+    /** How often the store has come back from a copy, or null if it doesn't say. */
+    val era: Long? = null,
 )
 
 /** Why a read failed. */
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
@@ -7,8 +7,10 @@
 import org.vanillalink.gateway.ports.Registry
 import org.vanillalink.gateway.ports.RegistryFailure
 import org.vanillalink.gateway.ports.RegistryPart
+import org.vanillalink.gateway.ports.RegistryRecord
 import org.vanillalink.gateway.ports.RegistryRecords
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.HostId
 import org.vanillalink.store.StoreFailure
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
@@ -33,6 +35,7 @@
             mayHaveMissedChanges = false,
             onRecords = { _, readKind -> received += "$readKind" },
             onResponse = { _, _ -> received += "answered" },
+            onRestored = { received += "restored to ${it.era}" },
         )
 
     @AfterTest
@@ -80,6 +83,53 @@
         assertEquals(listOf("answered"), received)
     }
 
+    // Guards against changes since a version that the store has given out a second time; others are missing.
+    @Test
+    fun `changes of a new era are not applied, and a full read follows`() {
+        testSubject.start()
+        registry.completeFullRead(9, era = 1)
+        awaitControlThread()
+        received.clear()
+        registry.completeChanges(RegistryRecords(listOf(REMOVAL), 12, era = 2))
+        awaitControlThread()
+        assertEquals(listOf("restored to 2"), received)
+
+        registry.completeFullRead(5, era = 2)
+        awaitControlThread()
+        assertEquals(listOf("restored to 2", "FULL_AFTER_OUTAGE", "answered"), received.take(3))
+    }
+
+    // Guards against a new configuration that counts as lost because its response is judged before it is applied.
+    @Test
+    fun `changes are applied before their response counts as a confirmation`() {
+        testSubject.start()
+        registry.completeFullRead(9)
+        awaitControlThread()
+        received.clear()
+        registry.completeChanges(RegistryRecords(listOf(REMOVAL), 12))
+        awaitControlThread()
+
+        // The same changes are read again after a pause.
+        assertEquals(listOf("CHANGES", "answered"), received.take(2))
+    }
+
+    @Test
+    fun `a full read of an earlier era that completes late is dropped`() {
+        testSubject.start()
+        registry.completeFullRead(9, era = 1)
+        awaitControlThread()
+        testSubject.refresh()
+        val olderRead = registry.awaitFullRead()
+        testSubject.refresh()
+        registry.completeFullRead(5, era = 2)
+        awaitControlThread()
+        received.clear()
+        olderRead.complete(RegistryRecords(emptyList(), 11, era = 1).right())
+        awaitControlThread()
+
+        assertEquals(emptyList(), received)
+    }
+
     /** Waits until the control thread has run all queued actions. */
     private fun awaitControlThread() {
         val done = CountDownLatch(1)
@@ -87,6 +137,10 @@
         done.await()
     }
 
+    private companion object {
+        val REMOVAL = RegistryRecord.Removed(HostId("a"))
+    }
+
     private inner class FakeRegistry : Registry {
         private val fullReads = mutableListOf<CompletableFuture<Either<RegistryFailure, RegistryRecords>>>()
         private val changes = CompletableFuture<Either<RegistryFailure, RegistryRecords>>()
@@ -106,8 +160,17 @@
             return fullReads.last()
         }
 
-        fun completeFullRead(version: Long) {
-            awaitFullRead().complete(RegistryRecords(emptyList(), version).right())
+        fun completeFullRead(
+            version: Long,
+            era: Long? = null,
+        ) {
+            awaitFullRead().complete(RegistryRecords(emptyList(), version, era).right())
+        }
+
+        fun completeChanges(records: RegistryRecords) {
+            changesRequested.await()
+            awaitControlThread()
+            changes.complete(records.right())
         }
 
         fun failChanges() {
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/StandInServer.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/StandInServer.kt
@@ -20,7 +20,8 @@
 internal fun ResponseWriter.sendJson(
     value: Any,
     status: Int = OK,
-) = respond(status, HeaderFields.of("content-type" to "application/json"), Json.write(value))
+    headers: HeaderFields = HeaderFields(),
+) = respond(status, headers.with("content-type", "application/json"), Json.write(value))
 
 internal fun serveUntilKilled(
     loops: NettyEventLoops,
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStore.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStore.kt
@@ -21,12 +21,41 @@
 /** Faults that can be injected. */
 enum class StoreFault { NONE, UNAVAILABLE, BUSY, ANSWERS_LOST, HISTORY_LOST }
 
+/** The rows and the version of a store at one moment. */
+class RowStoreCopy internal constructor(
+    internal val rows: Map<RowAddress, VersionedRow>,
+    internal val version: Long,
+)
+
 /** An in-memory metadata store; thread-safe. */
 class RowStore {
     private val rows = LinkedHashMap<RowAddress, VersionedRow>()
     private var version = 0L
     private val waiters = mutableListOf<() -> Boolean>()
 
+    /** How often the store has come back from a copy, plus one; sent in all responses. */
+    @Volatile
+    var era = 1L
+        private set
+
+    @Synchronized
+    fun copy() = RowStoreCopy(LinkedHashMap(rows), version)
+
+    /** Returns to the state of [copy]: later writes are lost, and their versions are given out again. */
+    fun restore(copy: RowStoreCopy) {
+        synchronized(this) {
+            rows.clear()
+            rows.putAll(copy.rows)
+            version = copy.version
+            era += 1
+        }
+        notifyWaiters()
+    }
+
+    /** Whether the store has reached [version] in its current era. */
+    @Synchronized
+    fun hasReached(version: Long): Boolean = version <= this.version
+
     /** The fault injected into calls; [RowStoreHandler] applies it. */
     @Volatile
     var fault = StoreFault.NONE
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStoreHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStoreHandler.kt
@@ -7,6 +7,7 @@
 import org.vanillalink.standins.BAD_REQUEST
 import org.vanillalink.standins.NOT_FOUND
 import org.vanillalink.standins.sendJson
+import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.HttpRequestHandler
 import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.Json
@@ -27,8 +28,8 @@
         response: ResponseWriter,
     ) {
         when (store.fault) {
-            StoreFault.UNAVAILABLE -> response.respond(SERVICE_UNAVAILABLE)
-            StoreFault.BUSY -> response.respond(TOO_MANY_REQUESTS)
+            StoreFault.UNAVAILABLE -> response.respond(SERVICE_UNAVAILABLE, eraHeader())
+            StoreFault.BUSY -> response.respond(TOO_MANY_REQUESTS, eraHeader())
             else -> serve(request, response)
         }
     }
@@ -59,9 +60,21 @@
         val removals = body.path("remove").map(::address).toSet()
         val version = store.transact(expectedVersions, puts, removals)
         when {
-            store.fault == StoreFault.ANSWERS_LOST -> response.abort()
-            version != null -> response.sendJson(mapOf("ver" to version, "nowMs" to now()))
-            else -> response.sendJson(rows(expectedVersions.keys.mapNotNull(store::row), 0), PRECONDITION_FAILED)
+            store.fault == StoreFault.ANSWERS_LOST -> {
+                response.abort()
+            }
+
+            version != null -> {
+                response.sendJson(mapOf("ver" to version, "nowMs" to now()), headers = eraHeader())
+            }
+
+            else -> {
+                response.sendJson(
+                    rows(expectedVersions.keys.mapNotNull(store::row), 0),
+                    PRECONDITION_FAILED,
+                    eraHeader(),
+                )
+            }
         }
     }
 
@@ -76,24 +89,29 @@
             )
         val from = request.queryParameter("from").orEmpty()
         val page = matchingRows.filter { it.address.key >= from }
-        response.sendJson(rows(page.take(PAGE_SIZE), version) + ("hasMore" to (page.size > PAGE_SIZE)))
+        val body = rows(page.take(PAGE_SIZE), version) + ("hasMore" to (page.size > PAGE_SIZE))
+        response.sendJson(body, headers = eraHeader())
     }
 
     private fun feed(
         request: HttpRequestMessage,
         response: ResponseWriter,
     ) {
-        if (store.fault == StoreFault.HISTORY_LOST) {
-            response.respond(GONE)
-            return
-        }
         val table = request.queryParameter("table").orEmpty()
         val after = request.queryParameter("afterRev")?.toLong() ?: 0
+        if (store.fault == StoreFault.HISTORY_LOST || !store.hasReached(after)) {
+            response.respond(GONE, eraHeader())
+            return
+        }
         val isResponded = AtomicBoolean()
         val respondIfDue = { isTimedOut: Boolean ->
             val (changes, version) = store.changes(table, after)
             val isDue = changes.isNotEmpty() || isTimedOut
-            if (isDue && isResponded.compareAndSet(false, true)) response.sendJson(rows(changes, version))
+            if (isDue &&
+                isResponded.compareAndSet(false, true)
+            ) {
+                response.sendJson(rows(changes, version), headers = eraHeader())
+            }
             isDue
         }
         if (respondIfDue(false)) return
@@ -121,6 +139,8 @@
     private fun address(row: JsonNode) =
         RowAddress(row.path("table").asText(), row.path("part").asText(), row.path("key").asText())
 
+    private fun eraHeader() = HeaderFields.of("store-era" to store.era.toString())
+
     private fun now(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
 
     private companion object {
