Give no term out twice when the store has lost the claim of the last one

What callers would have seen: groups that share a name and epoch with earlier ones; orders of the first that are carried out late would be taken for the second's.

Cause: a new term was the stored one plus one, and the store had lost the last one. Class of fault: a number that must never be given out twice was kept in one place only, which was taken for lasting.

The fix: a new term is higher than the stored one, those that peers have claimed, the daemon's own, and those whose epochs listed targets have seen. A daemon that has control writes its claim again when the store has come back without it. A claim whose read was of the era before is begun anew, as its condition may hold by chance.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -218,6 +218,7 @@
                     ",",
                 ) { "${it.failureDomain}:${it.term}" },
         )
+        domainControls.values.forEach { it.onStoreRestored() }
         controlThread.scheduleOnce(Duration.ofMillis(settings.limits.relistMilliseconds), targetsFollower::refresh)
         controlThread.scheduleOnce(RegistryState.OPERATORS_REWRITE_TIME, operatorsFollower::refresh)
     }
@@ -274,7 +275,15 @@
         if (!decisionHoldOff.isOver(now)) return
         val isPreferred =
             peerDirectory.selectController(domain.failureDomain, ownState, domain.term, now) == settings.daemon
-        domain.updateElection(isPreferred, peerDirectory.highestClaimedTerm(domain.failureDomain, now))
+        val usedEpoch =
+            if (isPreferred &&
+                !domain.isHeld
+            ) {
+                registryState.directory.highestEpoch(domain.failureDomain)
+            } else {
+                0
+            }
+        domain.updateElection(isPreferred, peerDirectory.highestClaimedTerm(domain.failureDomain, now), usedEpoch)
         advanceController(domain)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -20,6 +20,7 @@
 import org.vanillalink.store.StoreFailure
 import org.vanillalink.store.TableStore
 import org.vanillalink.store.TransactionResult
+import java.time.Duration
 
 /** Confined to the control thread. */
 internal class DomainControl(
@@ -43,6 +44,9 @@
     /** The highest term received from peers or read from the store. */
     private var highestObservedTerm = 0L
 
+    /** The highest term whose epochs a target has seen; the store may have lost its claim. */
+    private var highestUsedTerm = 0L
+
     /** When this daemon last took control, in milliseconds on the steady clock. */
     var takenAt = 0L
         private set
@@ -53,13 +57,74 @@
 
     val isHeld: Boolean get() = state != null
 
-    /** Starts to claim control or releases it; [claimedTerm] is the highest term that a peer claims. */
+    /** Incremented when the store has come back from an older copy: calls that were begun before are void. */
+    private var restorations = 0
+
+    /**
+     * Writes this daemon's claim again if the store has lost it, so that its term is not given out a second time. A
+     * claim in progress was based on a row of the previous era.
+     */
+    fun onStoreRestored() {
+        restorations += 1
+        isClaimPending = false
+        highestObservedTerm = maxOf(highestObservedTerm, term)
+        if (isHeld) rewriteClaim()
+    }
+
+    private fun rewriteClaim() {
+        val heldTerm = term
+        val restoration = restorations
+        table.read(setOf(rowKey)).thenAccept { result ->
+            controlThread.execute {
+                if (term != heldTerm || restoration != restorations) return@execute
+                result.fold({ retryRewrite(heldTerm, restoration) }) { rows -> rewriteClaim(rows[rowKey], heldTerm) }
+            }
+        }
+    }
+
+    private fun rewriteClaim(
+        row: Row?,
+        heldTerm: Long,
+    ) {
+        if (parseTerm(row) >= heldTerm) return
+        val restoration = restorations
+        val claim = "$heldTerm $daemon ${clock.wall()}"
+        val write = ConditionalWrite(rowKey, row?.version ?: ConditionalWrite.ABSENT, claim)
+        table.transact(listOf(write)).thenAccept { result ->
+            controlThread.execute {
+                val isCommitted = result.getOrNull() is TransactionResult.Committed
+                if (isCommitted) {
+                    eventLogger.record("claim-rewritten", "failureDomain" to failureDomain, "term" to heldTerm)
+                } else {
+                    retryRewrite(heldTerm, restoration)
+                }
+            }
+        }
+    }
+
+    private fun retryRewrite(
+        heldTerm: Long,
+        restoration: Int,
+    ) {
+        controlThread.scheduleOnce(Duration.ofMillis(RETRY_DELAY_MILLISECONDS)) {
+            if (term == heldTerm && restoration == restorations) rewriteClaim()
+        }
+    }
+
+    private fun parseTerm(row: Row?): Long = row?.value?.substringBefore(' ')?.toLongOrNull() ?: 0
+
+    /**
+     * Starts to claim control or releases it. [claimedTerm] is the highest term that a peer claims, [usedEpoch] the
+     * highest epoch in the entries of the failure domain's targets.
+     */
     fun updateElection(
         isPreferred: Boolean,
         claimedTerm: Long?,
+        usedEpoch: Long,
     ) {
         this.isPreferred = isPreferred
         if (claimedTerm != null) highestObservedTerm = maxOf(highestObservedTerm, claimedTerm)
+        highestUsedTerm = maxOf(highestUsedTerm, usedEpoch / EPOCHS_PER_TERM)
         if (isHeld) {
             if (claimedTerm != null && claimedTerm > term) releaseControl("peer-holds-term-$claimedTerm")
             if (!isPreferred && isHeld) releaseControl("another-daemon-should-control")
@@ -92,14 +157,18 @@
 
     private fun releaseControl(reason: String) {
         eventLogger.record("control-given-up", "failureDomain" to failureDomain, "term" to term, "reason" to reason)
+        highestObservedTerm = maxOf(highestObservedTerm, term)
         state = null
         term = 0
     }
 
     private fun readClaim() {
         isClaimPending = true
+        val restoration = restorations
         table.read(setOf(rowKey)).thenAccept { result ->
-            controlThread.execute { result.fold(::onFailure) { rows -> writeClaim(rows[rowKey]) } }
+            controlThread.execute {
+                if (restoration == restorations) result.fold(::onFailure) { rows -> writeClaim(rows[rowKey]) }
+            }
         }
     }
 
@@ -109,7 +178,7 @@
             isClaimPending = false
             return
         }
-        val storedTerm = row?.value?.substringBefore(' ')?.toLongOrNull() ?: 0
+        val storedTerm = parseTerm(row)
         if (storedTerm > highestObservedTerm) {
             // The holder of this term may be alive, with no message received from it yet.
             highestObservedTerm = storedTerm
@@ -117,11 +186,13 @@
             retryAt = clock.steady() + HOLDER_DISCOVERY_MILLISECONDS
             return
         }
-        val newTerm = storedTerm + 1
+        // Higher than all terms in use, also if the store has lost the row of the last one.
+        val newTerm = maxOf(storedTerm, highestObservedTerm, highestUsedTerm) + 1
+        val restoration = restorations
         val claim = "$newTerm $daemon ${clock.wall()}"
         val write = ConditionalWrite(rowKey, row?.version ?: ConditionalWrite.ABSENT, claim)
         table.transact(listOf(write)).thenAccept { result ->
-            controlThread.execute { onClaimWritten(newTerm, claim, result) }
+            controlThread.execute { if (restoration == restorations) onClaimWritten(newTerm, claim, result) }
         }
     }
 
@@ -139,8 +210,10 @@
         newTerm: Long,
         claim: String,
     ) {
+        val restoration = restorations
         table.read(setOf(rowKey)).thenAccept { result ->
             controlThread.execute {
+                if (restoration != restorations) return@execute
                 result.fold(::onFailure) { rows ->
                     if (rows[rowKey]?.value == claim) onWon(newTerm) else onFailure(StoreFailure.Unavailable)
                 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetDirectory.kt
@@ -6,6 +6,7 @@
  */
 package org.vanillalink.serving.targets
 
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 
 /** Immutable directory; [entries] includes those kept while missing. Times are milliseconds on the steady clock. */
@@ -60,6 +61,10 @@
         )
     }
 
+    /** The highest epoch of a group that a listed target in [failureDomain] is in, or 0. */
+    fun highestEpoch(failureDomain: FailureDomainId): Long =
+        entries.values.filter { it.failureDomain == failureDomain }.maxOfOrNull { it.membership?.epoch ?: 0 } ?: 0
+
     /** Removes entries that are still missing at [now], and drops those that were removed long ago. */
     fun withoutExpired(now: Long): TargetDirectory {
         val expired = missingKeptUntil.filterValues { it <= now }.keys
