Judge no key or route by a configuration that the store has brought back

What callers would have seen: at a daemon that starts after the store came back older, withdrawn keys accepted, and 401 or 404 for keys and routes that are in force at the other daemons.

Cause: a daemon without earlier knowledge took what it read for current. The fix: daemons announce the version that they have in force. A read that began after a peer announced a later one, and that doesn't show it, tells that the store has lost it: until operators have written it again, for ten seconds at most, this daemon answers 503 and isn't ready. Lines configuration-lost, configuration-found.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -98,7 +98,7 @@
                 clock::steady,
                 eventLoops::schedule,
             ),
-            { controlLoop.credentialFreshness.isFresh(clock.reading(), controlLoop.maxKeyAgeMilliseconds()) },
+            { controlLoop.isConfigurationFresh },
             random,
             traffic::recordRequestArrival,
         )
@@ -195,7 +195,7 @@
 
     private fun decisionInputs() = DecisionInputs(
         configurationVersion = controlLoop.configurationVersion,
-        configurationAgeMilliseconds = controlLoop.credentialFreshness.age(clock.reading()),
+        configurationAgeMilliseconds = controlLoop.configurationAge,
         budgetDaemons = traffic.state.view.budgetDaemons,
         loopDelayMilliseconds = trafficLoopDelay.recentMaxMilliseconds,
     )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -18,7 +18,6 @@
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.catalog.ClockReading
-import org.vanillalink.serving.catalog.CredentialFreshness
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.control.DomainView
 import org.vanillalink.serving.control.GroupDecision
@@ -60,10 +59,13 @@
     private var previousSuspects: Set<GroupKey> = emptySet()
     private val brokenGroupsUntil = HashMap<GroupKey, Long>()
 
-    /** Read on traffic threads. */
-    @Volatile
-    var credentialFreshness = CredentialFreshness()
-        private set
+    private val configurationMonitor = ConfigurationMonitor(settings.limits, eventLogger, clock)
+
+    /** Whether keys and routes may be judged by the configuration. Safe to call from any thread. */
+    val isConfigurationFresh: Boolean get() = configurationMonitor.isFresh
+
+    /** Milliseconds since the configuration was last confirmed, or null. Safe to call from any thread. */
+    val configurationAge: Long? get() = configurationMonitor.age
 
     @Volatile
     private var isLeaving = false
@@ -93,11 +95,7 @@
     /** Whether this daemon can serve: it has read the targets and a configuration recent enough to accept keys. */
     val isReady: Boolean
         get() =
-            !isLeaving && targetsFollower.hasLoaded && registryState.catalog != null &&
-                credentialFreshness.isFresh(clock.reading(), maxKeyAgeMilliseconds())
-
-    /** The maximum age of the configuration by which keys are accepted. */
-    fun maxKeyAgeMilliseconds(): Long = settings.limits.revocationMilliseconds - KEY_AGE_MARGIN_MILLISECONDS
+            !isLeaving && targetsFollower.hasLoaded && registryState.catalog != null && isConfigurationFresh
 
     /** Whether this daemon has control of any failure domain. */
     val hasControl: Boolean get() = domainControls.values.any { it.isHeld }
@@ -122,6 +120,7 @@
     fun onPeerMessage(message: PeerMessage): Boolean {
         val previous = peerDirectory.peers[message.daemon]?.message
         peerDirectory = peerDirectory.withMessage(message, clock.steady())
+        configurationMonitor.recordAnnounced(message.configurationVersion)
         message.suspects.forEach(::reportSuspect)
         message.leaving.forEach { registryState.recordLeaving(it, message.daemon.value) }
         val isNew = previous == null || previous.startedAt != message.startedAt
@@ -156,6 +155,7 @@
             poison = poison,
             leaving = traffic.leavingTargets().take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet(),
             controlled = ownStatus.controlledDomains(includesGroups),
+            configurationVersion = configurationVersion ?: 0,
             limits = if (includesLimits) ownStatus.limits(isSameDomain, traffic.limits()) else emptyList(),
         )
     }
@@ -220,7 +220,7 @@
         )
         domainControls.values.forEach { it.onStoreRestored() }
         controlThread.scheduleOnce(Duration.ofMillis(settings.limits.relistMilliseconds), targetsFollower::refresh)
-        controlThread.scheduleOnce(RegistryState.OPERATORS_REWRITE_TIME, operatorsFollower::refresh)
+        controlThread.scheduleOnce(LostConfiguration.REWRITE_TIME, operatorsFollower::refresh)
     }
 
     private fun applyRecords(
@@ -252,7 +252,7 @@
                     currentAsOf = maxOf(registryFreshness.currentAsOf, requestedAt.steadyMilliseconds),
                 )
         }
-        if (part == RegistryPart.OPERATORS) credentialFreshness = credentialFreshness.confirmed(requestedAt)
+        if (part == RegistryPart.OPERATORS) configurationMonitor.recordConfirmed(configurationVersion, requestedAt)
     }
 
     private fun storeAge(): Long = clock.steady() - lastStoreResponseAt
@@ -420,8 +420,5 @@
 
         /** How long a broken group stays excluded; its key is never reused. */
         const val BROKEN_RETENTION_MILLISECONDS = 5_000L
-
-        /** Margin for requests that are in progress while the maximum age is reached. */
-        const val KEY_AGE_MARGIN_MILLISECONDS = 700L
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryState.kt
@@ -19,7 +19,6 @@
 import org.vanillalink.serving.targets.TargetDirectory
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
-import java.time.Duration
 
 /** How a set of records was read. */
 internal enum class RegistryReadKind {
@@ -66,7 +65,7 @@
         olderRecordsUntil =
             mapOf(
                 RegistryPart.TARGETS to now + relistMilliseconds,
-                RegistryPart.OPERATORS to now + OPERATORS_REWRITE_TIME.toMillis(),
+                RegistryPart.OPERATORS to now + LostConfiguration.REWRITE_TIME.toMillis(),
             )
         removedBeforeRestoration =
             directory.removedEntries.values
@@ -213,11 +212,8 @@
         directory = directory.withoutEntry(HostId(record.key), clock.steady())
     }
 
-    companion object {
-        /** Longer than operators take to write their records again after the store has come back. */
-        val OPERATORS_REWRITE_TIME: Duration = Duration.ofSeconds(10)
-
+    private companion object {
         /** Longer than three heartbeats of targets, after which the store removes entries that nobody writes. */
-        private const val REMOVED_ENTRIES_LISTED_MILLISECONDS = 6_000L
+        const val REMOVED_ENTRIES_LISTED_MILLISECONDS = 6_000L
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -47,6 +47,7 @@
         leaving = node.required("leaving").map(PoisonReportParser::parseInstance).toSet(),
         controlled = node.required("controlled").map(::parseControlledDomain),
         limits = node.get("limits")?.map(::parseLimit).orEmpty(),
+        configurationVersion = node.path("configurationVersion").asLong(),
     )
 
     private fun parseLimit(node: JsonNode) = ReportedLimit(
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -58,6 +58,7 @@
                     ),
                     ControlledDomain(FailureDomainId("lekki"), 3, null, emptySet(), isSameAsBefore = true),
                 ),
+            configurationVersion = 15,
             limits =
                 listOf(
                     ReportedLimit(target, 4.8, 13),
@@ -74,10 +75,16 @@
     @Test
     fun `a message of an earlier version is decoded, and the current one has the fields that it requires`() {
         val content = testSubject.encode(message).decodeToString()
-        val earlier = content.replace("\"poison\"", "\"other\"").replace("\"limits\"", "\"another\"")
+        val earlier =
+            content
+                .replace(
+                    "\"poison\"",
+                    "\"other\"",
+                ).replace("\"limits\"", "\"another\"")
+                .replace("\"configurationVersion\"", "\"third\"")
 
         assertEquals(
-            message.copy(poison = PoisonReport(), limits = emptyList()),
+            message.copy(poison = PoisonReport(), limits = emptyList(), configurationVersion = 0),
             testSubject.decode(earlier.toByteArray()).getOrNull(),
         )
         assertTrue("\"strikes\":[]" in content)
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -49,6 +49,8 @@
      * unless it has changed or was last sent some seconds ago.
      */
     val limits: List<ReportedLimit> = emptyList(),
+    /** The version of the configuration in force at this daemon, or 0 before it knows one. */
+    val configurationVersion: Long = 0,
 ) {
     /** Always empty, but daemons of earlier versions require it. */
     @Suppress("unused")
