Write peers' addresses and blocks of poison requests again when the store has lost them

What callers would have seen: daemons that drop each other's addresses, as both rows were lost, and so share no counts or limits for up to 30 s; and sound requests refused for minutes, by a block that had ended and that a daemon read from the copy.

Cause: rows of our own were taken for lasting. The fix: peers whose messages arrive stay listed, and a daemon registers again at once; blocks in force are written again, and rows of ended ones removed instead of adopted.

Evidence: PoisonBlockRecordsTest (after a restoration); for the addresses by reading, no test.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -136,6 +136,10 @@
                 .toDouble()
         }
         meterRegistry.gauge("vanillalink.log.dropped", ports) { it.droppedLogLines().toDouble() }
+        controlLoop.onRestored = {
+            peerExchange.onStoreRestored()
+            poisonBlockRecords.onStoreRestored()
+        }
         controlLoop.start()
         peerExchange.start()
         poisonBlockRecords.start()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -73,6 +73,9 @@
     /** Called on the control thread when all peers need a message at once: groups broke, or this daemon leaves. */
     var onUrgentChange: () -> Unit = {}
 
+    /** Called on the control thread when the store has come back from an older copy. */
+    var onRestored: () -> Unit = {}
+
     /** Called on the control thread with the daemons that need to be sent newly stalled groups soon. */
     var onNewSuspects: (Set<DaemonId>) -> Unit = {}
 
@@ -219,6 +222,7 @@
                 ) { "${it.failureDomain}:${it.term}" },
         )
         domainControls.values.forEach { it.onStoreRestored() }
+        onRestored()
         controlThread.scheduleOnce(Duration.ofMillis(settings.limits.relistMilliseconds), targetsFollower::refresh)
         controlThread.scheduleOnce(LostConfiguration.REWRITE_TIME, operatorsFollower::refresh)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -165,14 +165,26 @@
         send(setOf(message.daemon))
     }
 
+    /** Registers this daemon again if the store has lost its row. */
+    fun onStoreRestored() {
+        isRegistered = false
+        readPeers { }
+    }
+
     private fun refreshPeers() {
+        readPeers {
+            controlThread.scheduleOnce(
+                if (isRegistered && endpoints.isNotEmpty()) REFRESH_INTERVAL else STARTUP_REFRESH_INTERVAL,
+                ::refreshPeers,
+            )
+        }
+    }
+
+    private fun readPeers(onRead: () -> Unit) {
         table.scan("daemons/").thenAccept { result ->
             controlThread.execute {
                 result.fold(::onStoreFailure) { rows -> updatePeers(rows) }
-                controlThread.scheduleOnce(
-                    if (isRegistered && endpoints.isNotEmpty()) REFRESH_INTERVAL else STARTUP_REFRESH_INTERVAL,
-                    ::refreshPeers,
-                )
+                onRead()
             }
         }
     }
@@ -183,7 +195,13 @@
                 .mapNotNull { (rowKey, content) ->
                     Endpoint.parse(content.value)?.let { DaemonId(rowKey.value.substringAfter('/')) to it }
                 }.toMap()
-        val others = registered.filterKeys { it != settings.daemon }
+        // The store may have lost the rows of daemons whose messages still arrive.
+        val heard =
+            controlLoop.peerDirectory.alivePeers(clock.steady()).associate {
+                it.message.daemon to
+                    it.message.endpoint
+            }
+        val others = registered.filterKeys { it != settings.daemon } + heard
         if (others != endpoints) eventLogger.record("peers-listed", "count" to others.size)
         endpoints = others
         if (registered[settings.daemon] == settings.peerEndpoint) isRegistered = true else register(rows[key])
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecords.kt
@@ -56,6 +56,9 @@
 
     private var isCallInProgress = false
     private var hasLoaded = false
+
+    /** Whether the rows to be read come from an older copy, whose blocks may have ended. */
+    private var isRestored = false
     private val stored = HashMap<RowKey, Stored>()
 
     /** Blocks that end are removed from the table only if this process had them: others may not have arrived yet. */
@@ -66,6 +69,16 @@
         controlThread.scheduleRepeatedly(SYNCHRONIZATION_INTERVAL, ::synchronize)
     }
 
+    /**
+     * Writes the blocks again after the store has come back from an older copy, and removes those that had ended; what
+     * the copy holds is older than what this process knows.
+     */
+    fun onStoreRestored() {
+        if (!hasLoaded) return
+        hasLoaded = false
+        isRestored = true
+    }
+
     /** Reads the table once, and then writes what has changed. */
     fun synchronize() {
         if (isCallInProgress) return
@@ -87,6 +100,11 @@
         stored.clear()
         val records = rows.mapNotNull { (key, row) -> readRecord(row)?.let { Triple(key, row.version, it) } }
         records.forEach { (key, version, record) -> stored[key] = Stored(version, record.lastLossAt) }
+        if (isRestored) {
+            isRestored = false
+            heldKeys = heldKeys + stored.keys
+            return
+        }
         val now = clock.wall()
         blocks.adopt(
             records.map { (_, _, record) ->
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PoisonBlockRecordsTest.kt
@@ -93,6 +93,34 @@
         assertEquals(emptyList(), later.adopted)
     }
 
+    // Guards against blocks that have ended and come back when the store comes back from an older copy.
+    @Test
+    fun `after a restoration a block that has ended is neither adopted nor kept, and one in force is written again`() {
+        val ended = block.copy(trait = RequestTrait(TraitKind.PROMPT_PART, "ended"))
+        val blocks = FakeBlocks().apply { blocks = listOf(ended) }
+        val testSubject = records(blocks)
+        repeat(2) { synchronize(testSubject) }
+        val endedRow =
+            table
+                .scanNow("poison/")
+                .getOrNull()
+                ?.values
+                ?.single()
+                ?.value
+        blocks.blocks = listOf(block)
+        repeat(2) { synchronize(testSubject) }
+        // The copy has the ended block and not the one in force.
+        val keys = listOf("bad", "ended").map { RowKey("poison/PROMPT_PART:$it") }
+        table.transactNow(listOf(ConditionalWrite(keys[0], expectedVersion = 1, value = null)))
+        table.transactNow(listOf(ConditionalWrite(keys[1], ConditionalWrite.ABSENT, endedRow)))
+        blocks.adopted = emptyList()
+        controlThread.execute(testSubject::onStoreRestored)
+        repeat(3) { synchronize(testSubject) }
+
+        assertEquals(emptyList(), blocks.adopted)
+        assertEquals(setOf(keys[0]), table.scanNow("poison/").getOrNull()?.keys)
+    }
+
     @Test
     fun `a daemon that has not adopted the blocks yet does not remove them`() {
         val earlier = FakeBlocks().apply { blocks = listOf(block) }
