--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LimitedTargets.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/LimitedTargets.kt
@@ -52,7 +52,7 @@
 
     fun recordSent(target: HostId) = rateLimiter.recordSent(target)
 
-    /** The milliseconds until the limit that [target] has named allows a request; [TargetRateLimiter.NEVER] exists. */
+    /** The milliseconds until the limit of [target] allows a request, as [TargetRateLimiter.delay] returns them. */
     fun delay(
         target: TargetEntry,
         now: Long,
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetAvailability.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetAvailability.kt
@@ -60,7 +60,7 @@
     }
 
     private fun findStatus(instance: TargetInstance): Status? = statuses[instance.id]?.takeIf {
-        isSameInstance(it.instance, instance)
+        it.instance.isSameAs(instance)
     }
 
     /** Returns the status to update, or null if a later instance than [instance] is known. */
@@ -75,12 +75,6 @@
         return status
     }
 
-    /** An entry without a start time doesn't prove that it is another instance. */
-    private fun isSameInstance(
-        recorded: TargetInstance,
-        instance: TargetInstance,
-    ): Boolean = recorded.bornAt == instance.bornAt || recorded.bornAt == null || instance.bornAt == null
-
     private companion object {
         /** Longer back-offs are taken as an error of the target and shortened, so that it isn't lost permanently. */
         const val MAX_BACK_OFF_MILLISECONDS = 300_000L
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetLimits.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetLimits.kt
@@ -9,6 +9,7 @@
 
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.targets.TargetInstance
+import kotlin.math.abs
 
 /** What a daemon reports to its peers about the limit of [target]. */
 data class ReportedLimit(
@@ -96,7 +97,7 @@
 
     /** The limit of [target] in requests per second, or null. */
     fun find(target: TargetInstance): Double? =
-        observations[target.id]?.takeIf { isSameInstance(it.target, target) }?.requestsPerSecond
+        observations[target.id]?.takeIf { it.target.isSameAs(target) }?.requestsPerSecond
 
     /** The targets with a limit and their limits in requests per second. */
     fun limited(): Map<TargetInstance, Double> = observations.values
@@ -133,7 +134,7 @@
         val previous = observations[target.id]
         if (previous != null && isOutdated(target, observedAt, previous)) return
         if (previous == null && observations.size >= MAX_TARGETS) return
-        val continued = previous?.takeIf { isSameInstance(it.target, target) && it.requestsPerSecond != null }
+        val continued = previous?.takeIf { it.target.isSameAs(target) && it.requestsPerSecond != null }
         val announced = continued?.announcedRequestsPerSecond
         val hasChanged = isNotable(announced, requestsPerSecond)
         val limitedSince = continued?.limitedSince ?: observedAt
@@ -157,7 +158,7 @@
         observedAt: Long,
         previous: Observation,
     ): Boolean {
-        if (isSameInstance(previous.target, target)) return observedAt < previous.observedAt
+        if (previous.target.isSameAs(target)) return observedAt < previous.observedAt
         return (target.bornAt ?: 0) < (previous.target.bornAt ?: 0)
     }
 
@@ -166,15 +167,9 @@
         requestsPerSecond: Double?,
     ): Boolean {
         if (announced == null || requestsPerSecond == null) return announced != requestsPerSecond
-        return kotlin.math.abs(announced - requestsPerSecond) > announced * NOTABLE_FRACTION
+        return abs(announced - requestsPerSecond) > announced * NOTABLE_FRACTION
     }
 
-    /** A target without a known start time doesn't prove that it is another instance. */
-    private fun isSameInstance(
-        recorded: TargetInstance,
-        target: TargetInstance,
-    ): Boolean = recorded.bornAt == target.bornAt || recorded.bornAt == null || target.bornAt == null
-
     private companion object {
         /** Several times the interval at which trial requests reach a target with the lowest limit. */
         const val RETENTION_MILLISECONDS = 30_000L
--- a/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetEntry.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/targets/TargetEntry.kt
@@ -49,4 +49,7 @@
 data class TargetInstance(
     val id: HostId,
     val bornAt: Long?,
-)
+) {
+    /** Whether [other], which has the same id, is this instance; an unknown start time doesn't prove that it isn't. */
+    fun isSameAs(other: TargetInstance): Boolean = bornAt == other.bornAt || bornAt == null || other.bornAt == null
+}
