--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -201,6 +201,7 @@
         restoredEra = restoration.era
         restorations += 1
         val now = clock.steady()
+        val heldTerms = domainControls.values.filter { it.isHeld }.map { "${it.failureDomain}:${it.term}" }
         registryState.onStoreRestored()
         registryFreshness = registryFreshness.copy(storeRegainedAt = now)
         if (storeAge() < STORE_OUTAGE_THRESHOLD_MILLISECONDS) {
@@ -216,10 +217,7 @@
             "configuration" to configurationVersion,
             "evacuated" to registryState.evacuated.joinToString(","),
             "targetsKept" to registryState.directory.entries.size,
-            "terms" to
-                domainControls.values.filter { it.isHeld }.joinToString(
-                    ",",
-                ) { "${it.failureDomain}:${it.term}" },
+            "terms" to heldTerms.joinToString(","),
         )
         domainControls.values.forEach { it.onStoreRestored() }
         onRestored()
@@ -279,14 +277,8 @@
         if (!decisionHoldOff.isOver(now)) return
         val isPreferred =
             peerDirectory.selectController(domain.failureDomain, ownState, domain.term, now) == settings.daemon
-        val usedEpoch =
-            if (isPreferred &&
-                !domain.isHeld
-            ) {
-                registryState.directory.highestEpoch(domain.failureDomain)
-            } else {
-                0
-            }
+        val mayClaim = isPreferred && !domain.isHeld
+        val usedEpoch = if (mayClaim) registryState.directory.highestEpoch(domain.failureDomain) else 0
         domain.updateElection(isPreferred, peerDirectory.highestClaimedTerm(domain.failureDomain, now), usedEpoch)
         advanceController(domain)
     }
