--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -196,12 +196,8 @@
                     Endpoint.parse(content.value)?.let { DaemonId(rowKey.value.substringAfter('/')) to it }
                 }.toMap()
         // The store may have lost the rows of daemons whose messages still arrive.
-        val heard =
-            controlLoop.peerDirectory.alivePeers(clock.steady()).associate {
-                it.message.daemon to
-                    it.message.endpoint
-            }
-        val others = registered.filterKeys { it != settings.daemon } + heard
+        val heard = controlLoop.peerDirectory.alivePeers(clock.steady()).map { it.message }
+        val others = registered.filterKeys { it != settings.daemon } + heard.associate { it.daemon to it.endpoint }
         if (others != endpoints) eventLogger.record("peers-listed", "count" to others.size)
         endpoints = others
         if (registered[settings.daemon] == settings.peerEndpoint) isRegistered = true else register(rows[key])
