Take no requests while the daemon drains, and close each connection after its response

Cause: draining was one moment, not a state. NettyResponseWriter decided when a response started whether its connection stays open, and closeWhenIdle looked at each connection once. A stream that began before the SIGTERM left its connection open for good, and the daemon ran what came on it until the process ended. Two smaller gaps of the same kind: a request that was read, with the task that starts it still queued, was closed without an answer; and it did not count as in progress, so the process could end beside it. Ruled out: requests in the balancer's queue and new connections (the listener is closed; the record shows only kept connections). Change: the server has three phases. In DRAINING a connection closes as soon as it has no request, also if its response said otherwise, and CallHandler refuses what it gets from then on as not run, with Retry-After. A request counts from its receipt. Why it works: no decision of the time before SIGTERM outlives it, since the phase is read when a response ends.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -86,6 +86,10 @@
         )
     private val poisonBlockRecords =
         PoisonBlockRecords(ports.table, traffic, controlLoop::hasControl, controlThread, eventLogger, clock)
+
+    /** Whether requests that are received from now on are refused. */
+    @Volatile
+    private var isDraining = false
     private val requestLogger = RequestLogger(meterRegistry, clock::steady, ::decisionInputs)
     private val callHandler =
         CallHandler(
@@ -101,6 +105,7 @@
             { controlLoop.isConfigurationFresh },
             random,
             traffic::recordRequestArrival,
+            { isDraining },
         )
     private val readinessServer =
         NettyHttpServer(eventLoops, settings.readinessEndpoint, ServerLimits(), ::writeReadiness)
@@ -158,6 +163,7 @@
         controlThread.execute(controlLoop::startLeaving)
         callerServer.disableKeepAlive()
         sleepUntil(startedAt + REDIRECTION_WAIT_MILLISECONDS) { false }
+        isDraining = true
         callerServer.drain()
         val graceMilliseconds = settings.limits.graceMilliseconds
         val deadline = startedAt + graceMilliseconds - graceMilliseconds / SHUTDOWN_MARGIN_DIVISOR
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -34,6 +34,8 @@
     private val configurationFreshness: ConfigurationFreshness,
     private val random: Random,
     private val onRequest: () -> Unit,
+    /** Whether this daemon has too little time left to finish the requests that it receives from now on. */
+    private val isDraining: () -> Boolean,
 ) : HttpRequestHandler {
     private class Rejection(
         val reason: RefusalReason,
@@ -53,7 +55,12 @@
         val metadata = context.protocol.readRequest(request)
         val now = context.now()
         val catalog = context.state.view.catalog
-        val rejection = if (catalog == null) NOT_CONFIGURED else admit(catalog, request, metadata, now, response)
+        val rejection =
+            when {
+                isDraining() -> STOPPING
+                catalog == null -> NOT_CONFIGURED
+                else -> admit(catalog, request, metadata, now, response)
+            }
         if (rejection == null) return
         val canRetryElsewhere = rejection.reason.status == STATUS_UNAVAILABLE
         val retryAfter =
@@ -178,6 +185,7 @@
 
     private companion object {
         const val STATUS_UNAVAILABLE = 503
+        val STOPPING = Rejection(RefusalReason.NOT_READY, "this daemon is stopping")
         val NOT_CONFIGURED = Rejection(RefusalReason.NOT_READY, "no configuration is known yet")
         val STALE_CONFIGURATION = Rejection(RefusalReason.NOT_READY, "the configuration could not be confirmed lately")
         val NO_ROUTE = Rejection(RefusalReason.UNKNOWN_SERVICE, "no route leads there")
--- /dev/null
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
@@ -0,0 +1,116 @@
+/*
+ * Fakes for tests of calls: an HTTP client whose responses the test writes, and a response that records what it gets.
+ */
+package org.vanillalink.gateway.traffic
+
+import org.vanillalink.gateway.ports.CallProtocol
+import org.vanillalink.gateway.ports.ForwardingMetadata
+import org.vanillalink.gateway.ports.RequestMetadata
+import org.vanillalink.gateway.ports.ResponseMetadata
+import org.vanillalink.model.Endpoint
+import org.vanillalink.transport.ConnectionPolicy
+import org.vanillalink.transport.HeaderFields
+import org.vanillalink.transport.HttpClient
+import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.OutgoingExchange
+import org.vanillalink.transport.ResponseListener
+import org.vanillalink.transport.ResponseWriter
+import org.vanillalink.transport.SendOptions
+import java.time.Duration
+
+internal class FakeHttpClient : HttpClient {
+    val listeners = ArrayList<ResponseListener>()
+    var isClosed = false
+    val last: ResponseListener get() = listeners.last()
+
+    override fun send(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        options: SendOptions,
+        listener: ResponseListener,
+    ): OutgoingExchange {
+        listeners.add(listener)
+        return object : OutgoingExchange {
+            override fun setReading(isReading: Boolean) = Unit
+
+            override fun close() {
+                isClosed = true
+            }
+        }
+    }
+
+    override fun call(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        timeout: Duration,
+        connectionPolicy: ConnectionPolicy,
+    ) = error("not used")
+
+    override fun closeIdleConnections(endpoint: Endpoint) = error("not used")
+}
+
+internal class RecordingResponse : ResponseWriter {
+    var status = 0
+    var headers = HeaderFields()
+    var body = ""
+    var isFinished = false
+    var isAborted = false
+    override val isWritable = true
+
+    override fun start(
+        status: Int,
+        headers: HeaderFields,
+    ) {
+        this.status = status
+    }
+
+    override fun write(bytes: ByteArray) {
+        body += bytes.decodeToString()
+    }
+
+    override fun finish() {
+        isFinished = true
+    }
+
+    override fun respond(
+        status: Int,
+        headers: HeaderFields,
+        body: ByteArray,
+    ) {
+        this.status = status
+        this.headers = headers
+        this.body += body.decodeToString()
+    }
+
+    override fun abort() {
+        isAborted = true
+    }
+
+    override fun onWritable(action: () -> Unit) = Unit
+
+    override fun onCallerDisconnected(action: () -> Unit) = Unit
+}
+
+internal object FakeCallProtocol : CallProtocol {
+    override fun readRequest(request: HttpRequestMessage) = RequestMetadata("id", "h", 8_000, null, null, null, 0)
+
+    override fun buildForwardedRequest(
+        request: HttpRequestMessage,
+        metadata: ForwardingMetadata,
+    ) = request
+
+    override fun readResponse(
+        status: Int,
+        headers: HeaderFields,
+    ) = ResponseMetadata(
+        "id",
+        isSigned = true,
+        isNotRun = headers["not-executed"] != null,
+        null,
+        false,
+        false,
+        null,
+    )
+
+    override fun responseHeaders(headers: HeaderFields) = headers
+}
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -3,29 +3,18 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.vanillalink.gateway.logs.DecisionInputs
 import org.vanillalink.gateway.logs.RequestLogger
-import org.vanillalink.gateway.ports.CallProtocol
-import org.vanillalink.gateway.ports.ForwardingMetadata
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.gateway.ports.RequestMetadata
-import org.vanillalink.gateway.ports.ResponseMetadata
-import org.vanillalink.model.Endpoint
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.catalog.CallKind
 import org.vanillalink.serving.catalog.Route
 import org.vanillalink.serving.catalog.ServiceDefinition
-import org.vanillalink.transport.ConnectionPolicy
 import org.vanillalink.transport.HeaderFields
-import org.vanillalink.transport.HttpClient
 import org.vanillalink.transport.HttpRequestMessage
-import org.vanillalink.transport.OutgoingExchange
-import org.vanillalink.transport.ResponseListener
-import org.vanillalink.transport.ResponseWriter
 import org.vanillalink.transport.ScheduledAction
-import org.vanillalink.transport.SendOptions
 import org.vanillalink.transport.TransportFailure
-import java.time.Duration
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -51,7 +40,7 @@
         CallContext(
             state,
             http,
-            Protocol,
+            FakeCallProtocol,
             RequestLogger(SimpleMeterRegistry(), { 0 }, { DecisionInputs(null, null, 1, 0) }),
             activeCalls,
             { 0 },
@@ -194,95 +183,4 @@
     ) = RequestSignature(RequestFingerprint(fingerprint), listOf(part))
 
     private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
-
-    private class FakeHttpClient : HttpClient {
-        val listeners = ArrayList<ResponseListener>()
-        var isClosed = false
-        val last: ResponseListener get() = listeners.last()
-
-        override fun send(
-            endpoint: Endpoint,
-            request: HttpRequestMessage,
-            options: SendOptions,
-            listener: ResponseListener,
-        ): OutgoingExchange {
-            listeners.add(listener)
-            return object : OutgoingExchange {
-                override fun setReading(isReading: Boolean) = Unit
-
-                override fun close() {
-                    isClosed = true
-                }
-            }
-        }
-
-        override fun call(
-            endpoint: Endpoint,
-            request: HttpRequestMessage,
-            timeout: Duration,
-            connectionPolicy: ConnectionPolicy,
-        ) = error("not used")
-
-        override fun closeIdleConnections(endpoint: Endpoint) = error("not used")
-    }
-
-    private class RecordingResponse : ResponseWriter {
-        var status = 0
-        var body = ""
-        var isFinished = false
-        override val isWritable = true
-
-        override fun start(
-            status: Int,
-            headers: HeaderFields,
-        ) {
-            this.status = status
-        }
-
-        override fun write(bytes: ByteArray) {
-            body += bytes.decodeToString()
-        }
-
-        override fun finish() {
-            isFinished = true
-        }
-
-        override fun respond(
-            status: Int,
-            headers: HeaderFields,
-            body: ByteArray,
-        ) {
-            this.status = status
-        }
-
-        override fun abort() = Unit
-
-        override fun onWritable(action: () -> Unit) = Unit
-
-        override fun onCallerDisconnected(action: () -> Unit) = Unit
-    }
-
-    private object Protocol : CallProtocol {
-        override fun readRequest(request: HttpRequestMessage) = error("not used")
-
-        override fun buildForwardedRequest(
-            request: HttpRequestMessage,
-            metadata: ForwardingMetadata,
-        ) = request
-
-        override fun readResponse(
-            status: Int,
-            headers: HeaderFields,
-        ) = ResponseMetadata(
-            "id",
-            isSigned = true,
-            isNotRun = headers["not-executed"] != null,
-            null,
-            false,
-            false,
-            null,
-        )
-
-        override fun responseHeaders(headers: HeaderFields) = headers
-    }
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -64,12 +64,15 @@
     /** The bound address and port; the port that the system has assigned where 0 was requested. */
     val endpoint: Endpoint
 
-    /** The number of requests that are being handled and have no complete response yet. */
+    /** The number of requests that have been received completely and have no complete response yet. */
     val requestsInProgress: Int
 
     /** Continues to serve, but closes each connection after its next response. */
     fun disableKeepAlive()
 
-    /** Accepts no new connections and closes each open one when it has no response in progress. */
+    /**
+     * Accepts no new connections and closes each open one as soon as it has no request. Pipelined requests are still
+     * passed to the handler.
+     */
     fun drain()
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -20,6 +20,18 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicInteger
 
+/** What a server does with its connections. */
+internal enum class ServerPhase {
+    /** Connections are kept open for further requests. */
+    SERVING,
+
+    /** Each connection is closed after its next response, which says so. */
+    LEAVING,
+
+    /** Each connection is closed as soon as it has no request, also if its response has not said so. */
+    DRAINING,
+}
+
 /** Listens on [bind] and passes each request to [handler]. [currentLimits] is read for each new connection. */
 class NettyHttpServer(
     private val loops: NettyEventLoops,
@@ -39,7 +51,7 @@
     private val inProgress = AtomicInteger()
 
     @Volatile
-    private var isDraining = false
+    private var phase = ServerPhase.SERVING
     private val serverChannel: Channel = listen()
 
     override val endpoint: Endpoint
@@ -48,13 +60,13 @@
     override val requestsInProgress: Int get() = inProgress.get()
 
     override fun disableKeepAlive() {
-        isDraining = true
+        phase = ServerPhase.LEAVING
     }
 
     override fun drain() {
-        isDraining = true
+        phase = ServerPhase.DRAINING
         serverChannel.close()
-        connections.forEach { channel -> channel.pipeline().get(ServerConnection::class.java)?.closeWhenIdle() }
+        connections.forEach { channel -> channel.pipeline().get(ServerConnection::class.java)?.closeIfIdle() }
     }
 
     override fun close() {
@@ -99,7 +111,9 @@
                 .addLast(IdleStateHandler(0, 0, limits.idleTimeoutSeconds))
                 .addLast(HttpServerCodec(decoderConfig))
                 .addLast(BoundedRequestAggregator(limits.maxBodyBytes))
-                .addLast(ServerConnection(handler, inProgress) { isDraining })
+                .addLast(ServerConnection(handler, inProgress) { phase })
+            // [drain] may have run before this connection was added.
+            if (phase == ServerPhase.DRAINING) channel.close()
         }
     }
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyResponseWriter.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyResponseWriter.kt
@@ -19,7 +19,7 @@
 internal class NettyResponseWriter(
     private val context: ChannelHandlerContext,
     private val isKeepAlive: Boolean,
-    private val isDraining: () -> Boolean,
+    private val currentPhase: () -> ServerPhase,
     private val onEnded: (isKeptOpen: Boolean) -> Unit,
 ) : ResponseWriter {
     private enum class Progress { NOT_STARTED, STARTED, ENDED }
@@ -96,7 +96,7 @@
         headers: HeaderFields,
     ) {
         headers.all.forEach { (name, value) -> response.headers().set(name, value) }
-        isKeptOpen = isKeepAlive && !isDraining()
+        isKeptOpen = isKeepAlive && currentPhase() == ServerPhase.SERVING
         if (!isKeptOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
@@ -19,7 +19,7 @@
 internal class ServerConnection(
     private val handler: HttpRequestHandler,
     private val requestsInProgress: AtomicInteger,
-    private val isDraining: () -> Boolean,
+    private val currentPhase: () -> ServerPhase,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     private data class QueuedRequest(
         val message: HttpRequestMessage,
@@ -46,6 +46,7 @@
             context.close()
             return
         }
+        requestsInProgress.incrementAndGet()
         queue.addLast(QueuedRequest(request.toMessage(), HttpUtil.isKeepAlive(request)))
         // The task runs after the connection has been read to its end, so that a disconnected caller is detected first.
         context.executor().execute(::startNext)
@@ -75,17 +76,18 @@
         context.close()
     }
 
-    /** Closes the connection if no response is in progress; otherwise it closes once the response has ended. */
-    fun closeWhenIdle() {
-        context.executor().execute { if (currentWriter == null) context.close() }
+    /** Closes the connection if it has no request; otherwise it closes once its last response has ended. */
+    fun closeIfIdle() {
+        context.executor().execute { if (isIdle) context.close() }
     }
 
+    private val isIdle: Boolean get() = currentWriter == null && queue.isEmpty()
+
     private fun startNext() {
         if (!context.channel().isActive) abandonQueued()
         if (currentWriter != null) return
         val next = queue.removeFirstOrNull() ?: return
-        requestsInProgress.incrementAndGet()
-        val writer = NettyResponseWriter(context, next.isKeepAlive, isDraining, ::endResponse)
+        val writer = NettyResponseWriter(context, next.isKeepAlive, currentPhase, ::endResponse)
         currentWriter = writer
         handler.handle(next.message, writer)
     }
@@ -93,7 +95,8 @@
     private fun endResponse(isKeptOpen: Boolean) {
         currentWriter = null
         requestsInProgress.decrementAndGet()
-        if (!isKeptOpen) {
+        // The response may have begun, without `Connection: close`, before the server started to drain.
+        if (!isKeptOpen || (currentPhase() == ServerPhase.DRAINING && isIdle)) {
             context.close()
             return
         }
@@ -102,6 +105,7 @@
 
     private fun abandonQueued() {
         queue.forEach { handler.onAbandoned(it.message) }
+        requestsInProgress.addAndGet(-queue.size)
         queue.clear()
     }
 
