Keep a silent attempt until another one has begun

Cause: a suspicion gave up what there was. ProxiedCall.failOver closed the exchange first and then looked for another target; without one the call ended. TrafficMonitor.check does so after 1.2 s of silence, with or without SIGTERM, for a path that counts as cut, and for groups that the controller calls broken; BufferedCall did the same to a slow answer. Ruled out: the end of the process (the cut came 1.5 s after SIGTERM, the process ended seconds later) and the controller (it had sound reports, and ordered nothing). Change: for a silent or unreachable target a second attempt begins beside the first (a hedge). Whichever goes on first is kept: the hedge when its response begins with success, the first attempt when an event or the whole answer arrives. A hedge that is rejected or fails leaves the first one as it was. A call at a broken group moves at once as before, but only if a target, an attempt and a retry are left. Ruled out as well: waiting longer before the suspicion, which would slow down the repair of groups that really broke. Why it works: no path ends an attempt on a suspicion alone; only its own end, the caller's, or the first event of another one does.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -28,13 +28,13 @@
         calls.filter { it.currentGroup in brokenGroups }.forEach { it.failOver("group-broken") }
     }
 
-    /** Fails over calls at groups whose heads are among [targets]. */
-    fun failOverFromTargets(
+    /** Begins second attempts for calls at groups whose heads are among [targets]. */
+    fun hedgeAtTargets(
         targets: Set<HostId>,
         reason: String,
     ) {
         if (targets.isEmpty()) return
-        calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.failOver(reason) }
+        calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.hedge(reason) }
     }
 
     /** Stops the calls that [detector] blocks and that their targets have not begun to answer. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptListener.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptListener.kt
@@ -1,5 +1,5 @@
 /*
- * Passes the parts of a response to its call while the attempt is the current one.
+ * Passes the parts of a response to its call while the attempt is in progress.
  */
 package org.vanillalink.gateway.traffic
 
@@ -9,28 +9,28 @@
 
 internal class AttemptListener(
     private val call: ProxiedCall,
-    private val attemptId: Int,
+    private val attempt: Attempt,
 ) : ResponseListener {
     override fun onHead(
         status: Int,
         headers: HeaderFields,
     ) {
-        if (!call.isCurrentAttempt(attemptId)) return
-        call.recordProgress()
-        call.onHead(status, headers)
+        if (!call.isInProgress(attempt)) return
+        call.recordProgress(attempt)
+        call.onHead(attempt, status, headers)
     }
 
     override fun onBodyChunk(bytes: ByteArray) {
-        if (!call.isCurrentAttempt(attemptId)) return
-        call.recordProgress()
-        call.onBodyChunk(bytes)
+        if (!call.isInProgress(attempt)) return
+        call.recordProgress(attempt)
+        call.onBody(attempt, bytes)
     }
 
     override fun onComplete() {
-        if (call.isCurrentAttempt(attemptId)) call.onComplete()
+        if (call.isInProgress(attempt)) call.onEnd(attempt)
     }
 
     override fun onFailure(failure: TransportFailure) {
-        if (call.isCurrentAttempt(attemptId)) call.onFailure(failure)
+        if (call.isInProgress(attempt)) call.onFailure(attempt, failure)
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -25,7 +25,7 @@
     fun start() {
         startFirstAttempt()
         if (request.route.kind != CallKind.IDEMPOTENT || isEnded) return
-        slowResponseTimer = context.schedule(Duration.ofMillis(slowResponseMilliseconds()), ::retrySlowAttempt)
+        slowResponseTimer = context.schedule(Duration.ofMillis(slowResponseMilliseconds()), ::hedgeSlowAttempt)
     }
 
     override fun onAcceptedHead(
@@ -48,6 +48,11 @@
         mayHaveRun = true
         if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
         val hasTargetFailed = status >= FIRST_SERVER_ERROR_STATUS
+        if (hasTargetFailed && continueWithHedge()) {
+            trail.append("!$status")
+            keepAsFallback()
+            return
+        }
         if (hasTargetFailed && canRepeat()) {
             trail.append("!$status")
             keepAsFallback()
@@ -77,9 +82,7 @@
         response.respond(status, context.protocol.responseHeaders(headers), content)
     }
 
-    override fun onAttemptFailed(reason: String) {
-        mayHaveRun = true
-        trail.append("!$reason")
+    override fun onAttemptFailed() {
         if (canRepeat()) startAttempt(null) else onNoTarget()
     }
 
@@ -93,15 +96,11 @@
         if (mayHaveRun) refuse(RefusalReason.OUTCOME_UNKNOWN, "the target gave no whole answer") else super.onNoTarget()
     }
 
-    /** Sends a repeatable request that waits far longer than usual to another target while there is time. */
-    private fun retrySlowAttempt() {
+    /** Sends a repeatable request that waits far longer than usual to a second target while there is time. */
+    private fun hedgeSlowAttempt() {
         if (isEnded || currentTarget == null) return
-        if (now + slowResponseMilliseconds() / 2 > request.responseDeadline || !canRepeat()) return
-        trail.append("!slow")
-        mayHaveRun = true
-        currentTarget?.let { context.state.avoid(it, now) }
-        closeExchange()
-        startAttempt(null)
+        if (now + slowResponseMilliseconds() / 2 > request.responseDeadline) return
+        hedge("slow")
     }
 
     private fun slowResponseMilliseconds(): Long =
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -3,6 +3,9 @@
  *
  * What is allowed depends on whether the request may have been executed: a request that is not repeatable is not sent
  * again once a byte of it may have reached a target, and `not-run` is only reported where no target can have it.
+ *
+ * A suspicion against a target, such as its silence, never ends an attempt by itself: a second attempt may begin beside
+ * it, and the one whose response goes on first is kept.
  */
 package org.vanillalink.gateway.traffic
 
@@ -14,9 +17,7 @@
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.targets.GroupKey
-import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.transport.HeaderFields
-import org.vanillalink.transport.OutgoingExchange
 import org.vanillalink.transport.ResponseWriter
 import org.vanillalink.transport.RetryAfterPrecision
 import org.vanillalink.transport.ScheduledAction
@@ -47,17 +48,22 @@
     protected val request: AdmittedRequest,
     protected val response: ResponseWriter,
 ) {
-    /** The group of the attempt in progress, or null. */
-    var currentGroup: GroupKey? = null
-        private set
+    private var current: Attempt? = null
 
-    private var currentTargetEntry: TargetEntry? = null
+    /**
+     * A second attempt, begun since the current one gives no sign of life. It replaces the current one when its
+     * response begins, and ends when the current one goes on.
+     */
+    private var hedge: Attempt? = null
+
+    /** The group of the attempt in progress, or null. */
+    val currentGroup: GroupKey? get() = current?.group
 
     /** Identifies what the request has in common with others. */
     val signature: RequestSignature get() = request.signature
 
     /** The target of the attempt in progress, or null. */
-    val currentTarget: HostId? get() = currentTargetEntry?.id
+    val currentTarget: HostId? get() = current?.target?.id
 
     protected var attempts = 0
         private set
@@ -65,8 +71,6 @@
     private var sentAttempts = 0
     private var hasEnded = false
     private val triedTargets = HashSet<HostId>()
-    private var exchange: OutgoingExchange? = null
-    private var currentAttemptId = 0
 
     /** What the attempt in progress shows, or the last one. */
     protected var evidence = AttemptEvidence(context, request, now)
@@ -88,42 +92,95 @@
         startAttempt(null)
     }
 
-    /** Ends the attempt in progress, since its group will not respond, and continues at another one if possible. */
+    /**
+     * Continues at another target, since the group of the attempt in progress is broken. Without another target the
+     * attempt goes on, and ends with its group at the latest.
+     */
     fun failOver(reason: String) {
-        val target = currentTarget ?: return
-        context.state.avoid(target, now)
-        closeExchange()
-        onAttemptFailed(reason)
+        val attempt = current ?: return
+        context.state.avoid(attempt.target.id, now)
+        if (hedge == null && !canContinueElsewhere()) {
+            recordSuspicion(attempt, reason)
+            return
+        }
+        failAttempt(reason)
+    }
+
+    /**
+     * Begins a second attempt at another target if there is one, since the attempt in progress is silent. That one goes
+     * on meanwhile: a sound target may be silent for a while.
+     */
+    fun hedge(reason: String) {
+        val attempt = current ?: return
+        if (hedge != null) return
+        context.state.avoid(attempt.target.id, now)
+        if (!canContinueElsewhere()) {
+            recordSuspicion(attempt, reason)
+            return
+        }
+        trail.append("!$reason")
+        val next = chooseTarget() ?: return
+        if (!reserveAttempt()) return
+        val second = createAttempt(next)
+        hedge = second
+        transmit(second, resumeFrom())
+    }
+
+    private fun recordSuspicion(
+        attempt: Attempt,
+        reason: String,
+    ) {
+        if (!attempt.isSuspected) trail.append("?$reason")
+        attempt.isSuspected = true
     }
 
+    private fun canContinueElsewhere(): Boolean =
+        canRepeat() && context.state.hasRetry(request.service.name, now) && chooseTarget() != null
+
+    private fun chooseTarget(): ChosenTarget? =
+        context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now)
+
     /** Starts an attempt at the next target; [lastEventId] is the last event of a stream that the caller received. */
     protected fun startAttempt(lastEventId: Long?) {
-        val next = context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now)
+        val next = chooseTarget()
         if (next == null) trail.append('!').append(context.state.describe(request.service, request.metadata.model, now))
         if (next == null || !reserveAttempt()) {
             onNoTarget()
             return
         }
-        val entry = next.entry
+        val attempt = createAttempt(next)
+        makeCurrent(attempt)
+        transmit(attempt, lastEventId)
+    }
+
+    private fun createAttempt(chosen: ChosenTarget): Attempt {
+        val entry = chosen.entry
         triedTargets.add(entry.id)
-        currentTargetEntry = entry
-        currentGroup = next.group?.key
         context.state.recordSent(entry, now)
-        val label = next.group?.key?.group ?: entry.id.value
-        trail.append(if (trail.isEmpty()) "" else ",").append("$label/${next.inFlight}of${next.candidates}")
+        val label = chosen.group?.key?.group ?: entry.id.value
+        trail.append(if (trail.isEmpty()) "" else ",").append("$label/${chosen.inFlight}of${chosen.candidates}")
+        return Attempt(entry, chosen.group?.key, AttemptEvidence(context, request, now))
+    }
+
+    private fun makeCurrent(attempt: Attempt) {
+        current = attempt
+        evidence = attempt.evidence
+    }
+
+    private fun transmit(
+        attempt: Attempt,
+        lastEventId: Long?,
+    ) {
         val remaining = maxOf(1, request.callerDeadline - now)
-        val metadata =
-            ForwardingMetadata(entry, request.workspace?.id, remaining, lastEventId ?: request.metadata.lastEventId)
+        val eventId = lastEventId ?: request.metadata.lastEventId
+        val metadata = ForwardingMetadata(attempt.target, request.workspace?.id, remaining, eventId)
         val options = SendOptions(responseTimeout = Duration.ofMillis(remaining + RESPONSE_TIMEOUT_MARGIN_MILLISECONDS))
-        currentAttemptId += 1
-        evidence = AttemptEvidence(context, request, now)
-        val listener = AttemptListener(this, currentAttemptId)
-        exchange =
+        attempt.exchange =
             context.http.send(
-                entry.endpoint,
+                attempt.target.endpoint,
                 context.protocol.buildForwardedRequest(request.message, metadata),
                 options,
-                listener,
+                AttemptListener(this, attempt),
             )
     }
 
@@ -139,46 +196,83 @@
         return true
     }
 
-    /** Whether [attemptId] is the attempt in progress. */
-    fun isCurrentAttempt(attemptId: Int): Boolean = !hasEnded && attemptId == currentAttemptId && currentTarget != null
+    /** Whether [attempt] is in progress, as the current one or as the hedge. */
+    fun isInProgress(attempt: Attempt): Boolean = !hasEnded && (attempt === current || attempt === hedge)
 
-    /** Records that bytes of the response were received. */
-    fun recordProgress() {
-        currentTarget?.let { context.state.stallDetector.recordProgress(it, now, isFirst = !evidence.hasResponseBegun) }
-        evidence.recordRead()
+    /** Records that bytes of the response to [attempt] were received. */
+    fun recordProgress(attempt: Attempt) {
+        context.state.stallDetector.recordProgress(
+            attempt.target.id,
+            now,
+            isFirst = !attempt.evidence.hasResponseBegun,
+        )
+        attempt.evidence.recordRead()
     }
 
-    /** Checks that the response belongs to this request before any of it is used. */
+    /** Checks that the response to [attempt] belongs to this request before any of it is used. */
     fun onHead(
+        attempt: Attempt,
         status: Int,
         headers: HeaderFields,
     ) {
         val metadata = context.protocol.readResponse(status, headers)
         // The target's announcements about itself apply even if its response is discarded.
-        currentTargetEntry?.let { context.state.recordMetadata(it, metadata, now) }
-        if (status in SUCCESSES && metadata.isSigned) currentTargetEntry?.let { evidence.recordSuccess(it.instance) }
+        context.state.recordMetadata(attempt.target, metadata, now)
+        val instance = attempt.target.instance
+        if (status in SUCCESSES && metadata.isSigned) attempt.evidence.recordSuccess(instance)
         val fault = findFault(status, metadata, request.metadata.requestId)
-        currentTargetEntry?.instance?.let {
-            context.state.limitedTargets.recordResponse(it, metadata, fault == null, evidence.startedAt, now)
-        }
+        context.state.limitedTargets.recordResponse(instance, metadata, fault == null, attempt.evidence.startedAt, now)
         when {
-            fault != null -> {
-                failAttempt(fault)
-            }
+            fault != null -> endAttempt(attempt, fault)
+            metadata.isNotRun -> onRejected(attempt, status, metadata)
+            attempt === hedge && status !in SUCCESSES -> endAttempt(attempt, status.toString())
+            else -> acceptHead(attempt, status, headers, metadata)
+        }
+    }
 
-            metadata.isNotRun -> {
-                trail.append("!$status").append(metadata.faultyTarget?.let { "@$it" }.orEmpty())
-                currentTarget?.let { context.state.avoid(it, now) }
-                closeExchange()
-                onNotRun()
+    private fun acceptHead(
+        attempt: Attempt,
+        status: Int,
+        headers: HeaderFields,
+        metadata: ResponseMetadata,
+    ) {
+        if (attempt === hedge) replaceCurrent()
+        onAcceptedHead(status, headers, metadata)
+    }
+
+    /** The target of [attempt] reports that it has not executed the request. */
+    private fun onRejected(
+        attempt: Attempt,
+        status: Int,
+        metadata: ResponseMetadata,
+    ) {
+        trail.append("!$status").append(metadata.faultyTarget?.let { "@$it" }.orEmpty())
+        context.state.avoid(attempt.target.id, now)
+        when {
+            attempt === hedge -> {
+                closeHedge()
             }
 
             else -> {
-                onAcceptedHead(status, headers, metadata)
+                closeCurrent()
+                if (!continueWithHedge()) onNotRun()
             }
         }
     }
 
+    /** Passes on a part of the body of the response to [attempt]; only the current one gets so far. */
+    fun onBody(
+        attempt: Attempt,
+        bytes: ByteArray,
+    ) {
+        if (attempt === current) onBodyChunk(bytes)
+    }
+
+    /** The response to [attempt] is complete. */
+    fun onEnd(attempt: Attempt) {
+        if (attempt === current) onComplete()
+    }
+
     abstract fun onAcceptedHead(
         status: Int,
         headers: HeaderFields,
@@ -189,31 +283,36 @@
 
     abstract fun onComplete()
 
-    /** Called when the attempt in progress ends without a usable response. */
-    abstract fun onAttemptFailed(reason: String)
-
-    /** Called when the connection fails. */
-    fun onFailure(failure: TransportFailure) {
-        val entry = currentTargetEntry ?: return
-        val target = entry.id
-        releaseTarget()
-        context.state.avoid(target, now)
-        if (!failure.requestMayHaveArrived) {
-            trail.append("!unconnected")
-            onNotRun(countsAsAttempt = false)
+    /** Called when the last attempt has ended without a usable response. */
+    abstract fun onAttemptFailed()
+
+    /** Called when the connection of [attempt] fails. */
+    fun onFailure(
+        attempt: Attempt,
+        failure: TransportFailure,
+    ) {
+        context.state.avoid(attempt.target.id, now)
+        if (failure.requestMayHaveArrived) {
+            attempt.evidence.recordLoss(attempt.target.instance)
+            endAttempt(attempt, "connection-lost")
+            return
+        }
+        trail.append("!unconnected")
+        uncountAttempt()
+        if (attempt === hedge) {
+            closeHedge()
             return
         }
-        evidence.recordLoss(entry.instance)
-        onAttemptFailed("connection-lost")
+        closeCurrent()
+        if (!continueWithHedge()) onNotRun()
     }
 
     /** Ends an attempt whose response ended with its connection before it was complete. */
     protected fun onBrokenOff(reason: String) {
-        val entry = currentTargetEntry ?: return
-        releaseTarget()
-        context.state.avoid(entry.id, now)
-        evidence.recordLoss(entry.instance)
-        onAttemptFailed(reason)
+        val attempt = current ?: return
+        context.state.avoid(attempt.target.id, now)
+        attempt.evidence.recordLoss(attempt.target.instance)
+        failAttempt(reason)
     }
 
     /** Ends the call unless its target has begun to answer: by then the request has not crashed it. */
@@ -224,21 +323,61 @@
         onNoTarget()
     }
 
-    /** Drops a connection whose response can't be trusted; the request may be executed all the same. */
+    /** Ends the attempt in progress without a usable response; the request may be executed all the same. */
     protected fun failAttempt(reason: String) {
-        closeExchange()
-        onAttemptFailed(reason)
+        closeCurrent()
+        mayHaveRun = true
+        trail.append("!$reason")
+        if (!continueWithHedge()) onAttemptFailed()
     }
 
-    /** Continues after an attempt whose request was certainly not executed. */
-    protected fun onNotRun(countsAsAttempt: Boolean = true) {
-        if (!countsAsAttempt) {
-            attempts -= 1
-            sentAttempts -= 1
+    /** Ends [attempt] without a usable response. */
+    private fun endAttempt(
+        attempt: Attempt,
+        reason: String,
+    ) {
+        if (attempt !== hedge) {
+            failAttempt(reason)
+            return
         }
+        trail.append("!$reason")
+        mayHaveRun = true
+        closeHedge()
+    }
+
+    /** The hedge's response has begun: it takes the place of the current attempt, which is given up. */
+    private fun replaceCurrent() {
+        closeCurrent()
+        mayHaveRun = true
+        continueWithHedge()
+    }
+
+    /** Waits for the response of the hedge if there is one, after the current attempt has ended. */
+    protected fun continueWithHedge(): Boolean {
+        val next = hedge ?: return false
+        makeCurrent(next)
+        hedge = null
+        return true
+    }
+
+    /** Ends the hedge, since the current attempt goes on. */
+    protected fun dropHedge() {
+        if (hedge == null) return
+        trail.append("!not-needed")
+        mayHaveRun = true
+        closeHedge()
+    }
+
+    /** Continues after an attempt whose request was certainly not executed. */
+    private fun onNotRun() {
         if (mayAttemptAgain) startAttempt(resumeFrom()) else onNoTarget()
     }
 
+    private fun uncountAttempt() {
+        attempts -= 1
+        sentAttempts -= 1
+    }
+
     /** Whether the request may be executed again at another target. */
     protected fun canRepeat(): Boolean = request.route.isRepeatable && mayAttemptAgain
 
@@ -286,7 +425,8 @@
     ) {
         if (hasEnded) return
         val lastAttemptMilliseconds = currentTarget?.let { attemptMilliseconds }
-        closeExchange()
+        closeCurrent()
+        closeHedge()
         hasEnded = true
         timeout?.cancel()
         context.activeCalls.remove(this)
@@ -297,18 +437,29 @@
         )
     }
 
-    /** Ends the attempt in progress in the counts of its target. */
+    /** Ends the attempt in progress, whose response is complete. */
     protected fun releaseTarget() {
-        currentTarget?.let { context.state.recordEnded(it, evidence.hasResponseBegun) }
-        currentTargetEntry = null
-        currentGroup = null
-        exchange = null
+        current?.let(::countEnd)
+        current = null
+    }
+
+    /** Ends [attempt] in the counts of its target. */
+    private fun countEnd(attempt: Attempt) =
+        context.state.recordEnded(attempt.target.id, attempt.evidence.hasResponseBegun)
+
+    private fun closeCurrent() {
+        current?.let(::close)
+        current = null
+    }
+
+    private fun closeHedge() {
+        hedge?.let(::close)
+        hedge = null
     }
 
-    protected fun closeExchange() {
-        val open = exchange
-        releaseTarget()
-        open?.close()
+    private fun close(attempt: Attempt) {
+        countEnd(attempt)
+        attempt.exchange?.close()
     }
 
     protected open fun onTimeout() {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -62,6 +62,7 @@
             failAttempt("event-${events.firstId}-after-${expected - 1}")
             return
         }
+        dropHedge()
         firstEventAt?.let(evidence::recordAnswer)
         firstEventAt = firstEventAt ?: now
         lastEventId = events.lastId ?: lastEventId
@@ -110,9 +111,7 @@
     /** A stream that is resumed may have no events left; any other one has at least one. */
     private fun isCutBeforeFirstEvent(): Boolean = endsWithConnection && firstEventAt == null && lastEventId == null
 
-    override fun onAttemptFailed(reason: String) {
-        mayHaveRun = true
-        trail.append("!$reason")
+    override fun onAttemptFailed() {
         if (canRepeat()) {
             resumptions += 1
             startAttempt(lastEventId)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -124,8 +124,10 @@
         lastCheckAt = time
         val stalledTargets = state.detectStalls(time)
         stalledGroups = activeCalls.groupsWithCallsAt(stalledTargets.keys)
-        activeCalls.failOverFromTargets(state.unreachableTargets(), "path-cut")
-        activeCalls.failOverFromTargets(
+        // A call that found no other target before may find one now.
+        activeCalls.failOverFromGroups(state.view.broken)
+        activeCalls.hedgeAtTargets(state.unreachableTargets(), "path-cut")
+        activeCalls.hedgeAtTargets(
             stalledTargets.filterValues { it > STALL_LIMIT_MILLISECONDS }.keys,
             "group-stalled",
         )
@@ -218,7 +220,7 @@
         /** A process paused for this long has not read the responses received in the meantime. */
         const val PROCESS_PAUSE_MILLISECONDS = 250L
 
-        /** Calls at a group stalled for this long fail over without its controller: callers cancel after 2 s. */
+        /** Calls at a group stalled for this long are hedged without its controller: callers cancel after 2 s. */
         const val STALL_LIMIT_MILLISECONDS = 1_200L
 
         /** Two of the longest heartbeat periods, since a datagram may be lost. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -281,6 +281,12 @@
         service.capacityName(model)?.let { demand.recordCompletion(it, milliseconds, now) }
     }
 
+    /** Whether a retry for [service] is left in the budget. */
+    fun hasRetry(
+        service: ServiceName,
+        now: Long,
+    ): Boolean = retryBudget(service).isAvailable(now, view.budgetDaemons)
+
     /** Takes one retry for [service] from the budget; returns whether it was available. */
     fun takeRetry(
         service: ServiceName,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
@@ -20,7 +20,10 @@
 
 internal class FakeHttpClient : HttpClient {
     val listeners = ArrayList<ResponseListener>()
-    var isClosed = false
+
+    /** The exchanges that were closed, by their order. */
+    val closed = ArrayList<Int>()
+    val isClosed: Boolean get() = closed.isNotEmpty()
     val last: ResponseListener get() = listeners.last()
 
     override fun send(
@@ -29,12 +32,13 @@
         options: SendOptions,
         listener: ResponseListener,
     ): OutgoingExchange {
+        val index = listeners.size
         listeners.add(listener)
         return object : OutgoingExchange {
             override fun setReading(isReading: Boolean) = Unit
 
             override fun close() {
-                isClosed = true
+                closed.add(index)
             }
         }
     }
@@ -55,6 +59,9 @@
     var body = ""
     var isFinished = false
     var isAborted = false
+
+    /** Called by the test when the caller disconnects. */
+    var disconnect: () -> Unit = {}
     override val isWritable = true
 
     override fun start(
@@ -88,7 +95,9 @@
 
     override fun onWritable(action: () -> Unit) = Unit
 
-    override fun onCallerDisconnected(action: () -> Unit) = Unit
+    override fun onCallerDisconnected(action: () -> Unit) {
+        disconnect = action
+    }
 }
 
 internal object FakeCallProtocol : CallProtocol {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -162,19 +162,140 @@
         assertEquals(503, response.status)
     }
 
+    // Guards against cutting a stream whose sound group is silent for a while and no other one is there (review/4).
+    @Test
+    fun `a stream whose target is silent and that has no other target goes on when the target does`() {
+        state.view = TrafficView(plainTargets = mapOf(service.name to targets.take(1)))
+        val call = start()
+        beginStream()
+        repeat(3) { call.hedge("group-stalled") }
+        assertFalse(http.isClosed)
+        http.last.onBodyChunk(event(1))
+        http.last.onComplete()
+
+        assertEquals("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+    }
+
+    // The same where the controller calls the group broken: its head may finish the stream before it leaves.
+    @Test
+    fun `a stream whose group is broken and that has no other target goes on when the group does`() {
+        state.view = TrafficView(plainTargets = mapOf(service.name to targets.take(1)))
+        val call = start()
+        beginStream()
+        call.failOver("group-broken")
+        http.last.onComplete()
+
+        assertTrue(response.isFinished)
+    }
+
+    @Test
+    fun `a stream at a broken group continues at another target at once`() {
+        val call = start()
+        beginStream()
+        call.failOver("group-broken")
+
+        assertEquals(2, http.listeners.size)
+        assertEquals(listOf(0), http.closed)
+    }
+
+    // Guards against giving up a silent stream for a target that then rejects it.
+    @Test
+    fun `a silent stream goes on at its target when the second target rejects it`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        http.listeners[1].onHead(503, HeaderFields.of("not-executed" to "1"))
+        http.listeners[0].onBodyChunk(event(1))
+        http.listeners[0].onComplete()
+
+        assertEquals("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+    }
+
+    // Guards against mixing the events of two runs.
+    @Test
+    fun `the second attempt at a silent stream takes its place when its response begins`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        http.listeners[1].onHead(200, HeaderFields())
+        http.listeners[0].onBodyChunk(event(1))
+        http.listeners[1].onBodyChunk(event(1))
+        http.listeners[1].onComplete()
+
+        assertEquals("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+        assertEquals(listOf(0), http.closed)
+    }
+
+    @Test
+    fun `the second attempt at a silent stream ends when the first one goes on`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        http.listeners[0].onBodyChunk(event(1))
+        http.listeners[1].onHead(200, HeaderFields())
+        http.listeners[1].onBodyChunk(event(1))
+
+        assertEquals("id: 0\ndata: x\n\nid: 1\ndata: x\n\n", response.body)
+        assertEquals(listOf(1), http.closed)
+    }
+
+    @Test
+    fun `the second attempt at a silent stream is kept when the first one breaks off`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        http.listeners[0].onFailure(TransportFailure.ConnectionLost("reset"))
+        http.listeners[1].onHead(200, HeaderFields())
+        http.listeners[1].onBodyChunk(event(1))
+        http.listeners[1].onComplete()
+
+        assertTrue(response.isFinished)
+        assertEquals(2, http.listeners.size)
+    }
+
+    @Test
+    fun `both attempts at a silent stream end with their call`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        response.disconnect()
+
+        assertEquals(listOf(0, 1), http.closed)
+        assertEquals(0, state.inFlight.localCounts().size)
+    }
+
+    // Guards against a run for nobody, and a place counted for ever.
+    @Test
+    fun `each ended attempt is counted as ended at its target`() {
+        val call = start()
+        beginStream()
+        call.hedge("group-stalled")
+        http.listeners[1].onHead(200, HeaderFields())
+        http.listeners[1].onBodyChunk(event(1))
+        http.listeners[1].onComplete()
+
+        assertEquals(0, state.inFlight.localCounts().size)
+        assertEquals(emptySet(), state.stallDetector.targetsWithRequests())
+    }
+
+    private fun beginStream() {
+        http.last.onHead(200, HeaderFields())
+        http.last.onBodyChunk(event(0))
+    }
+
     private fun start(
         fingerprint: String = "f",
         part: String = "p",
         lastEventId: Long? = null,
-    ) {
+    ): StreamCall {
         val metadata = RequestMetadata("id", "h", 8_000, null, null, lastEventId, 0, listOf(part))
         val message = HttpRequestMessage("POST", "/")
         val signature = signature(fingerprint, part)
-        StreamCall(
-            context,
-            AdmittedRequest(message, metadata, route, service, null, 0, 8_000, 8_000, signature),
-            response,
-        ).startFirstAttempt()
+        val request = AdmittedRequest(message, metadata, route, service, null, 0, 8_000, 8_000, signature)
+        return StreamCall(context, request, response).apply { startFirstAttempt() }
     }
 
     private fun signature(
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/RetryBudget.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/RetryBudget.kt
@@ -30,14 +30,22 @@
     fun tryAcquire(
         now: Long,
         daemonCount: Int,
+    ): Boolean {
+        val isAvailable = isAvailable(now, daemonCount)
+        if (isAvailable) retries.addLast(now)
+        return isAvailable
+    }
+
+    /** Whether a retry is left in the budget that [daemonCount] daemons share. */
+    fun isAvailable(
+        now: Long,
+        daemonCount: Int,
     ): Boolean {
         removeExpired(now)
         val maxRetries =
             settings.retryRatio * requests.size * USABLE_FRACTION +
                 settings.fixedRetries * USABLE_FRACTION / maxOf(daemonCount, 1)
-        if (retries.size >= maxRetries) return false
-        retries.addLast(now)
-        return true
+        return retries.size < maxRetries
     }
 
     private fun removeExpired(now: Long) {
