--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStoreHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/rows/RowStoreHandler.kt
@@ -21,6 +21,9 @@
 class RowStoreHandler(
     private val store: RowStore,
 ) : HttpRequestHandler {
+    /** Called when a page of a table has been read and further ones follow, before it is sent. */
+    @Volatile
+    var onPageRead: () -> Unit = {}
     private val timer = Executors.newSingleThreadScheduledExecutor { Thread(it, "row-store").apply { isDaemon = true } }
 
     override fun handle(
@@ -89,7 +92,9 @@
             )
         val from = request.queryParameter("from").orEmpty()
         val page = matchingRows.filter { it.address.key >= from }
-        val body = rows(page.take(PAGE_SIZE), version) + ("hasMore" to (page.size > PAGE_SIZE))
+        val hasMore = page.size > PAGE_SIZE
+        val body = rows(page.take(PAGE_SIZE), version) + ("hasMore" to hasMore)
+        if (hasMore) onPageRead()
         response.sendJson(body, headers = eraHeader())
     }
 
