Fence a head only after its own report, requested after its answer

Cause: OrderAnswers took any accepted answer to a leave for proof that the head is in no group. A head that is in another group answers 200, since it isn't in the one that it is to leave. The new controller believed the head's entry, older than the head's cut from the store, and completeLeave sent the fence, a join of a higher epoch, although the head's report said otherwise. An entry that shows a broken group was taken for such proof as well. Ruled out: the term (it is higher, as it must be) and the report (it was right, and came 10 ms later). Change: if delayed orders may still open the group, an answer to leave only requests the head's report; the fence follows a report of no group, or of this group, broken. A broken group in an entry counts as dissolved only where nothing can open it again. The simulated runner of FakeFleet now answers a leave of another group as the protocol says (the state already holds), and the fault sequences have a second form with single runners whose entries stay behind. The earlier form and its pinned seeds are as before. Why it works: the order that takes a host out rests on the host's own word, later than the belief that it overrules.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -17,14 +17,10 @@
     private fun advance(dissolution: Dissolution) {
         val listed = view.entries[dissolution.head.id]
         val hasEnded = listed == null && dissolution.unansweredReports >= cycle.settings.unansweredBeforeGone
-        if (hasEnded || (listed != null && hasMovedOn(dissolution, listed))) {
+        if (hasEnded || (listed != null && hasStopped(dissolution, listed))) {
             cycle.markDissolved(dissolution.key)
             return
         }
-        if (listed != null && isBroken(dissolution, listed)) {
-            cycle.completeLeave(dissolution.key)
-            return
-        }
         val isClosed = dissolution.isGraceful && listed?.membership?.state == MemberState.READY
         val interval = if (isClosed) cycle.settings.pollIntervalMilliseconds else cycle.settings.resendMilliseconds
         if (cycle.now - dissolution.lastSentAt < interval) return
@@ -40,6 +36,13 @@
             )
     }
 
+    /** A broken group that may be opened again by a delayed order is dissolved by its head's own report only. */
+    private fun hasStopped(
+        dissolution: Dissolution,
+        listed: TargetEntry,
+    ): Boolean = hasMovedOn(dissolution, listed) ||
+        (isBroken(dissolution, listed) && !cycle.canReopen(dissolution.key))
+
     private fun hasMovedOn(
         dissolution: Dissolution,
         listed: TargetEntry,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -96,17 +96,20 @@
         }
     }
 
-    /** An order without an answer proves nothing about the head: a live head may carry it out late. */
+    /**
+     * An order without an answer proves nothing about the head: a live head may carry it out late. An accepted order
+     * shows that the head is not in this group, but not in which one it is: only its own report, requested after that,
+     * shows whether it may be fenced.
+     */
     private fun leaveAnswered(
         key: GroupKey,
         result: OrderResult,
     ) {
-        if (key !in cycle.state.dissolutions) return
-        // A head that refuses may be in another group by now, and only its report shows whether it may be fenced.
-        val isReportNeeded = result == OrderResult.REFUSED && cycle.canReopen(key)
+        val dissolution = cycle.state.dissolutions[key] ?: return
         when {
-            result == OrderResult.ACCEPTED -> cycle.completeLeave(key)
-            result in ANSWERS && !isReportNeeded -> cycle.markDissolved(key)
+            result !in ANSWERS -> Unit
+            result != OrderResult.OTHER_TARGET && cycle.canReopen(key) -> cycle.requestReport(dissolution.head)
+            else -> cycle.markDissolved(key)
         }
     }
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -60,6 +60,9 @@
 
     private var frozenEntries: Map<HostId, TargetEntry>? = null
 
+    /** Entries of runners that are disconnected from the registry only, as they were before. */
+    private val staleEntries = HashMap<HostId, TargetEntry>()
+
     /** Whether the controller has followed the registry for long enough to know removed entries. */
     var keepsRemovedEntries = true
     private val lastListed = HashMap<HostId, TargetEntry>()
@@ -160,6 +163,15 @@
         frozenEntries = listed()
     }
 
+    /** Keeps the present entry of [id], whatever its runner does, until [reconnect]. */
+    fun disconnectFromRegistry(id: HostId) {
+        listed()[id]?.let { staleEntries[id] = it }
+    }
+
+    fun reconnect(id: HostId) {
+        staleEntries.remove(id)
+    }
+
     fun thawRegistry() {
         frozenEntries = null
     }
@@ -177,7 +189,7 @@
     private fun currentEntries(): Map<HostId, TargetEntry> = runners.values
         .filter {
             !isExpired(it) && !it.isUnlisted && (!it.isDead || now - it.unresponsiveSince < EXPIRY_MILLISECONDS)
-        }.associate { runner -> runner.id to toEntry(runner) }
+        }.associate { runner -> runner.id to (staleEntries[runner.id] ?: toEntry(runner)) }
         .also { lastListed.putAll(it) }
 
     private fun isExpired(runner: FakeRunner): Boolean {
@@ -319,7 +331,8 @@
         runner: FakeRunner,
         order: GroupOrder.Leave,
     ): OrderResult {
-        if (runner.key() != order.key) return OrderResult.REFUSED
+        // The order affects no other group, and its answer is that the state already holds.
+        if (runner.key() != order.key) return OrderResult.ACCEPTED
         runner.membership = null
         runner.openAt = null
         return OrderResult.ACCEPTED
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -108,6 +108,26 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against taking a head out of the open group that it serves, since it answered 200 to an order to leave its
+    // previous group, which its entry still shows (review/2).
+    @Test
+    fun `a daemon that takes over does not fence a head that is in another group than its entry shows`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val before = fleet.serving().first { it.model == "small" }
+        val head = before.members.first()
+        fleet.disconnectFromRegistry(head)
+        fleet.loseMember(before.members.last())
+        fleet.runUntil(3_000) { fleet.runners.getValue(head).let { it.isOpen() && it.key() != before.key } }
+        val serving = fleet.runners.getValue(head).key()
+
+        fleet.takeOver()
+        fleet.run(4_000)
+
+        assertTrue(serving != before.key)
+        assertEquals(emptyList(), fleet.violations)
+        assertEquals(serving, fleet.runners.getValue(head).key())
+    }
+
     @Test
     fun `a leaving member is replaced after requests in flight have completed`() {
         val fleet = settledFleet(mapOf("d0" to 8))
@@ -257,10 +277,20 @@
     @Test
     fun `a head in another group than its entry shows is not ordered to stand by`() = runFaultSequence(seed = 104)
 
-    private fun runFaultSequence(seed: Int) {
+    // The same with single runners whose entries stay behind what they do.
+    @Test
+    fun `no safety rule is violated while single runners are disconnected from the registry`() {
+        repeat(SEEDS) { seed -> runFaultSequence(seed, disconnections = Random(seed + SEEDS)) }
+    }
+
+    private fun runFaultSequence(
+        seed: Int,
+        disconnections: Random? = null,
+    ) {
         val random = Random(seed)
         val fleet = settledFleet(mapOf("d0" to 8, "d1" to 8))
         fleet.orderDelay = { _, _ -> if (random.nextInt(6) == 0) random.nextLong(500, 12_000) else null }
+        var disconnected = emptyList<HostId>()
         repeat(12) { round ->
             val alive = fleet.runners.values.filter { !it.isDead }
             fleet.loseMember(alive[random.nextInt(alive.size)].id)
@@ -273,6 +303,9 @@
             val listedAgain = fleet.runners.values.filter { it.isUnlisted }
             alive.filter { random.nextInt(20) == 0 }.forEach { it.isUnlisted = true }
             listedAgain.forEach { it.isUnlisted = false }
+            disconnected.forEach(fleet::reconnect)
+            disconnected = alive.filter { disconnections?.nextInt(DISCONNECTED_ONE_IN) == 0 }.map { it.id }
+            disconnected.forEach(fleet::disconnectFromRegistry)
             fleet.run(random.nextLong(500, 4_000))
         }
         assertEquals(emptyList(), fleet.violations, "seed $seed\n" + fleet.violationHistory())
@@ -311,5 +344,8 @@
 
     private companion object {
         const val SEEDS = 100
+
+        /** How many runners there are for one whose entry stays behind, in each round. */
+        const val DISCONNECTED_ONE_IN = 10
     }
 }
