--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -167,6 +167,18 @@
         assertTrue(fleet.orders.none { it.second == GroupOrder.Leave(group.key) })
     }
 
+    // Guards against a crashed head that is never replaced where no stream is under way and nothing else happens.
+    @Test
+    fun `a head that refuses connections is replaced in a quiet failure domain`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.endProcess(group.members.first())
+        val elapsed = fleet.runUntil(20_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+
+        assertTrue(elapsed <= ENTRY_EXPIRY_MILLISECONDS + 3_000, "took $elapsed ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     // Guards against taking a head out of the open group that it serves, since it answered 200 to an order to leave its
     // previous group, which its entry still shows (review/2).
     @Test
