End no caller's connection while a request on it has no answer

Callers go by the limit of the configuration, so after a raise they sent requests into the close. Now the current limit counts, in milliseconds. - The idle event looked at the response in progress only, not at requests that were read and not yet started. - The 17th request that a caller sent ahead closed the connection with its answers under way. Now the connection is not read until the queue shrinks. - A request whose handler threw an exception stayed without an answer for ever, and in progress. Now it is answered 502, and logged as handler-failed.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -194,12 +194,11 @@
             traffic.state.view.catalog
                 ?.configuration
                 ?.limits ?: return ServerLimits()
-        val idleSeconds = Duration.ofMillis(configuredLimits.idleMilliseconds).toSeconds().toInt()
         return ServerLimits(
             configuredLimits.headerBytes,
             configuredLimits.bodyBytes,
             MAX_CONNECTIONS,
-            maxOf(1, idleSeconds),
+            Duration.ofMillis(maxOf(MIN_IDLE_MILLISECONDS, configuredLimits.idleMilliseconds)),
         )
     }
 
@@ -232,6 +231,9 @@
         const val MAX_CONNECTIONS = 4_000
         const val POLL_INTERVAL_MILLISECONDS = 20L
 
+        /** Below this, connections would end between two requests of the same caller. */
+        const val MIN_IDLE_MILLISECONDS = 1_000L
+
         /** Callers are redirected to other daemons after two failed readiness checks, one second apart. */
         const val REDIRECTION_WAIT_MILLISECONDS = 2_500L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -139,6 +139,24 @@
         )
     }
 
+    /** Logs and counts a request that the daemon failed to handle. */
+    fun logHandlerFailed(
+        metadata: RequestMetadata,
+        path: String,
+        failure: Exception,
+    ) {
+        timer("none", HANDLER_FAILED_OUTCOME).record(Duration.ZERO)
+        write(
+            isFailure = true,
+            "event" to "request",
+            "request" to metadata.requestId,
+            "host" to metadata.host,
+            "path" to path,
+            "outcome" to HANDLER_FAILED_OUTCOME,
+            "failure" to failure,
+        )
+    }
+
     private fun write(
         isFailure: Boolean,
         vararg fields: Pair<String, Any?>,
@@ -182,6 +200,7 @@
         /** Bounds the line; requests have two or three shared parts. */
         const val MAX_LOGGED_PARTS = 8
         const val ABANDONED_OUTCOME = "caller-gone-before-begun"
+        const val HANDLER_FAILED_OUTCOME = "handler-failed"
 
         /** Smaller delays have no effect that a caller notices. */
         const val MIN_LOGGED_DELAY_MILLISECONDS = 20L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -47,6 +47,11 @@
     override fun onAbandoned(request: HttpRequestMessage) =
         context.requestLogger.logAbandoned(context.protocol.readRequest(request), request.path)
 
+    override fun onFailure(
+        request: HttpRequestMessage,
+        failure: Exception,
+    ) = context.requestLogger.logHandlerFailed(context.protocol.readRequest(request), request.path, failure)
+
     override fun handle(
         request: HttpRequestMessage,
         response: ResponseWriter,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -37,6 +37,7 @@
         splitter = EventSplitter()
         failureBody.reset()
         isEventStream = status == STATUS_OK
+        if (isResponseStarted) resumptions += 1
         firstEventAt = null
         endsWithConnection = headers["content-length"] == null && headers["transfer-encoding"] == null
         if (!isResponseStarted) {
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.transport
 
 import org.vanillalink.model.Endpoint
+import java.time.Duration
 
 /** Handles requests. Called on an event loop thread, which it must not block. */
 fun interface HttpRequestHandler {
@@ -15,6 +16,12 @@
 
     /** The caller disconnected before [request] was handled; it is dropped without a call of [handle]. */
     fun onAbandoned(request: HttpRequestMessage) = Unit
+
+    /** [handle] has thrown [failure] for [request], whose outcome is unknown; the caller is told so. */
+    fun onFailure(
+        request: HttpRequestMessage,
+        failure: Exception,
+    ) = Unit
 }
 
 /** Writes one response. Calls after the response has ended or the caller has disconnected have no effect. */
@@ -51,12 +58,12 @@
     fun onCallerDisconnected(action: () -> Unit)
 }
 
-/** Limits for requests and connections of callers. */
+/** Limits for requests and connections of callers. The idle timeout also applies to connections that are open. */
 data class ServerLimits(
     val maxHeaderBytes: Int = 16_384,
     val maxBodyBytes: Int = 4_194_304,
     val maxConnections: Int = 10_000,
-    val idleTimeoutSeconds: Int = 120,
+    val idleTimeout: Duration = Duration.ofSeconds(120),
 )
 
 /** An HTTP server, which listens until it is closed. */
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor
 import org.vanillalink.model.Endpoint
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
 /** What a server does with its connections. */
@@ -32,7 +33,10 @@
     DRAINING,
 }
 
-/** Listens on [bind] and passes each request to [handler]. [currentLimits] is read for each new connection. */
+/**
+ * Listens on [bind] and passes each request to [handler]. [currentLimits] is read for each new connection, and its idle
+ * timeout again before a connection is closed for it.
+ */
 class NettyHttpServer(
     private val loops: NettyEventLoops,
     private val bind: Endpoint,
@@ -108,10 +112,10 @@
             val decoderConfig = HttpDecoderConfig().setMaxHeaderSize(limits.maxHeaderBytes)
             channel
                 .pipeline()
-                .addLast(IdleStateHandler(0, 0, limits.idleTimeoutSeconds))
+                .addLast(IdleStateHandler(0, 0, limits.idleTimeout.toMillis(), TimeUnit.MILLISECONDS))
                 .addLast(HttpServerCodec(decoderConfig))
                 .addLast(BoundedRequestAggregator(limits.maxBodyBytes))
-                .addLast(ServerConnection(handler, inProgress) { phase })
+                .addLast(ServerConnection(handler, inProgress, { currentLimits().idleTimeout }) { phase })
             // [drain] may have run before this connection was added.
             if (phase == ServerPhase.DRAINING) channel.close()
         }
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
@@ -14,11 +14,13 @@
 import org.vanillalink.model.Refusal
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
+import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 
 internal class ServerConnection(
     private val handler: HttpRequestHandler,
     private val requestsInProgress: AtomicInteger,
+    private val currentIdleTimeout: () -> Duration,
     private val currentPhase: () -> ServerPhase,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     private data class QueuedRequest(
@@ -28,6 +30,9 @@
 
     private val queue = ArrayDeque<QueuedRequest>()
     private var currentWriter: NettyResponseWriter? = null
+
+    /** When a request was last received or a response last ended, by [System.nanoTime]. */
+    private var lastActiveAt = System.nanoTime()
     private lateinit var context: ChannelHandlerContext
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -42,12 +47,11 @@
             refuseMalformed(request.decoderResult().cause())
             return
         }
-        if (queue.size >= MAX_QUEUED_REQUESTS) {
-            context.close()
-            return
-        }
+        lastActiveAt = System.nanoTime()
         requestsInProgress.incrementAndGet()
         queue.addLast(QueuedRequest(request.toMessage(), HttpUtil.isKeepAlive(request)))
+        // A caller that sends ahead waits; what was read with this request is still taken.
+        if (queue.size >= MAX_QUEUED_REQUESTS) context.channel().config().isAutoRead = false
         // The task runs after the connection has been read to its end, so that a disconnected caller is detected first.
         context.executor().execute(::startNext)
     }
@@ -65,7 +69,7 @@
         context: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event is IdleStateEvent && currentWriter == null) context.close()
+        if (event is IdleStateEvent && isIdle && hasIdleTimeoutPassed()) context.close()
     }
 
     @Suppress("OVERRIDE_DEPRECATION")
@@ -81,19 +85,34 @@
         context.executor().execute { if (isIdle) context.close() }
     }
 
+    /** The limit may have been raised since this connection was accepted; callers go by the current one. */
+    private fun hasIdleTimeoutPassed(): Boolean =
+        System.nanoTime() - lastActiveAt >= currentIdleTimeout().minus(TIMER_TOLERANCE).toNanos()
+
     private val isIdle: Boolean get() = currentWriter == null && queue.isEmpty()
 
     private fun startNext() {
         if (!context.channel().isActive) abandonQueued()
         if (currentWriter != null) return
         val next = queue.removeFirstOrNull() ?: return
+        context.channel().config().isAutoRead = true
         val writer = NettyResponseWriter(context, next.isKeepAlive, currentPhase, ::endResponse)
         currentWriter = writer
-        handler.handle(next.message, writer)
+        try {
+            handler.handle(next.message, writer)
+        } catch (
+            @Suppress("TooGenericExceptionCaught") failure: RuntimeException,
+        ) {
+            handler.onFailure(next.message, failure)
+            writer.refuse(Refusal(RefusalReason.OUTCOME_UNKNOWN, RefusalOutcome.UNKNOWN, "the daemon failed"))
+            // Without effect on a response that is complete; one that had started is not.
+            writer.abort()
+        }
     }
 
     private fun endResponse(isKeptOpen: Boolean) {
         currentWriter = null
+        lastActiveAt = System.nanoTime()
         requestsInProgress.decrementAndGet()
         // The response may have begun, without `Connection: close`, before the server started to drain.
         if (!isKeptOpen || (currentPhase() == ServerPhase.DRAINING && isIdle)) {
@@ -119,6 +138,9 @@
 
     private companion object {
         const val MAX_QUEUED_REQUESTS = 16
+
+        /** The event of an idle connection may come a little early. */
+        val TIMER_TOLERANCE: Duration = Duration.ofMillis(5)
     }
 }
 
--- a/transport/src/test/kotlin/org/vanillalink/transport/DrainingServerTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/DrainingServerTest.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import java.time.Duration
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -27,6 +28,7 @@
                 responses.addLast(response)
             },
             requestsInProgress,
+            { Duration.ofMinutes(1) },
         ) { phase }
     private val channel = EmbeddedChannel(testSubject)
 
