Let an odd entry cost itself only

Other operators saw machines that stopped following the list of runners, or ended, after another writer had left one odd entry. Here it could happen: - An exception while a response was decoded or applied was dropped, with the next poll: RegistryFollower never read the registry again. - The largest epoch that any entry names decides the next term of control. Ruled out: nesting (the parser stops at its limit and uses no stack, shown on a small one) and ports out of range (rejected before).

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DomainControl.kt
@@ -124,7 +124,7 @@
     ) {
         this.isPreferred = isPreferred
         if (claimedTerm != null) highestObservedTerm = maxOf(highestObservedTerm, claimedTerm)
-        highestUsedTerm = maxOf(highestUsedTerm, usedEpoch / EPOCHS_PER_TERM)
+        if (usedEpoch in 0..MAX_USED_EPOCH) highestUsedTerm = maxOf(highestUsedTerm, usedEpoch / EPOCHS_PER_TERM)
         if (isHeld) {
             if (claimedTerm != null && claimedTerm > term) releaseControl("peer-holds-term-$claimedTerm")
             if (!isPreferred && isHeld) releaseControl("another-daemon-should-control")
@@ -244,6 +244,9 @@
     private companion object {
         /** More than a term uses with one group formation per millisecond for 15 minutes. */
         const val EPOCHS_PER_TERM = 1_000_000L
+
+        /** An entry with a higher epoch isn't of a group of ours: that takes a billion changes of control. */
+        const val MAX_USED_EPOCH = 1_000_000_000L * EPOCHS_PER_TERM
         const val RETRY_DELAY_MILLISECONDS = 500L
 
         /** Several heartbeat periods plus the time in which daemons discover each other. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -5,6 +5,7 @@
 package org.vanillalink.gateway.control
 
 import arrow.core.Either
+import arrow.core.left
 import org.vanillalink.gateway.logs.EventLogger
 import org.vanillalink.gateway.ports.Registry
 import org.vanillalink.gateway.ports.RegistryFailure
@@ -14,6 +15,7 @@
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.store.StoreFailure
 import java.time.Duration
+import java.util.concurrent.CompletableFuture
 
 /** Calls [onRecords] and [onResponse] on the control thread. */
 internal class RegistryFollower(
@@ -65,14 +67,39 @@
         val requestedEra = era.current
         val knownVersion = version
         if (knownVersion == null) {
-            registry.readAll(part).thenAccept { result -> controlThread.execute { onFullRead(requestedAt, result) } }
+            registry.readAll(part).applyOnControlThread { onFullRead(requestedAt, it) }
         } else {
-            registry.readChanges(part, knownVersion, MAX_CHANGE_WAIT).thenAccept { result ->
-                controlThread.execute { onChanges(requestedAt, requestedEra, result) }
+            registry.readChanges(part, knownVersion, MAX_CHANGE_WAIT).applyOnControlThread {
+                onChanges(requestedAt, requestedEra, it)
             }
         }
     }
 
+    /** Whatever goes wrong while a response is decoded or applied, the registry is read again. */
+    private fun CompletableFuture<Either<RegistryFailure, RegistryRecords>>.applyOnControlThread(
+        apply: (Either<RegistryFailure, RegistryRecords>) -> Unit,
+    ) {
+        handle { result, failure -> result ?: unusable("decode", failure) }.thenAccept { result ->
+            controlThread.execute {
+                try {
+                    apply(result)
+                } catch (
+                    @Suppress("TooGenericExceptionCaught") failure: RuntimeException,
+                ) {
+                    unusable("apply", failure).onLeft(::onFailure)
+                }
+            }
+        }
+    }
+
+    private fun unusable(
+        step: String,
+        failure: Throwable,
+    ): Either<RegistryFailure, RegistryRecords> {
+        eventLogger.record("registry-response-unusable", "part" to part, "step" to step, "failure" to failure)
+        return RegistryFailure.Unavailable(StoreFailure.AnswerLost).left()
+    }
+
     private fun onFullRead(
         requestedAt: ClockReading,
         result: Either<RegistryFailure, RegistryRecords>,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/DomainControlTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/DomainControlTest.kt
@@ -42,6 +42,15 @@
         assertEquals(6, storedTerm())
     }
 
+    // Guards against epochs that overflow, and are refused by all targets, because another writer listed the largest one.
+    @Test
+    fun `an epoch that can't have been given out does not raise the term`() {
+        storeTerm(2)
+        evaluate(claimedTerm = 2, usedEpoch = Long.MAX_VALUE / 2)
+
+        assertEquals(3, testSubject.term)
+    }
+
     @Test
     fun `a new term is higher than one that this daemon has given up`() {
         evaluate()
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
@@ -25,6 +25,7 @@
     private val thread = ControlThread()
     private val registry = FakeRegistry()
     private val received = mutableListOf<String>()
+    private var failingRecords = 0
     private val testSubject =
         RegistryFollower(
             RegistryPart.TARGETS,
@@ -33,7 +34,13 @@
             SystemClock,
             EventLogger(DaemonId("a"), SystemClock::steady),
             mayHaveMissedChanges = false,
-            onRecords = { _, readKind -> received += "$readKind" },
+            onRecords = { _, readKind ->
+                if (failingRecords > 0) {
+                    failingRecords -= 1
+                    error("expected a record that can be applied")
+                }
+                received += "$readKind"
+            },
             onResponse = { _, _ -> received += "answered" },
             onRestored = { received += "restored to ${it.era}" },
         )
@@ -137,6 +144,21 @@
         done.await()
     }
 
+    // Guards against a daemon that stops following the registry because of one record that it can't handle.
+    @Test
+    fun `the registry is read again after a response that could not be decoded or applied`() {
+        testSubject.start()
+        registry.awaitFullRead().completeExceptionally(IllegalStateException("a record with an unexpected value"))
+        registry.awaitAnotherFullRead(1)
+        failingRecords = 1
+        registry.completeFullRead(2)
+        registry.awaitAnotherFullRead(2)
+        registry.completeFullRead(3)
+        awaitControlThread()
+
+        assertTrue(testSubject.hasLoaded)
+    }
+
     private companion object {
         val REMOVAL = RegistryRecord.Removed(HostId("a"))
     }
@@ -160,6 +182,16 @@
             return fullReads.last()
         }
 
+        fun awaitAnotherFullRead(after: Int) {
+            val deadline = System.nanoTime() + Duration.ofSeconds(20).toNanos()
+            while (true) {
+                awaitControlThread()
+                if (fullReads.size > after) return
+                check(System.nanoTime() < deadline) { "expected more than $after full reads" }
+                Thread.sleep(10)
+            }
+        }
+
         fun completeFullRead(
             version: Long,
             era: Long? = null,
--- a/transport/src/main/kotlin/org/vanillalink/transport/Json.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/Json.kt
@@ -44,7 +44,7 @@
     private fun describe(failure: Throwable): String = when (failure) {
         is JsonProcessingException -> failure.originalMessage
         is IOException -> failure.message.orEmpty()
-        else -> throw failure
+        else -> failure.toString()
     }
 }
 
