Trust a refusal on a kept connection only with the id of its request

Other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run, though a runner had run it or was running it (REFUSED), or it ran at a second one (TWICE). Here it could happen where the refusal carries no id: responses with another id were dropped, but a refusal without one was taken for that of the request under way. Change: the connection knows whether an earlier request was sent on it. On such a one, a response without an id proves nothing: the outcome is unknown, and only a request that may be repeated is sent again. On a new connection it can only be of its request, and counts as before. A request that can't be written (an id that no header holds) fails as not sent. Evidence: without the rule, 'a refusal without an id on a kept connection proves nothing' failed (503, not-run, instead of 502, unknown). Ruled out: the own protocol (its refusals name the attempt), and responses on connections without a request (these are closed). Why it works: 'not run' is only said on a refusal that can belong to no other request.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -28,14 +28,19 @@
 
 private val SUCCESSES = 200..299
 
-/** Returns why a response with [metadata] can't be passed on for the request [ownId], or null. */
+/**
+ * Returns why a response with [metadata] can't be used for the request [ownId], or null. On a kept connection a response
+ * without an id may be that of an earlier request, written once more.
+ */
 private fun findFault(
     status: Int,
     metadata: ResponseMetadata,
     ownId: String?,
+    isOnKeptConnection: Boolean,
 ): String? = when {
     ownId != null && metadata.requestId != null && metadata.requestId != ownId -> "crossed-answer"
     ownId != null && metadata.requestId == null && status in SUCCESSES -> "answer-without-id"
+    ownId != null && metadata.requestId == null && isOnKeptConnection -> "refusal-without-id"
     metadata.isNotRun -> null
     metadata.isEncoded -> "encoded-answer"
     status in SUCCESSES && !metadata.isSigned -> "unsigned-answer"
@@ -220,7 +225,8 @@
         context.state.recordMetadata(attempt.target, metadata, now)
         val instance = attempt.target.instance
         if (status in SUCCESSES && metadata.isSigned) attempt.evidence.recordSuccess(instance)
-        val fault = findFault(status, metadata, request.metadata.requestId)
+        val isOnKeptConnection = attempt.exchange?.isOnKeptConnection == true
+        val fault = findFault(status, metadata, request.metadata.requestId, isOnKeptConnection)
         context.state.limitedTargets.recordResponse(instance, metadata, fault == null, attempt.evidence.startedAt, now)
         when {
             fault != null -> endAttempt(attempt, fault)
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
@@ -18,9 +18,15 @@
 import org.vanillalink.transport.SendOptions
 import java.time.Duration
 
+/** The id in a response for one that carries none. */
+internal const val NO_ID = "none"
+
 internal class FakeHttpClient : HttpClient {
     val listeners = ArrayList<ResponseListener>()
 
+    /** Whether the requests are sent on connections that earlier ones have used. */
+    var isOnKeptConnection = false
+
     /** The exchanges that were closed, by their order. */
     val closed = ArrayList<Int>()
     val isClosed: Boolean get() = closed.isNotEmpty()
@@ -35,6 +41,8 @@
         val index = listeners.size
         listeners.add(listener)
         return object : OutgoingExchange {
+            override val isOnKeptConnection = this@FakeHttpClient.isOnKeptConnection
+
             override fun setReading(isReading: Boolean) = Unit
 
             override fun close() {
@@ -112,7 +120,7 @@
         status: Int,
         headers: HeaderFields,
     ) = ResponseMetadata(
-        "id",
+        headers["request-id"].let { if (it == NO_ID) null else it ?: "id" },
         isSigned = true,
         isNotRun = headers["not-executed"] != null,
         null,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -13,6 +13,8 @@
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.HttpRequestMessage
+import org.vanillalink.transport.ResponseListener
+import org.vanillalink.transport.ResponseWriter
 import org.vanillalink.transport.ScheduledAction
 import org.vanillalink.transport.TransportFailure
 import kotlin.random.Random
@@ -89,13 +91,43 @@
     @Test
     fun `a resumed stream without further events is complete`() {
         start(lastEventId = 7)
-        http.last.onHead(200, HeaderFields())
+        http.last.onHead(200, CHUNKED)
         http.last.onComplete()
 
         assertTrue(response.isFinished)
         assertEquals(1, http.listeners.size)
     }
 
+    // Guards against telling callers that a request has not run, by a refusal that was written once more (REFUSED).
+    @Test
+    fun `a refusal without an id on a kept connection proves nothing`() {
+        http.isOnKeptConnection = true
+        start()
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to NO_ID))
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to NO_ID))
+
+        assertEquals(502, response.status)
+        assertEquals("unknown", response.headers["vanillalink-outcome"])
+    }
+
+    @Test
+    fun `a refusal with another request's id proves nothing`() {
+        start()
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to "another"))
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to "another"))
+
+        assertEquals("unknown", response.headers["vanillalink-outcome"])
+    }
+
+    @Test
+    fun `a refusal without an id on a new connection can only be of its request`() {
+        start()
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to NO_ID))
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1", "request-id" to NO_ID))
+
+        assertEquals("not-run", response.headers["vanillalink-outcome"])
+    }
+
     // Guards against evidence that is missed because the connection of a crashed target ended in an orderly way.
     @Test
     fun `ends before the first event are losses of targets`() {
@@ -290,6 +322,7 @@
         fingerprint: String = "f",
         part: String = "p",
         lastEventId: Long? = null,
+        response: ResponseWriter = this.response,
     ): StreamCall {
         val metadata = RequestMetadata("id", "h", 8_000, null, null, lastEventId, 0, listOf(part))
         val message = HttpRequestMessage("POST", "/")
@@ -304,4 +337,10 @@
     ) = RequestSignature(RequestFingerprint(fingerprint), listOf(part))
 
     private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
+
+    private companion object {
+        /** More requests than allow one retry. */
+        const val RETRY_RATIO_DIVISOR = 10
+        val CHUNKED = HeaderFields.of("transfer-encoding" to "chunked")
+    }
 }
--- a/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ClientConnection.kt
@@ -14,6 +14,7 @@
 
 internal class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
     private var exchange: NettyExchange? = null
+    private var isUsed = false
     private var isReusable = false
     private var interimResponses = 0
     private var isSkippingInterim = false
@@ -22,11 +23,15 @@
     var keepAliveSeconds: Int? = null
         private set
 
-    fun attach(newExchange: NettyExchange) {
+    /** Passes the next response to [newExchange]; returns whether an earlier exchange has used this connection. */
+    fun attach(newExchange: NettyExchange): Boolean {
+        val wasUsed = isUsed
+        isUsed = true
         exchange = newExchange
         isReusable = false
         interimResponses = 0
         isSkippingInterim = false
+        return wasUsed
     }
 
     fun detach() {
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpClient.kt
@@ -46,6 +46,9 @@
 
 /** A request in progress. */
 interface OutgoingExchange {
+    /** Whether an earlier request was sent on its connection, of which a late response may still arrive. */
+    val isOnKeptConnection: Boolean get() = false
+
     /** Pauses or resumes reading the response, as back-pressure on the server. */
     fun setReading(isReading: Boolean)
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
@@ -4,6 +4,8 @@
  */
 package org.vanillalink.transport
 
+import arrow.core.Either
+import arrow.core.getOrElse
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ConnectTimeoutException
@@ -37,6 +39,10 @@
     @Volatile
     private var channel: Channel? = null
 
+    @Volatile
+    override var isOnKeptConnection = false
+        private set
+
     @Volatile
     private var isReading = true
     private var timeoutTask: Future<*>? = null
@@ -68,11 +74,17 @@
                 onStale()
                 return@execute
             }
-            connection.attach(this)
+            val message =
+                Either.catch(::toNettyRequest).getOrElse { failure ->
+                    connected.close()
+                    failConnect(failure)
+                    return@execute
+                }
+            isOnKeptConnection = connection.attach(this)
             connected.config().isAutoRead = isReading
             listener.onSending()
             scheduleTimeout(connected, options.responseTimeout)
-            connected.writeAndFlush(toNettyRequest()).addListener { written ->
+            connected.writeAndFlush(message).addListener { written ->
                 isWritten = written.isSuccess
                 if (!written.isSuccess) fail(TransportFailure.ConnectionLost(written.cause().message.orEmpty()))
             }
