Pass on nothing but a stream's own events

Here, what could happen: - A response with status 200 of another type, or bytes of an extra response behind one without a length, went to the caller as events if they held an empty line. - A resumed stream whose next connection ended before any event, without a length, counted as complete; so did a first response without any event. - Of several events in one chunk only the first one's id was checked. A failure with another status was dropped before, and still is. Change: an event needs an id, the one after the last; anything else but a comment ends the attempt, and the stream goes on elsewhere or breaks off. A response without events is complete only for a resumed stream whose response says itself that it is complete (chunks or a length). Why it works: what reaches the caller is a gapless sequence of ids, whatever the bytes of a target are.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/EventSplitter.kt
@@ -5,11 +5,14 @@
 
 import java.io.ByteArrayOutputStream
 
-/** Complete events as received. [firstId] and [lastId] are the first and last numeric ids, or null without any. */
+/**
+ * Complete events as received, with their numeric [ids] in order. [hasForeignText] is whether there is text among them
+ * that is neither an event with an id nor a comment, such as an error of the target.
+ */
 internal class CompleteEvents(
     val bytes: ByteArray,
-    val firstId: Long?,
-    val lastId: Long?,
+    val ids: List<Long>,
+    val hasForeignText: Boolean,
 )
 
 /** Buffers the incomplete event at the end of the stream. */
@@ -30,7 +33,7 @@
         if (completeLength == 0) return null
         pending.reset()
         pending.write(pendingBytes, completeLength, pendingBytes.size - completeLength)
-        return readEventIds(pendingBytes.copyOf(completeLength))
+        return readEvents(pendingBytes.copyOf(completeLength))
     }
 
     private fun endOfLastEvent(bytes: ByteArray): Int {
@@ -50,16 +53,32 @@
         return index >= 2 && bytes[index - 1] == CARRIAGE_RETURN && bytes[index - 2] == LINE_FEED
     }
 
-    private fun readEventIds(bytes: ByteArray): CompleteEvents {
-        var firstId: Long? = null
-        var lastId: Long? = null
+    private fun readEvents(bytes: ByteArray): CompleteEvents {
+        val ids = ArrayList<Long>()
+        var idOfEvent: Long? = null
+        var hasFields = false
+        var hasForeignText = false
         String(bytes, Charsets.ISO_8859_1).lineSequence().forEach { line ->
-            if (!line.startsWith(ID_FIELD)) return@forEach
-            val id = line.substring(ID_FIELD.length).trim().toLongOrNull() ?: return@forEach
-            firstId = firstId ?: id
-            lastId = id
+            val text = line.removeSuffix("\r")
+            when {
+                text.isEmpty() -> {
+                    if (hasFields && idOfEvent == null) hasForeignText = true
+                    idOfEvent?.let(ids::add)
+                    idOfEvent = null
+                    hasFields = false
+                }
+
+                text.startsWith(COMMENT_MARK) -> {
+                    Unit
+                }
+
+                else -> {
+                    hasFields = true
+                    if (text.startsWith(ID_FIELD)) idOfEvent = text.substring(ID_FIELD.length).trim().toLongOrNull()
+                }
+            }
         }
-        return CompleteEvents(bytes, firstId, lastId)
+        return CompleteEvents(bytes, ids, hasForeignText)
     }
 
     private companion object {
@@ -68,5 +87,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT_MARK = ":"
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -36,7 +36,7 @@
     ) {
         splitter = EventSplitter()
         failureBody.reset()
-        isEventStream = status == STATUS_OK
+        isEventStream = status == STATUS_OK && isEventStreamType(headers["content-type"])
         if (isResponseStarted) resumptions += 1
         firstEventAt = null
         endsWithConnection = headers["content-length"] == null && headers["transfer-encoding"] == null
@@ -58,20 +58,32 @@
             return
         }
         if (events == null) return
-        val expected = lastEventId?.plus(1)
-        if (expected != null && events.firstId != null && events.firstId != expected) {
-            failAttempt("event-${events.firstId}-after-${expected - 1}")
+        val fault = findFault(events)
+        if (fault != null) {
+            failAttempt(fault)
             return
         }
         dropHedge()
         firstEventAt?.let(evidence::recordAnswer)
         firstEventAt = firstEventAt ?: now
-        lastEventId = events.lastId ?: lastEventId
+        lastEventId = events.ids.lastOrNull() ?: lastEventId
         startResponse()
         timing.recordEvent(now)
         response.write(events.bytes)
     }
 
+    /** Returns why [events] can't follow what the caller has, or null. */
+    private fun findFault(events: CompleteEvents): String? {
+        if (events.hasForeignText) return "event-without-id"
+        var previous = lastEventId
+        events.ids.forEach { id ->
+            val expected = previous?.plus(1) ?: id
+            if (id != expected) return "event-$id-after-$previous"
+            previous = id
+        }
+        return null
+    }
+
     private fun appendFailureBody(bytes: ByteArray) {
         if (failureBody.size() + bytes.size > MAX_FAILURE_BODY_BYTES) {
             failAttempt("failure-too-large")
@@ -87,7 +99,7 @@
     }
 
     override fun onComplete() {
-        if (isEventStream && (splitter.isMidEvent || isCutBeforeFirstEvent())) {
+        if (isEventStream && (splitter.isMidEvent || isCutBeforeFirstEvent)) {
             onBrokenOff("ended-mid-event")
             return
         }
@@ -109,8 +121,16 @@
         }
     }
 
-    /** A stream that is resumed may have no events left; any other one has at least one. */
-    private fun isCutBeforeFirstEvent(): Boolean = endsWithConnection && firstEventAt == null && lastEventId == null
+    /**
+     * A stream that is resumed may have no events left, if the response itself says that it is complete; any other one
+     * has at least one event.
+     */
+    private val isCutBeforeFirstEvent: Boolean
+        get() = firstEventAt == null && (endsWithConnection || lastEventId == null)
+
+    /** A response without a type is taken for what was requested. */
+    private fun isEventStreamType(contentType: String?): Boolean =
+        contentType == null || contentType.startsWith(EVENT_STREAM_TYPE, ignoreCase = true)
 
     override fun onAttemptFailed() {
         if (canRepeat()) {
@@ -150,6 +170,7 @@
 
     private companion object {
         const val STATUS_OK = 200
+        const val EVENT_STREAM_TYPE = "text/event-stream"
 
         /** Error responses are at most about a page of text. */
         const val MAX_FAILURE_BODY_BYTES = 1_048_576
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -98,6 +98,87 @@
         assertEquals(1, http.listeners.size)
     }
 
+    // Guards against a stream that ends as complete because the next target's connection ended before its first event.
+    @Test
+    fun `a resumed stream that ends with its connection before its first event is broken off`() {
+        start()
+        beginStream()
+        http.last.onFailure(TransportFailure.ConnectionLost("reset"))
+        http.last.onHead(200, HeaderFields())
+        http.last.onComplete()
+
+        assertFalse(response.isFinished)
+        assertTrue(response.isAborted)
+    }
+
+    @Test
+    fun `a stream without any event is not complete`() {
+        start()
+        http.last.onHead(200, CHUNKED)
+        http.last.onComplete()
+
+        assertFalse(response.isFinished)
+        assertEquals(2, http.listeners.size)
+    }
+
+    // Guards against an error's text, or its whole head, in the middle of a stream.
+    @Test
+    fun `nothing but events of its own reaches the caller of a stream that broke off`() {
+        val failures: List<(ResponseListener) -> Unit> =
+            listOf(
+                { it.onHead(500, CHUNKED) },
+                { it.onHead(200, CHUNKED.with("content-type", "application/json")) },
+                { it.onHead(200, CHUNKED) },
+                { it.onHead(200, HeaderFields()) },
+            )
+        val texts =
+            listOf("failed\n\n", "{\"error\":1}", "HTTP/1.1 503 x\r\nNot-Executed: 1\r\n\r\n", "id: 0\ndata: x\n\n")
+        var requests = 0
+        failures.forEachIndexed { index, beginResponse ->
+            texts.forEach { text ->
+                val caller = RecordingResponse()
+                requests += 1
+                repeat(RETRY_RATIO_DIVISOR) { state.recordRequest(service, null, 0) }
+                start(fingerprint = "$index$text", part = "$index$text", response = caller)
+                beginStream()
+                http.last.onFailure(TransportFailure.ConnectionLost("reset"))
+                val next = http.last
+                assertEquals(2 * requests, http.listeners.size)
+                beginResponse(next)
+                next.onBodyChunk(text.toByteArray())
+                next.onComplete()
+
+                assertEquals("id: 0\ndata: x\n\n", caller.body, text)
+                assertFalse(caller.isFinished, text)
+                assertTrue(caller.isAborted, text)
+            }
+        }
+    }
+
+    // Guards against a head of an extra response that is taken for the end of a stream without a length.
+    @Test
+    fun `an extra response behind the last event does not reach the caller`() {
+        start()
+        beginStream()
+        http.last.onBodyChunk("HTTP/1.1 503 x\r\nNot-Executed: 1\r\n\r\n".toByteArray())
+        http.last.onHead(200, CHUNKED)
+        http.last.onComplete()
+
+        assertEquals("id: 0\ndata: x\n\n", response.body)
+        assertTrue(response.isFinished)
+        assertEquals(2, http.listeners.size)
+    }
+
+    @Test
+    fun `events that skip one within a chunk are not passed on`() {
+        start()
+        beginStream()
+        http.last.onBodyChunk(event(1) + event(3))
+
+        assertEquals("id: 0\ndata: x\n\n", response.body)
+        assertEquals(2, http.listeners.size)
+    }
+
     // Guards against telling callers that a request has not run, by a refusal that was written once more (REFUSED).
     @Test
     fun `a refusal without an id on a kept connection proves nothing`() {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -113,7 +113,10 @@
         view: DomainView,
     ) {
         val dissolution = cycle.state.dissolutions[key]
-        if (dissolution != null && cycle.state.failed.keys.any { it.id in dissolution.members }) {
+        if (dissolution != null &&
+            cycle.state.failed.keys
+                .any { it.id in dissolution.members }
+        ) {
             forceClose(cycle, dissolution)
             return
         }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -61,7 +61,15 @@
     ): String? {
         val members = roster.members.values
         val size = view.engine.groupSize(head.model) ?: return "model-unknown"
-        if (members.any { it.instance in cycle.state.failed }) return MEMBER_SILENT.takeIf { isLost(roster, head, size) }
+        if (members.any { it.instance in cycle.state.failed }) {
+            return MEMBER_SILENT.takeIf {
+                isLost(
+                    roster,
+                    head,
+                    size,
+                )
+            }
+        }
         val isNew = cycle.now - roster.firstSeenAt < cycle.settings.listingLagMilliseconds
         val isIncomplete = members.size < size && !isNew && key !in cycle.state.formations
         if (isIncomplete) return "member-lost"
@@ -84,8 +92,13 @@
     }
 
     private fun countSpares(fabricDomain: String?): Int {
-        val forming = cycle.state.formations.values.flatMap { it.members }.map { it.id }
-        val dissolving = cycle.state.dissolutions.values.flatMap { it.members }
+        val forming =
+            cycle.state.formations.values
+                .flatMap { it.members }
+                .map { it.id }
+        val dissolving =
+            cycle.state.dissolutions.values
+                .flatMap { it.members }
         val used = (forming + dissolving).toSet()
         return view.entries.values.count { entry ->
             val isUsable = !entry.isLeaving && entry.instance !in cycle.state.failed && entry.id !in used
