--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptListener.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptListener.kt
@@ -11,26 +11,30 @@
     private val call: ProxiedCall,
     private val attempt: Attempt,
 ) : ResponseListener {
+    /** A call that has ended has no attempt. */
+    private val isCurrent: Boolean get() = attempt === call.attempts.current
+    private val isInProgress: Boolean get() = isCurrent || attempt === call.attempts.hedge
+
     override fun onHead(
         status: Int,
         headers: HeaderFields,
     ) {
-        if (!call.isInProgress(attempt)) return
-        call.recordProgress(attempt)
+        if (!isInProgress) return
+        call.attempts.recordProgress(attempt)
         call.onHead(attempt, status, headers)
     }
 
     override fun onBodyChunk(bytes: ByteArray) {
-        if (!call.isInProgress(attempt)) return
-        call.recordProgress(attempt)
-        call.onBody(attempt, bytes)
+        if (!isCurrent) return
+        call.attempts.recordProgress(attempt)
+        call.onBodyChunk(bytes)
     }
 
     override fun onComplete() {
-        if (call.isInProgress(attempt)) call.onEnd(attempt)
+        if (isCurrent) call.onComplete()
     }
 
     override fun onFailure(failure: TransportFailure) {
-        if (call.isInProgress(attempt)) call.onFailure(attempt, failure)
+        if (isInProgress) call.onFailure(attempt, failure)
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -44,11 +44,11 @@
 
     override fun onComplete() {
         context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
-        releaseTarget()
+        attempts.releaseCurrent()
         mayHaveRun = true
         if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
         val hasTargetFailed = status >= FIRST_SERVER_ERROR_STATUS
-        if (hasTargetFailed && continueWithHedge()) {
+        if (hasTargetFailed && attempts.promoteHedge()) {
             trail.append("!$status")
             keepAsFallback()
             return
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -103,7 +103,7 @@
             onBrokenOff("ended-mid-event")
             return
         }
-        releaseTarget()
+        attempts.releaseCurrent()
         mayHaveRun = true
         when {
             !isEventStream -> {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -281,12 +281,6 @@
         service.capacityName(model)?.let { demand.recordCompletion(it, milliseconds, now) }
     }
 
-    /** Whether a retry for [service] is left in the budget. */
-    fun hasRetry(
-        service: ServiceName,
-        now: Long,
-    ): Boolean = retryBudget(service).isAvailable(now, view.budgetDaemons)
-
     /** Takes one retry for [service] from the budget; returns whether it was available. */
     fun takeRetry(
         service: ServiceName,
@@ -304,7 +298,8 @@
         targetAvailability.removeExpired(now)
     }
 
-    private fun retryBudget(service: ServiceName): RetryBudget = retryBudgets.getOrPut(service) {
+    /** This daemon's share of the retry budget of [service]. */
+    fun retryBudget(service: ServiceName): RetryBudget = retryBudgets.getOrPut(service) {
         RetryBudget(RetryBudgetSettings(limits.retryRatio, limits.retryWindowMilliseconds, limits.retrySlack))
     }
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/DomainControlTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/DomainControlTest.kt
@@ -42,7 +42,7 @@
         assertEquals(6, storedTerm())
     }
 
-    // Guards against epochs that overflow, and are refused by all targets, because another writer listed the largest one.
+    // Guards against epochs that overflow, and that all targets refuse, since another writer listed the largest one.
     @Test
     fun `an epoch that can't have been given out does not raise the term`() {
         storeTerm(2)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -63,9 +63,9 @@
 
     /**
      * Called when the head of [key] has reported that it is in no group, or in this one, broken. If orders of the group
-     * may still take effect with a delay, the head is first ordered to join a standby group, whose higher epoch makes it
-     * refuse them; otherwise it could open the group again. That order takes the head out of any group that it is in, so
-     * neither an entry nor the answer to an earlier order is enough: both may be older than its present group.
+     * may still take effect with a delay, the head is first ordered to join a standby group, whose higher epoch makes
+     * it refuse them; otherwise it could open the group again. That order takes the head out of any group that it is
+     * in, so neither an entry nor the answer to an earlier order is enough: both may be older than its present group.
      */
     fun completeLeave(key: GroupKey) {
         val dissolution = state.dissolutions[key]
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -78,8 +78,8 @@
 
     /**
      * Whether a group with failed members is given up. A sound target may be silent for a second or so, and to dissolve
-     * its group cuts the requests there; as long as that gains no group in its place, the group is kept for as long as a
-     * head waits for its members.
+     * its group cuts the requests there. So as long as that gains no group in its place, the group is kept, for as long
+     * as a head waits for its members.
      */
     private fun isLost(
         roster: Roster,
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -63,7 +63,7 @@
     val maxHeaderBytes: Int = 16_384,
     val maxBodyBytes: Int = 4_194_304,
     val maxConnections: Int = 10_000,
-    val idleTimeout: Duration = Duration.ofSeconds(120),
+    val idleTimeout: Duration = Duration.ofMinutes(2),
 )
 
 /** An HTTP server, which listens until it is closed. */
--- a/transport/src/test/kotlin/org/vanillalink/transport/ServerConnectionTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/ServerConnectionTest.kt
@@ -42,7 +42,7 @@
             ServerConnection(handler, requestsInProgress, { idleTimeout }) { ServerPhase.SERVING },
         )
 
-    // Guards against closing kept connections by an idle limit that the configuration has raised since they were opened.
+    // Guards against closing kept connections by an idle limit that the configuration has raised since.
     @Test
     fun `an idle connection is closed by the current idle timeout`() {
         idleTimeout = Duration.ofMinutes(1)
