Take no refused connection for proof that the path to a host works

A cut may refuse connections in place of the hosts behind it, so a controller outside counted their heads as ended once their entries had expired, and used their members after the cut.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
@@ -81,7 +81,7 @@
     /** No answer arrived in time, the connection was refused, or another target answered. */
     data class Unresponsive(
         val reason: String,
-        /** Whether the connection was refused, so that the host answered and nobody listens at the address. */
+        /** Whether the connection was refused; a network that is cut may refuse it in place of the host. */
         val isRefused: Boolean = false,
     ) : ReportResult
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -67,8 +67,7 @@
         result: ReportResult,
     ) {
         val isUnresponsive =
-            result is ReportResult.Unresponsive &&
-                (result.isRefused || isPathConfirmed(dissolution.head.id, toleranceMilliseconds = 0))
+            result is ReportResult.Unresponsive && isPathConfirmed(dissolution.head.id, toleranceMilliseconds = 0)
         val unansweredReports = if (isUnresponsive) dissolution.unansweredReports + 1 else 0
         val reported = (result as? ReportResult.Answered)?.report?.membership
         val hasLeft = reported == null || reported.key != dissolution.key
@@ -91,15 +90,12 @@
         return (forming + listed).firstOrNull { it.id == target }
     }
 
-    /**
-     * A single lost packet must not cost a group, so an unanswered request is repeated once. A refused connection shows
-     * by itself that the path works.
-     */
+    /** A single lost packet must not cost a group, so an unanswered request is repeated once. */
     private fun recordMissingAnswer(
         entry: TargetEntry,
         result: ReportResult.Unresponsive,
     ) {
-        if (!result.isRefused && !isPathConfirmed(entry.id, cycle.settings.pathEvidenceMilliseconds)) {
+        if (!isPathConfirmed(entry.id, cycle.settings.pathEvidenceMilliseconds)) {
             cycle.state = cycle.state.copy(unansweredReports = cycle.state.unansweredReports - entry.instance)
             return
         }
