--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -93,6 +93,16 @@
         state = state.copy(dissolutions = state.dissolutions - key, dissolvedAt = state.dissolvedAt + (key to now))
     }
 
+    /** Targets of groups that are being formed or dissolved, whatever the registry lists. */
+    fun targetsInUse(): Set<HostId> {
+        val forming =
+            state.formations.values
+                .flatMap { it.members }
+                .map { it.id }
+        val dissolving = state.dissolutions.values.flatMap { it.members }
+        return (forming + dissolving).toSet()
+    }
+
     fun saveFormation(formation: Formation) {
         state = state.copy(formations = state.formations + (formation.key to formation))
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -92,14 +92,7 @@
     }
 
     private fun countSpares(fabricDomain: String?): Int {
-        val forming =
-            cycle.state.formations.values
-                .flatMap { it.members }
-                .map { it.id }
-        val dissolving =
-            cycle.state.dissolutions.values
-                .flatMap { it.members }
-        val used = (forming + dissolving).toSet()
+        val used = cycle.targetsInUse()
         return view.entries.values.count { entry ->
             val isUsable = !entry.isLeaving && entry.instance !in cycle.state.failed && entry.id !in used
             isUsable && entry.fabricDomain == fabricDomain && isInNoGroup(entry)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -235,14 +235,7 @@
     private fun isDissolved(key: GroupKey) = key in cycle.state.dissolutions || key in cycle.state.dissolvedAt
 
     private fun freeTargets(): List<TargetEntry> {
-        val forming =
-            cycle.state.formations.values
-                .flatMap { it.members }
-                .map { it.id }
-        val dissolving =
-            cycle.state.dissolutions.values
-                .flatMap { it.members }
-        val usedTargets = (forming + dissolving).toSet()
+        val usedTargets = cycle.targetsInUse()
         return view.entries.values.filter { entry ->
             val isUsable =
                 !entry.isLeaving && entry.instance !in cycle.state.failed && !cycle.hasFailedConfirmation(entry)
