--- a/model/src/main/kotlin/org/vanillalink/model/Hosts.kt
+++ b/model/src/main/kotlin/org/vanillalink/model/Hosts.kt
@@ -14,8 +14,8 @@
     val address: String,
     val port: Int,
 ) {
-    /** Whether [address] is an IP address and not a name. */
-    val hasLiteralAddress: Boolean get() = IPV4_ADDRESS.matches(address) || IPV6_ADDRESS.matches(address)
+    /** Whether [address] is an IP address and not a name. A function, since a property would be written as JSON. */
+    fun hasLiteralAddress(): Boolean = IPV4_ADDRESS.matches(address) || IPV6_ADDRESS.matches(address)
 
     override fun toString(): String = "$address:$port"
 
