--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -62,13 +62,7 @@
         val members = roster.members.values
         val size = view.engine.groupSize(head.model) ?: return "model-unknown"
         if (members.any { it.instance in cycle.state.failed }) {
-            return MEMBER_SILENT.takeIf {
-                isLost(
-                    roster,
-                    head,
-                    size,
-                )
-            }
+            return if (isLost(roster, head, size)) MEMBER_SILENT else null
         }
         val isNew = cycle.now - roster.firstSeenAt < cycle.settings.listingLagMilliseconds
         val isIncomplete = members.size < size && !isNew && key !in cycle.state.formations
