Name the request in the line of a caller's connection that ended

The handler now identifies each response by the request's id, which stays opaque to the transport, and the end of the connection carries it if that response was not completed. The line has it as request=, as the other lines do; it is absent if no response was incomplete or the request had no id.

Run: mvn -B -ntp -o -q -pl gateway,transport -am verify (format, detekt and all tests of these modules and those that they need), once, beside other work on the machine: passed. Not run: the soak, and the modules that depend on these two.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallerConnectionLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/CallerConnectionLogger.kt
@@ -40,6 +40,7 @@
         "daemon" to daemon,
         "atMs" to time,
         "reason" to end.reason.label,
+        "request" to end.incompleteRequestId,
         "inProgress" to if (end.isResponseIncomplete) 1 else 0,
         "queued" to end.queuedRequests,
         "partial" to end.isRequestIncomplete,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -57,7 +57,7 @@
         response: ResponseWriter,
     ) {
         onRequest()
-        val metadata = context.protocol.readRequest(request)
+        val metadata = readRequest(request, response)
         val now = context.now()
         val catalog = context.state.view.catalog
         val rejection =
@@ -72,7 +72,12 @@
     override fun refuse(
         request: HttpRequestMessage,
         response: ResponseWriter,
-    ) = reject(request, context.protocol.readRequest(request), CLOSING, response)
+    ) = reject(request, readRequest(request, response), CLOSING, response)
+
+    private fun readRequest(
+        request: HttpRequestMessage,
+        response: ResponseWriter,
+    ): RequestMetadata = context.protocol.readRequest(request).also { it.requestId?.let(response::identify) }
 
     private fun reject(
         request: HttpRequestMessage,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/logs/CallerConnectionLoggerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/logs/CallerConnectionLoggerTest.kt
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.slf4j.LoggerFactory
 import org.vanillalink.model.DaemonId
+import org.vanillalink.model.KeyValueLine
 import org.vanillalink.transport.CallerConnectionEnd
 import org.vanillalink.transport.CallerConnectionEndReason
 import kotlin.test.AfterTest
@@ -43,6 +44,19 @@
         )
     }
 
+    @Test
+    fun `an end names the request whose response is incomplete`() {
+        testSubject.onEnded(
+            CallerConnectionEnd(
+                CallerConnectionEndReason.RESPONSE_ABORTED,
+                isResponseIncomplete = true,
+                incompleteRequestId = "c15-33",
+            ),
+        )
+
+        assertEquals("c15-33", KeyValueLine.parse(lines.list.single().formattedMessage)["request"])
+    }
+
     // Guards against a flood of lines when many callers leave at once.
     @Test
     fun `clean ends are counted only and the number of lines is bounded`() {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
@@ -77,10 +77,17 @@
     var isFinished = false
     var isAborted = false
 
+    /** The id of the request, for the end of the caller's connection. */
+    var requestId: String? = null
+
     /** Called by the test when the caller disconnects. */
     var disconnect: () -> Unit = {}
     override val isWritable = true
 
+    override fun identify(requestId: String) {
+        this.requestId = requestId
+    }
+
     override fun start(
         status: Int,
         headers: HeaderFields,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallHandlerTest.kt
@@ -37,6 +37,17 @@
         assertEquals(0, http.listeners.size)
     }
 
+    // Guards against the end of a caller's connection that can't be joined with the lines of its request.
+    @Test
+    fun `the response to each request is identified by the request's id`() {
+        handle(isDraining = false)
+        val refused = RecordingResponse()
+        createHandler(isDraining = false).refuse(HttpRequestMessage("POST", "/"), refused)
+
+        assertEquals("id", response.requestId)
+        assertEquals("id", refused.requestId)
+    }
+
     private fun handle(isDraining: Boolean) =
         createHandler(isDraining).handle(HttpRequestMessage("POST", "/"), response)
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/CallerConnectionEnd.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/CallerConnectionEnd.kt
@@ -58,6 +58,8 @@
     val isRequestIncomplete: Boolean = false,
     /** What the caller sent that was not decoded, since the connection was being closed. */
     val discardedBytes: Long = 0,
+    /** The id that the handler gave the request without a complete response; null if there is none. */
+    val incompleteRequestId: String? = null,
 ) {
     /** Whether nothing was left of the caller or for the caller. */
     val isClean: Boolean
--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -41,6 +41,9 @@
     /** Whether more can be written without exceeding the write buffer; false while the caller reads slowly. */
     val isWritable: Boolean
 
+    /** Names the request by [requestId] to the [CallerConnectionListener], should this response not be completed. */
+    fun identify(requestId: String) = Unit
+
     /** Starts a chunked response. */
     fun start(
         status: Int,
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyResponseWriter.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyResponseWriter.kt
@@ -41,8 +41,14 @@
     private var writableAction: (() -> Unit)? = null
     private var disconnectAction: (() -> Unit)? = null
 
+    /** What [identify] was called with last. Confined to the event loop. */
+    var requestId: String? = null
+        private set
+
     override val isWritable: Boolean get() = context.channel().isWritable
 
+    override fun identify(requestId: String) = runOnEventLoop { this.requestId = requestId }
+
     override fun start(
         status: Int,
         headers: HeaderFields,
--- a/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ServerConnection.kt
@@ -64,6 +64,9 @@
     /** Whether a request has got no complete response. */
     private var isResponseIncomplete = false
 
+    /** The id of the request that has got no complete response, if its handler has given it one. */
+    private var incompleteRequestId: String? = null
+
     /** How many requests have got no response at all. */
     private var abandoned = 0
 
@@ -105,6 +108,7 @@
                 abandoned,
                 input.hasPartialRequest,
                 input.discardedBytes,
+                incompleteRequestId,
             ),
         )
     }
@@ -220,8 +224,11 @@
         end: ResponseEnd,
         closeReason: CallerConnectionEndReason = CallerConnectionEndReason.RESPONSE_ENDED,
     ) {
+        if (end == ResponseEnd.INCOMPLETE) {
+            isResponseIncomplete = true
+            incompleteRequestId = currentWriter?.requestId
+        }
         currentWriter = null
-        isResponseIncomplete = isResponseIncomplete || end == ResponseEnd.INCOMPLETE
         lastActiveAt = System.nanoTime()
         requestsInProgress.decrementAndGet()
         isCloseAnnounced = isCloseAnnounced || end == ResponseEnd.CLOSES_CONNECTION
--- a/transport/src/test/kotlin/org/vanillalink/transport/CallerConnectionEndTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/CallerConnectionEndTest.kt
@@ -60,6 +60,34 @@
         assertFalse(ends.single().isClean)
     }
 
+    // Guards against the end of a caller's connection that can't be joined with the lines of its request.
+    @Test
+    fun `a response that is not completed is reported with the id of its request`() {
+        receive("GET /one HTTP/1.1\r\n\r\nGET /two HTTP/1.1\r\n\r\nGET /three HTTP/1.1\r\n\r\n")
+        responses.last().identify("one")
+        responses.last().respond(STATUS_OK)
+        channel.runPendingTasks()
+        responses.last().identify("two")
+        responses.last().start(STATUS_OK, HeaderFields())
+        channel.close()
+        channel.runPendingTasks()
+
+        val expected =
+            CallerConnectionEnd(CallerConnectionEndReason.CALLER_CLOSED, true, 1, incompleteRequestId = "two")
+        assertEquals(listOf(expected), ends)
+    }
+
+    @Test
+    fun `a connection whose responses are complete is reported without the id of a request`() {
+        receive("GET /one HTTP/1.1\r\n\r\n")
+        responses.last().identify("one")
+        responses.last().respond(STATUS_OK)
+        channel.close()
+        channel.runPendingTasks()
+
+        assertEquals(listOf(CallerConnectionEnd(CallerConnectionEndReason.CALLER_CLOSED)), ends)
+    }
+
     @Test
     fun `a body whose rest is missing is part of a request`() {
         receive("POST /one HTTP/1.1\r\nContent-Length: 4\r\n\r\nab")
