Count the groups taken apart and the targets that fall silent

The executor of control's decisions now counts group-dissolving by reason and gentle, target-silent by ended, and target-answers-again, also when their lines are suppressed. Reasons that aren't fixed are counted as other, so that the number of time series is bounded.

Run: mvn -B -ntp -o -q -pl gateway,transport -am verify, once, beside other work on the machine: passed. Not run: the soak, and the modules that depend on these two.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.gateway.logs.ConnectionMetrics
 import org.vanillalink.gateway.logs.DecisionInputs
 import org.vanillalink.gateway.logs.EventLogger
+import org.vanillalink.gateway.logs.GroupControlMetrics
 import org.vanillalink.gateway.logs.JvmUsageMeter
 import org.vanillalink.gateway.logs.LoopDelayMonitor
 import org.vanillalink.gateway.logs.RequestLogger
@@ -79,6 +80,7 @@
             eventLogger,
             clock,
             controlLoopDelay,
+            GroupControlMetrics(meterRegistry),
         )
     private val peerExchange =
         PeerExchange(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -6,6 +6,7 @@
 package org.vanillalink.gateway.control
 
 import org.vanillalink.gateway.logs.EventLogger
+import org.vanillalink.gateway.logs.GroupControlMetrics
 import org.vanillalink.gateway.logs.LoopDelayMonitor
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.gateway.ports.Registry
@@ -47,13 +48,15 @@
     private val eventLogger: EventLogger,
     private val clock: GatewayClock,
     private val loopDelayMonitor: LoopDelayMonitor,
+    groupControlMetrics: GroupControlMetrics,
 ) {
     private val registryState = RegistryState(eventLogger, clock, settings.limits.relistMilliseconds)
 
     /** Read on the control thread only. */
     var peerDirectory = PeerDirectory()
         private set
-    private val decisionExecutor = DecisionExecutor(targets, controlThread, eventLogger, ::onTargetResponse)
+    private val decisionExecutor =
+        DecisionExecutor(targets, controlThread, eventLogger, groupControlMetrics, ::onTargetResponse)
     private var targetIndex = TargetIndex(registryState.directory)
     private var controlledDomains: List<ControlledDomain> = emptyList()
     private var previousSuspects: Set<GroupKey> = emptySet()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionExecutor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionExecutor.kt
@@ -4,6 +4,7 @@
 package org.vanillalink.gateway.control
 
 import org.vanillalink.gateway.logs.EventLogger
+import org.vanillalink.gateway.logs.GroupControlMetrics
 import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.serving.control.GroupDecision
 import org.vanillalink.serving.control.GroupEvent
@@ -14,6 +15,7 @@
     private val targets: TargetControl,
     private val controlThread: ControlThread,
     private val eventLogger: EventLogger,
+    private val groupControlMetrics: GroupControlMetrics,
     private val onTargetResponse: (domain: DomainControl, term: Long, target: TargetEntry, event: GroupEvent) -> Unit,
 ) {
     fun execute(
@@ -30,10 +32,13 @@
     private fun logEvent(
         domain: DomainControl,
         note: GroupDecision.LogEvent,
-    ) = eventLogger.record(
-        note.event,
-        note.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term),
-    )
+    ) {
+        groupControlMetrics.record(note.event, note.fields)
+        eventLogger.record(
+            note.event,
+            note.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term),
+        )
+    }
 
     private fun sendOrder(
         domain: DomainControl,
