Judge TWO and PARTIAL in the soak

The stand-in runners report each join, open, close, leave and end with the group's name, epoch, model and members; the recording keeps them in their order. TWO: a runner takes a join of another group while it is still a member of one whose head is open or closing. PARTIAL: a request begins to run in a group without the model's size, or with a member that has never been ready under that name, epoch and list.

A join under the same name and epoch with other members is refused with 412, as the protocol says (was 200), and a report names `queued` and `running`. A stand-in that has been killed writes no entry any more.

--- a/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
@@ -36,7 +36,7 @@
     private val settings: SoakSettings,
 ) {
     private val bounds = Bounds()
-    private val recorder = Recorder(bounds)
+    private val recorder = Recorder(bounds, settings.profile.models.associate { it.name to it.size })
     private val random = Random(settings.seed)
     private val executor = Executors.newCachedThreadPool { Thread(it, "fault").apply { isDaemon = true } }
 
--- a/soak/src/main/kotlin/org/vanillalink/soak/check/Checker.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/Checker.kt
@@ -11,7 +11,8 @@
     /** Returns what breaks a rule, in the order of time. */
     fun check(recording: Recording): List<Finding> {
         val index = RecordingIndex(recording)
-        val findings = LossRule(index).findings() + AnswerRules(index).findings() + RunRules(index).findings()
+        val ofCalls = LossRule(index).findings() + AnswerRules(index).findings()
+        val findings = ofCalls + RunRules(index).findings() + GroupRules(index).findings()
         return findings.sortedBy { it.atMs }
     }
 
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
@@ -3,6 +3,9 @@
  */
 package org.vanillalink.soak.record
 
+import org.vanillalink.standins.runner.GroupChange
+import org.vanillalink.standins.runner.GroupIdentity
+
 /** The kinds of faults and of planned work. */
 enum class FaultKind(
     /** Whether the target has broken off the request that it meets, in the sense of the rules. */
@@ -51,7 +54,7 @@
     val connection: Int? = null,
 )
 
-/** A request that a target began to run, as the target got it. */
+/** A request that a target began to run, as the target got it; [group] is that whose head the target was. */
 data class Run(
     val requestId: String,
     val target: String,
@@ -60,8 +63,19 @@
     val path: String,
     val bodyHash: Int,
     val lastEventId: Int?,
+    val group: GroupIdentity? = null,
 )
 
+/** A change of the membership of [target]. */
+data class GroupEvent(
+    val target: String,
+    val atMs: Long,
+    val change: GroupChange,
+) {
+    /** When a join or an order to open takes effect. */
+    val effectiveMs: Long get() = atMs + change.afterMilliseconds
+}
+
 /** A request on its way to a target. [endedMs] is when the answer had been passed on whole, or null without one. */
 data class Passage(
     val requestId: String,
@@ -101,7 +115,7 @@
     val configApplyMs: Long = 2_000,
 )
 
-/** All that was recorded in a run. */
+/** All that was recorded in a run; [groupEvents] in their order, [modelSizes] are the members of a group by model. */
 data class Recording(
     val bounds: Bounds,
     val calls: List<Call>,
@@ -111,4 +125,6 @@
     val faults: List<InjectedFault> = emptyList(),
     val daemonEvents: List<DaemonEvent> = emptyList(),
     val storeEvents: List<StoreEvent> = emptyList(),
+    val groupEvents: List<GroupEvent> = emptyList(),
+    val modelSizes: Map<String, Int> = emptyMap(),
 )
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Recorder.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Recorder.kt
@@ -9,6 +9,7 @@
 /** Thread-safe; times are milliseconds since its creation. */
 class Recorder(
     private val bounds: Bounds,
+    private val modelSizes: Map<String, Int>,
 ) {
     private val startNanos = System.nanoTime()
     private val calls = ConcurrentLinkedQueue<Call>()
@@ -18,6 +19,7 @@
     private val faults = ConcurrentLinkedQueue<InjectedFault>()
     private val daemonEvents = ConcurrentLinkedQueue<DaemonEvent>()
     private val storeEvents = ConcurrentLinkedQueue<StoreEvent>()
+    private val groupEvents = ConcurrentLinkedQueue<GroupEvent>()
 
     /** Milliseconds since the start of the run. */
     fun now(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
@@ -36,6 +38,8 @@
 
     fun add(event: StoreEvent) = storeEvents.add(event)
 
+    fun add(event: GroupEvent) = groupEvents.add(event)
+
     /** Returns what has been recorded so far. */
     fun recording() = Recording(
         bounds,
@@ -46,5 +50,7 @@
         faults.toList(),
         daemonEvents.toList(),
         storeEvents.toList(),
+        groupEvents.toList(),
+        modelSizes,
     )
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
@@ -6,11 +6,13 @@
 import io.netty.channel.EventLoopGroup
 import org.vanillalink.model.Endpoint
 import org.vanillalink.soak.record.FaultKind
+import org.vanillalink.soak.record.GroupEvent
 import org.vanillalink.soak.record.InjectedFault
 import org.vanillalink.soak.record.Recorder
 import org.vanillalink.soak.record.Run
 import org.vanillalink.standins.rows.RowStore
 import org.vanillalink.standins.runner.FakeRunner
+import org.vanillalink.standins.runner.GroupIdentity
 import org.vanillalink.standins.runner.RunnerSettings
 import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.NettyEventLoops
@@ -44,10 +46,16 @@
     fun start() {
         proxy.start()
         val settings = RunnerSettings(name, service, failureDomain, fabricDomain, "$listen", slots = SLOTS)
-        runner = FakeRunner(host.loops, behind, settings, host.store).also { it.handler.onExecuted = ::recordRun }
+        runner =
+            FakeRunner(host.loops, behind, settings, host.store) {
+                host.recorder.add(GroupEvent(name, host.recorder.now(), it))
+            }.also { it.handler.onExecuted = ::recordRun }
     }
 
-    private fun recordRun(request: HttpRequestMessage) {
+    private fun recordRun(
+        request: HttpRequestMessage,
+        group: GroupIdentity?,
+    ) {
         host.recorder.add(
             Run(
                 request.headers["request-id"].orEmpty(),
@@ -57,6 +65,7 @@
                 request.target,
                 request.body.contentHashCode(),
                 request.headers["last-event-id"]?.toIntOrNull(),
+                group,
             ),
         )
     }
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/RecordedRun.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/RecordedRun.kt
@@ -13,12 +13,16 @@
 import org.vanillalink.soak.record.DaemonEvent
 import org.vanillalink.soak.record.DaemonEventKind
 import org.vanillalink.soak.record.FaultKind
+import org.vanillalink.soak.record.GroupEvent
 import org.vanillalink.soak.record.InjectedFault
 import org.vanillalink.soak.record.Passage
 import org.vanillalink.soak.record.Piece
 import org.vanillalink.soak.record.Recording
 import org.vanillalink.soak.record.Run
 import org.vanillalink.soak.record.SentRequest
+import org.vanillalink.standins.runner.GroupChange
+import org.vanillalink.standins.runner.GroupChangeKind
+import org.vanillalink.standins.runner.GroupIdentity
 import org.vanillalink.standins.runner.RequestedAnswer
 
 internal const val DAEMON = "ikeja-1"
@@ -33,6 +37,7 @@
     private val passages = mutableListOf<Passage>()
     private val faults = mutableListOf<InjectedFault>()
     private val events = mutableListOf<DaemonEvent>()
+    private val groupEvents = mutableListOf<GroupEvent>()
 
     fun call(
         id: String,
@@ -62,7 +67,8 @@
         atMs: Long = START_MS,
         bodyHash: Int = BODY_HASH,
         lastEventId: Int? = null,
-    ) = apply { runs += Run(id, target, atMs, "POST", "/$id", bodyHash, lastEventId) }
+        group: GroupIdentity? = null,
+    ) = apply { runs += Run(id, target, atMs, "POST", "/$id", bodyHash, lastEventId, group) }
 
     fun passage(
         id: String,
@@ -84,11 +90,38 @@
         exitCode: Int? = null,
     ) = apply { events += DaemonEvent(DAEMON, 1, kind, atMs, exitCode) }
 
+    fun groupChange(
+        target: String,
+        kind: GroupChangeKind,
+        group: GroupIdentity,
+        atMs: Long,
+    ) = apply {
+        val takesTime = kind == GroupChangeKind.JOINED || kind == GroupChangeKind.OPENED
+        groupEvents += GroupEvent(target, atMs, GroupChange(kind, group, if (takesTime) DELAY else 0))
+    }
+
     fun rules(): List<String> = Checker
-        .check(Recording(Bounds(), calls, emptyList(), runs, passages, faults, events))
-        .map { it.rule }
+        .check(
+            Recording(
+                Bounds(),
+                calls,
+                emptyList(),
+                runs,
+                passages,
+                faults,
+                events,
+                groupEvents = groupEvents,
+                modelSizes = mapOf(MODEL to 2),
+            ),
+        ).map { it.rule }
 
     companion object {
         const val START = START_MS
+
+        /** How long a join or an order to open takes. */
+        const val DELAY = 50L
+
+        /** A model whose groups have two members. */
+        const val MODEL = "m2"
     }
 }
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/FakeRunner.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/FakeRunner.kt
@@ -17,8 +17,12 @@
     listen: Endpoint,
     private val settings: RunnerSettings,
     private val store: RowStore,
+    onGroupChanged: (GroupChange) -> Unit = {},
 ) {
-    private val state = RunnerState(settings)
+    private val state = RunnerState(settings, onGroupChanged = onGroupChanged)
+
+    @Volatile
+    private var isEnded = false
 
     /** The address in its registry entry. */
     val address: String get() = settings.address
@@ -33,7 +37,7 @@
 
     /** Writes the current entry to the registry, unless it is unresponsive. */
     fun publishEntry() {
-        if (handler.fault == RunnerFault.DARK) return
+        if (isEnded || handler.fault == RunnerFault.DARK) return
         store.put(TABLE, settings.id, Base64.getEncoder().encodeToString(Json.write(state.entry())))
     }
 
@@ -47,7 +51,11 @@
     }
 
     /** Stops the server without draining. */
-    fun kill() = server.close()
+    fun kill() {
+        isEnded = true
+        server.close()
+        state.end()
+    }
 
     private companion object {
         const val TABLE = "servers"
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -86,9 +86,9 @@
     /** The ids of the requests whose caller disconnected before the response was complete. */
     val abandonedRequestIds = CopyOnWriteArrayList<String>()
 
-    /** Called with each request that begins to run here. */
+    /** Called with each request that begins to run here, and with the group in which it does. */
     @Volatile
-    var onExecuted: (HttpRequestMessage) -> Unit = {}
+    var onExecuted: (HttpRequestMessage, GroupIdentity?) -> Unit = { _, _ -> }
 
     /** The last request that was executed here. */
     @Volatile
@@ -104,6 +104,7 @@
             return
         }
         val expected = request.headers["expect-instance"]
+        val group = state.openGroup()
         when {
             expected != null && expected != settings.id -> {
                 response.respond(
@@ -124,7 +125,7 @@
                 response.respond(OK, HeaderFields.of("instance-id" to settings.id))
             }
 
-            !state.acceptsRequests() -> {
+            state.isGrouped && group == null -> {
                 response.respond(MISDIRECTED_REQUEST, HeaderFields.of("instance-id" to settings.id))
             }
 
@@ -141,7 +142,7 @@
             }
 
             else -> {
-                execute(request, response)
+                execute(request, response, group)
             }
         }
     }
@@ -163,10 +164,11 @@
     private fun execute(
         request: HttpRequestMessage,
         response: ResponseWriter,
+        group: GroupIdentity?,
     ) {
         val id = request.headers["request-id"].orEmpty()
         executedRequestIds += id
-        onExecuted(request)
+        onExecuted(request, group)
         response.onCallerDisconnected {
             abandonedRequestIds += id
             removeStream(response)
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
@@ -22,10 +22,10 @@
 class RunnerState(
     private val settings: RunnerSettings,
     private val now: () -> Long = System::currentTimeMillis,
+    private val onGroupChanged: (GroupChange) -> Unit = {},
 ) {
     private class Membership(
-        val group: String,
-        val epoch: Long,
+        val group: GroupIdentity,
         val rank: Int,
         val readyAtMs: Long,
         var openAtMs: Long? = null,
@@ -48,27 +48,39 @@
     @Synchronized
     fun restart() {
         startMs = maxOf(now(), startMs + 1)
-        membership = null
+        end()
         model = null
         sequence = 0
         highestEpoch = 0
     }
 
+    /** Ends the membership with the process. */
+    @Synchronized
+    fun end() {
+        reportChange(GroupChangeKind.ENDED)
+        membership = null
+    }
+
     /** Records how many streams are under way; returns whether the group has closed by that. */
     @Synchronized
     fun recordStreams(count: Int): Boolean {
         val wasClosing = groupState() == "closing"
         runningStreams = count
-        return wasClosing && groupState() == "ready"
+        val hasClosed = wasClosing && groupState() == "ready"
+        if (hasClosed) reportChange(GroupChangeKind.CLOSED)
+        return hasClosed
     }
 
-    /** True for a plain runner, and for the head of an open group. */
+    /** Whether requests go to the head of a group. */
+    val isGrouped: Boolean get() = settings.fabricDomain != null
+
+    /** Returns the open group whose head this runner is, or null. */
     @Synchronized
-    fun acceptsRequests(): Boolean = settings.fabricDomain == null || groupState() == "open"
+    fun openGroup(): GroupIdentity? = membership?.group?.takeIf { groupState() == "open" }
 
     /** Returns the registry entry. */
     @Synchronized
-    fun entry(): Map<String, Any?> = report() +
+    fun entry(): Map<String, Any?> = listedReport() +
         mapOf(
             "service" to settings.service,
             "address" to settings.address,
@@ -81,14 +93,16 @@
 
     /** Returns the response to a report request. */
     @Synchronized
-    fun report(): Map<String, Any?> {
+    fun report(): Map<String, Any?> = listedReport() + mapOf("queued" to 0, "running" to runningStreams)
+
+    private fun listedReport(): Map<String, Any?> {
         val models = listOfNotNull(model).map { mapOf("name" to it, "version" to 1, "adapters" to emptyList<String>()) }
         val common =
             mapOf("born" to startMs, "sequence" to sequence, "stage" to "unified", "models" to models, "pace" to 1.0)
         if (settings.fabricDomain == null) return common - "models"
         val group =
             membership?.let {
-                mapOf("name" to it.group, "epoch" to it.epoch, "rank" to it.rank, "state" to groupState())
+                mapOf("name" to it.group.name, "epoch" to it.group.epoch, "rank" to it.rank, "state" to groupState())
             }
         return common + mapOf("domain" to settings.fabricDomain, "staged" to listOfNotNull(staged), "group" to group)
     }
@@ -115,12 +129,15 @@
         epoch: Long,
     ): Int {
         if (epoch < highestEpoch) return STALE_EPOCH
-        if (isMemberOf(order, epoch)) return ALREADY_DONE
+        val members = order.path("members").map { it.asText() }
+        if (isMemberOf(order, epoch)) return if (membership?.group?.members == members) ALREADY_DONE else STALE_EPOCH
         highestEpoch = epoch
-        model = order.path("model").asText()
-        staged = model
-        val rank = order.path("members").indexOfFirst { it.asText() == settings.id }
-        membership = Membership(order.path("group").asText(), epoch, rank, now() + settings.joinMilliseconds)
+        val joinedModel = order.path("model").asText()
+        model = joinedModel
+        staged = joinedModel
+        val group = GroupIdentity(order.path("group").asText(), epoch, joinedModel, members)
+        membership = Membership(group, members.indexOf(settings.id), now() + settings.joinMilliseconds)
+        reportChange(GroupChangeKind.JOINED, settings.joinMilliseconds)
         return ACCEPTED
     }
 
@@ -133,6 +150,7 @@
         if (ownMembership.openAtMs != null) return ALREADY_DONE
         ownMembership.isClosing = false
         ownMembership.openAtMs = now() + settings.openMilliseconds
+        reportChange(GroupChangeKind.OPENED, settings.openMilliseconds)
         return ACCEPTED
     }
 
@@ -143,6 +161,8 @@
         val ownMembership = membership?.takeIf { isMemberOf(order, epoch) } ?: return CONFLICT
         ownMembership.openAtMs = null
         ownMembership.isClosing = true
+        reportChange(GroupChangeKind.CLOSING)
+        if (runningStreams == 0) reportChange(GroupChangeKind.CLOSED)
         return ACCEPTED
     }
 
@@ -151,6 +171,7 @@
         epoch: Long,
     ): Int {
         if (!isMemberOf(order, epoch)) return ALREADY_DONE
+        reportChange(GroupChangeKind.LEFT)
         membership = null
         return ACCEPTED
     }
@@ -158,7 +179,14 @@
     private fun isMemberOf(
         order: JsonNode,
         epoch: Long,
-    ): Boolean = membership?.group == order.path("group").asText() && membership?.epoch == epoch
+    ): Boolean = membership?.group?.name == order.path("group").asText() && membership?.group?.epoch == epoch
+
+    private fun reportChange(
+        kind: GroupChangeKind,
+        afterMilliseconds: Long = 0,
+    ) {
+        membership?.let { onGroupChanged(GroupChange(kind, it.group, afterMilliseconds)) }
+    }
 
     private fun groupState(): String {
         val ownMembership = membership ?: return "none"
