Use members elsewhere on their own word only

Cause: the silence of a head counted as its end, and the report of a member that it is still in the listed group counted as its consent.

Why this works: the members of such a head are ordered to leave, each by itself, after the same time as before, and each is used once it has confirmed that. A member that has left isn't bound by its head any more, whatever the head does.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -1,5 +1,6 @@
 /*
- * Dissolves groups: ensures that the head has stopped serving before its members are used elsewhere.
+ * Dissolves groups: ensures that the head has stopped serving before its members are used elsewhere. A head that is
+ * neither listed nor answers proves nothing, as it may serve behind a cut; see [MemberReleaseSteps].
  *
  * An order to leave cuts the requests in flight. So a head whose members are sound is first ordered to close, and to
  * leave once it has no more requests.
@@ -16,16 +17,14 @@
     fun advance() = cycle.state.dissolutions.values
         .toList()
         .map(::withListedState)
+        .map(::withHeadGone)
         .forEach(::advance)
 
     private fun advance(dissolution: Dissolution) {
         val listed = view.entries[dissolution.head.id]
-        val isFinishingRequests = isFinishingRequests(dissolution, listed)
-        if (hasEnded(dissolution, listed, isFinishingRequests) ||
-            (listed != null && hasStopped(dissolution, listed))
-        ) {
+        if (listed != null && hasStopped(dissolution, listed)) {
             cycle.markDissolved(dissolution.key)
-        } else if (isFinishingRequests) {
+        } else if (isFinishingRequests(dissolution, listed)) {
             finishRequests(dissolution, listed)
         } else {
             sendLeave(dissolution, listed)
@@ -43,15 +42,20 @@
         listed: TargetEntry?,
     ): MemberState? = listed?.membership?.takeIf { it.key == dissolution.key }?.state
 
-    /** A head that closes may have requests in flight, so only a longer silence counts as its end. */
-    private fun hasEnded(
-        dissolution: Dissolution,
-        listed: TargetEntry?,
-        isFinishingRequests: Boolean,
-    ): Boolean {
+    private fun withHeadGone(dissolution: Dissolution): Dissolution {
+        val listed = view.entries[dissolution.head.id]
+        val isGone = listed == null && (dissolution.isHeadGone || isUnresponsive(dissolution))
+        if (isGone == dissolution.isHeadGone) return dissolution
+        if (isGone) cycle.log("group-head-gone", "group" to dissolution.key.group, "target" to dissolution.head.id)
+        return dissolution.copy(isHeadGone = isGone).also(cycle::saveDissolution)
+    }
+
+    /** A head that closes may have requests in flight, so only a longer silence counts. */
+    private fun isUnresponsive(dissolution: Dissolution): Boolean {
         val settings = cycle.settings
-        val limit = if (isFinishingRequests) settings.unansweredBeforeClosingGone else settings.unansweredBeforeGone
-        return listed == null && dissolution.unansweredReports >= limit
+        val isClosing = isFinishingRequests(dissolution, listed = null)
+        val limit = if (isClosing) settings.unansweredBeforeClosingGone else settings.unansweredBeforeGone
+        return dissolution.unansweredReports >= limit
     }
 
     private fun isFinishingRequests(
@@ -106,7 +110,12 @@
         listed: TargetEntry?,
     ) {
         val isClosed = dissolution.isGraceful && hasClosed(dissolution, listed)
-        val interval = if (isClosed) cycle.settings.pollIntervalMilliseconds else cycle.settings.resendMilliseconds
+        val interval =
+            when {
+                dissolution.isHeadGone -> cycle.settings.listingLagMilliseconds
+                isClosed -> cycle.settings.pollIntervalMilliseconds
+                else -> cycle.settings.resendMilliseconds
+            }
         if (cycle.now - dissolution.lastSentAt < interval) return
         cycle.send(listed ?: dissolution.head, GroupOrder.Leave(dissolution.key))
         pollHead(dissolution)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -91,13 +91,22 @@
         state = state.copy(dissolutions = state.dissolutions - key, dissolvedAt = state.dissolvedAt + (key to now))
     }
 
+    /** Whether [target] itself has confirmed that it isn't in the group [key]. */
+    fun hasLeft(
+        target: HostId,
+        key: GroupKey,
+    ): Boolean = state.releases[target]?.let { it.key == key && it.hasLeft } == true
+
     /** Targets of groups that are being formed or dissolved, whatever the registry lists. */
     fun targetsInUse(): Set<HostId> {
         val forming =
             state.formations.values
                 .flatMap { it.members }
                 .map { it.id }
-        val dissolving = state.dissolutions.values.flatMap { it.members }
+        val dissolving =
+            state.dissolutions.values.flatMap { group ->
+                group.members.filterNot { hasLeft(it, group.key) }
+            }
         return (forming + dissolving).toSet()
     }
 
@@ -119,6 +128,13 @@
         state = state.copy(dissolutions = state.dissolutions + (dissolution.key to dissolution))
     }
 
+    fun saveRelease(
+        member: HostId,
+        release: MemberRelease,
+    ) {
+        state = state.copy(releases = state.releases + (member to release))
+    }
+
     fun removeFormation(formation: Formation) {
         state = state.copy(formations = state.formations - formation.key)
     }
@@ -187,6 +203,12 @@
                 requestedAt = state.requestedAt.filterValues { it > retainedSince },
                 unansweredOrders = state.unansweredOrders.filterValues { it > retainedSince },
                 confirmations = state.confirmations.filterValues { it.updatedAt > retainedSince },
+                dissolutions = state.dissolutions.filterNot { (key, group) -> group.isHeadGone && key !in rosters },
+                releases =
+                    state.releases.filterValues {
+                        it.instance in instances &&
+                            (it.key in rosters || it.key in state.dissolutions)
+                    },
                 staging = state.staging.filter { (id, staging) -> isInProgress(view.entries[id], staging) },
             )
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -13,8 +13,8 @@
     /** Time until an unanswered order is sent again; longer than any round trip within a region. */
     val resendMilliseconds: Long = 500,
     /**
-     * How long members of a group without a known head aren't used; longer than expired entries take to be listed
-     * again.
+     * How long members of a group without a known head aren't ordered to leave it; longer than expired entries take to
+     * be listed again.
      */
     val unknownHeadMilliseconds: Long = 6_000,
     /**
@@ -45,7 +45,7 @@
      * long while its head has requests, so those that take longer can't be completed.
      */
     val gracefulCloseMilliseconds: Long = 10_000,
-    /** Consecutive unanswered report requests to an unlisted head that closes until it counts as ended. */
+    /** Consecutive unanswered report requests to an unlisted head that closes until its members are ordered to leave. */
     val unansweredBeforeClosingGone: Int = 3,
     /** How long the registry may take to list an opened group. */
     val listingLagMilliseconds: Long = 2_500,
@@ -53,7 +53,7 @@
      * How long dissolved groups and other history are kept; longer than the delay with which an order can take effect.
      */
     val retentionMilliseconds: Long = 20_000,
-    /** Unanswered report requests to an unlisted head until it counts as ended. */
+    /** Unanswered report requests to an unlisted head until its members are ordered to leave. */
     val unansweredBeforeGone: Int = 2,
     /** Time until a failed or unlisted target is queried again. */
     val failedRetryMilliseconds: Long = 700,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -51,6 +51,8 @@
     val hasClosed: Boolean = false,
     /** Consecutive unanswered report requests to the head. */
     val unansweredReports: Int = 0,
+    /** Whether the head is neither listed nor answers, so that only the members themselves can confirm that they left. */
+    val isHeadGone: Boolean = false,
     val lastUnansweredAt: Long = Long.MIN_VALUE / 2,
     /** The model that the group served, or null if that isn't certain. */
     val model: String? = null,
@@ -67,6 +69,15 @@
     val updatedAt: Long,
 )
 
+/** The order to [instance] to leave the group [key], whose head can't be asked. */
+data class MemberRelease(
+    val instance: TargetInstance,
+    val key: GroupKey,
+    val lastSentAt: Long,
+    /** Whether the member itself has confirmed that it isn't in the group. */
+    val hasLeft: Boolean = false,
+)
+
 /** A target instance that has given no answer since [since]; it was last asked at [lastTriedAt]. */
 data class FailedTarget(
     val since: Long,
@@ -94,6 +105,8 @@
     val failed: Map<TargetInstance, FailedTarget> = emptyMap(),
     /** Consecutive unanswered report requests by target instance. */
     val unansweredReports: Map<TargetInstance, Int> = emptyMap(),
+    /** Members that are ordered to leave a group whose head can't be asked. */
+    val releases: Map<HostId, MemberRelease> = emptyMap(),
     /** When a report was last requested from each target. */
     val requestedAt: Map<HostId, Long> = emptyMap(),
     /** Models that hosts were ordered to stage. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -7,8 +7,8 @@
  * predecessor but a higher epoch.
  *
  * Two rules ensure safety. A group is opened only after each member has itself reported that it is ready under the
- * group's name and epoch. Members of a group are used elsewhere only after its head has left, has ended, or was never
- * ordered to open.
+ * group's name and epoch. A member of a group is used elsewhere only after the group's head has itself confirmed that it
+ * doesn't serve the group, after the member has itself confirmed that it left, or if the head was never ordered to open.
  */
 package org.vanillalink.serving.control
 
@@ -103,6 +103,7 @@
         cycle.refresh(view)
         GroupHealth(cycle, view).check()
         DissolutionSteps(cycle, view).advance()
+        MemberReleaseSteps(cycle, view).advance()
         FormationSteps(cycle, view).advance()
         GroupPlanner(cycle, view).apply()
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -29,6 +29,12 @@
             dissolveUnopened(key, head)
             return
         }
+        if (cycle.state.releases.values
+                .any { it.key == key }
+        ) {
+            cycle.dissolve(key, head, "member-released", isGraceful = false)
+            return
+        }
         val reason = findDefect(key, roster, head)
         if (reason ==
             null
@@ -95,7 +101,7 @@
 
     private fun isInNoGroup(entry: TargetEntry): Boolean {
         val key = entry.membership?.key ?: return true
-        return StandbyGroups.isStandby(key) || key in cycle.state.dissolvedAt
+        return StandbyGroups.isStandby(key) || key in cycle.state.dissolvedAt || cycle.hasLeft(entry.id, key)
     }
 
     private fun probeUnlisted(roster: Roster) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -111,14 +111,19 @@
         if (loadCount == 0 || !view.hasTraffic) return chosen
         // The remaining members of a group that is being dissolved are ready much sooner than a load would be.
         val survivorsExpected =
-            cycle.state.dissolutions.values
-                .any { it.head.fabricDomain == free.first().fabricDomain }
+            cycle.state.dissolutions.values.any { group ->
+                val isInDomain = group.head.fabricDomain == free.first().fabricDomain
+                isInDomain && !(group.isHeadGone && hasNoMemberLeft(group))
+            }
         if (survivorsExpected) return null
         val isUnserved = activeGroups.none { it.model == model.name }
         if (!isUnserved || !acquireLoadTokens(loadCount)) return null
         return chosen
     }
 
+    private fun hasNoMemberLeft(group: Dissolution): Boolean =
+        (group.members - group.head.id).none { it in view.entries && !cycle.hasLeft(it, group.key) }
+
     private fun readinessRank(
         target: TargetEntry,
         model: String,
@@ -244,22 +249,23 @@
     }
 
     /**
-     * Members are unused once their group's head has stopped serving; members of a group that never opened always are.
+     * Members are unused once they or their group's head have confirmed that they left; members of a group that never
+     * opened always are.
      */
     private fun isUnused(entry: TargetEntry): Boolean {
         val key = entry.membership?.key
         return when {
-            key == null || key in cycle.state.dissolvedAt -> true
+            key == null || key in cycle.state.dissolvedAt || cycle.hasLeft(entry.id, key) -> true
             key in cycle.state.dissolutions -> false
-            else -> cycle.state.rosters[key]?.let { isReleased(key, it) } ?: true
+            else -> cycle.state.rosters[key]?.let { hasNotOpened(key, it) } ?: true
         }
     }
 
-    private fun isReleased(
+    private fun hasNotOpened(
         key: GroupKey,
         roster: Roster,
     ): Boolean {
-        val head = roster.head ?: return cycle.now - roster.firstSeenAt > cycle.settings.unknownHeadMilliseconds
+        val head = roster.head ?: return false
         val serves = head.membership?.state == MemberState.OPEN || head.membership?.state == MemberState.CLOSING
         return !serves && !cycle.canOpen(key, head)
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -24,7 +24,8 @@
             }
 
             is GroupOrder.Leave -> {
-                leaveAnswered(order.key, event.result)
+                memberLeaveAnswered(event.target, order.key, event.result)
+                headLeaveAnswered(event.target, order.key, event.result)
             }
 
             is GroupOrder.Close -> {
@@ -110,11 +111,12 @@
      * shows that the head is not in this group, but not in which one it is: only its own report, requested after that,
      * shows whether it may be fenced.
      */
-    private fun leaveAnswered(
+    private fun headLeaveAnswered(
+        target: HostId,
         key: GroupKey,
         result: OrderResult,
     ) {
-        val dissolution = cycle.state.dissolutions[key] ?: return
+        val dissolution = cycle.state.dissolutions[key]?.takeIf { it.head.id == target } ?: return
         when {
             result !in ANSWERS -> Unit
             result != OrderResult.OTHER_TARGET && cycle.canReopen(key) -> cycle.requestReport(dissolution.head)
@@ -122,6 +124,18 @@
         }
     }
 
+    /** A member that accepted the order isn't in the group: it has left, or had left before. */
+    private fun memberLeaveAnswered(
+        target: HostId,
+        key: GroupKey,
+        result: OrderResult,
+    ) {
+        val release = cycle.state.releases[target]?.takeIf { it.key == key && !it.hasLeft } ?: return
+        if (result != OrderResult.ACCEPTED) return
+        cycle.log("member-left", "target" to target, "group" to key.group, "epoch" to key.epoch)
+        cycle.saveRelease(target, release.copy(hasLeft = true))
+    }
+
     private fun stageAnswered(
         target: HostId,
         result: OrderResult,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -31,7 +31,7 @@
         val updated =
             confirmation.copy(
                 isConfirmed =
-                    isSameInstance && isFree(report?.membership?.key, confirmation.key),
+                    isSameInstance && isFree(event.target, report?.membership?.key, confirmation.key),
                 updatedAt = cycle.now,
             )
         cycle.state = cycle.state.copy(confirmations = cycle.state.confirmations + (event.target to updated))
@@ -47,10 +47,14 @@
 
     /** Whether a target that reports [reported] as its group may be used; [listed] is the unused group of its entry. */
     private fun isFree(
+        target: HostId,
         reported: GroupKey?,
         listed: GroupKey?,
-    ): Boolean = reported == null || reported == listed || reported in cycle.state.dissolvedAt ||
-        StandbyGroups.isStandby(reported)
+    ): Boolean {
+        if (reported == null || StandbyGroups.isStandby(reported) || reported in cycle.state.dissolvedAt) return true
+        // One that left a group whose head can't be asked may have joined it again on a delayed order.
+        return reported == listed && !cycle.hasLeft(target, reported)
+    }
 
     /** Whether another target answered around the time of the request to [target], so that the network path works. */
     private fun isPathConfirmed(
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -140,6 +140,38 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against joining the members of an open group elsewhere, since its head has been missing from the registry
+    // for a while (TWO, review/3): it may serve behind a cut.
+    @Test
+    fun `a daemon that takes over does not use the members of a head that it has never seen listed`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.first()).isUnlisted = true
+        fleet.keepsRemovedEntries = false
+        fleet.takeOver()
+        fleet.run(12_000)
+
+        assertEquals(emptyList(), fleet.violations)
+        assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
+    }
+
+    // Guards against joining the members of a head elsewhere that neither is listed nor answers, but serves behind a cut
+    // of its own (TWO, KNOWN-RED 6).
+    @Test
+    fun `the members of a head behind a cut of its own leave before they are used elsewhere`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        val head = fleet.runners.getValue(group.members.first())
+        head.isUnlisted = true
+        head.isUnresponsive = true
+        fleet.process(GroupEvent.GroupSuspected(group.key, fleet.view()))
+        fleet.run(8_000)
+
+        assertTrue(head.isOpen())
+        assertEquals(emptyList(), fleet.violations)
+        assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
+    }
+
     @Test
     fun `a group whose member stays silent is dissolved without a replacement, too`() {
         val fleet = settledFleet(mapOf("d0" to 6))
