Count a refused connection once another target's answer shows that the path works

Cause: a missing answer counts only if another target answers around the same time. A refusal takes one round trip and a report two, so it always came first.

That a cut may refuse connections while a head serves on does no harm, as members are used on their own word only.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -203,6 +203,7 @@
                 requestedAt = state.requestedAt.filterValues { it > retainedSince },
                 unansweredOrders = state.unansweredOrders.filterValues { it > retainedSince },
                 confirmations = state.confirmations.filterValues { it.updatedAt > retainedSince },
+                unconfirmedRefusals = state.unconfirmedRefusals.filterValues { it.at > retainedSince },
                 dissolutions = state.dissolutions.filterNot { (key, group) -> group.isHeadGone && key !in rosters },
                 releases =
                     state.releases.filterValues {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -69,6 +69,12 @@
     val updatedAt: Long,
 )
 
+/** A refused connection to a target, at [at], while it isn't certain that the network path works. */
+data class UnconfirmedRefusal(
+    val result: ReportResult.Unresponsive,
+    val at: Long,
+)
+
 /** The order to [instance] to leave the group [key], whose head can't be asked. */
 data class MemberRelease(
     val instance: TargetInstance,
@@ -105,6 +111,8 @@
     val failed: Map<TargetInstance, FailedTarget> = emptyMap(),
     /** Consecutive unanswered report requests by target instance. */
     val unansweredReports: Map<TargetInstance, Int> = emptyMap(),
+    /** Refused connections that count as soon as another target's answer shows that the path works. */
+    val unconfirmedRefusals: Map<HostId, UnconfirmedRefusal> = emptyMap(),
     /** Members that are ordered to leave a group whose head can't be asked. */
     val releases: Map<HostId, MemberRelease> = emptyMap(),
     /** When a report was last requested from each target. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -13,10 +13,17 @@
 ) {
     fun apply(event: GroupEvent.ReportAnswered) {
         if (event.result is ReportResult.Answered) cycle.state = cycle.state.copy(lastAnswerAt = cycle.now)
+        recordResult(event)
+        recordConfirmation(event)
+        if (event.result is ReportResult.Answered) countRefusals(event.target)
+    }
+
+    private fun recordResult(event: GroupEvent.ReportAnswered) {
+        if (isUnconfirmedRefusal(event)) return
+        cycle.state = cycle.state.copy(unconfirmedRefusals = cycle.state.unconfirmedRefusals - event.target)
         cycle.state.dissolutions.values
             .filter { it.head.id == event.target }
             .forEach { updateDissolution(it, event.result) }
-        recordConfirmation(event)
         val entry = findEntry(event.target) ?: return
         when (val result = event.result) {
             is ReportResult.Answered -> recordAnswer(entry, result.report)
@@ -24,6 +31,25 @@
         }
     }
 
+    /**
+     * A refused connection takes less time than the report that another target was asked for at the same moment, so it
+     * is kept until that report shows that the path works. A second one before that means that the path may be cut.
+     */
+    private fun isUnconfirmedRefusal(event: GroupEvent.ReportAnswered): Boolean {
+        val result = event.result as? ReportResult.Unresponsive ?: return false
+        if (!result.isRefused || isPathConfirmed(event.target, toleranceMilliseconds = 0)) return false
+        if (event.target in cycle.state.unconfirmedRefusals) return false
+        val refusal = UnconfirmedRefusal(result, cycle.now)
+        cycle.state =
+            cycle.state.copy(unconfirmedRefusals = cycle.state.unconfirmedRefusals + (event.target to refusal))
+        return true
+    }
+
+    /** Counts the refusals that the report of [target] confirms. */
+    private fun countRefusals(target: HostId) = cycle.state.unconfirmedRefusals
+        .filter { (id, refusal) -> id != target && cycle.now - refusal.at < cycle.settings.reportRepeatMilliseconds }
+        .forEach { (id, refusal) -> recordResult(GroupEvent.ReportAnswered(id, refusal.result)) }
+
     private fun recordConfirmation(event: GroupEvent.ReportAnswered) {
         val confirmation = cycle.state.confirmations[event.target]?.takeIf { it.isConfirmed == null } ?: return
         val report = (event.result as? ReportResult.Answered)?.report
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -27,6 +27,9 @@
     var openAt: Long? = null
     var isUnresponsive = false
 
+    /** Whether connections to it are refused at once. */
+    var isRefusing = false
+
     /** Until when requests are in flight that it finishes before it has closed. */
     var busyUntil = 0L
 
@@ -165,6 +168,12 @@
         runner.unresponsiveSince = now
     }
 
+    /** Ends the process of [id]: connections to it are refused at once. */
+    fun crash(id: HostId) {
+        stopResponding(id)
+        runners.getValue(id).isRefusing = true
+    }
+
     /** Makes the member of [key] unresponsive for [milliseconds], while daemons report that the group is stalled. */
     fun stayUnresponsive(
         id: HostId,
@@ -297,7 +306,7 @@
 
     private fun requestReport(target: TargetEntry) {
         val runner = runners[target.id]
-        if (isPartitioned && isRefusedInPartition) {
+        if (runner?.isRefusing == true || (isPartitioned && isRefusedInPartition)) {
             scheduled += (now + REFUSAL_MILLISECONDS) to {
                 val refusal = ReportResult.Unresponsive("connection refused", isRefused = true)
                 process(GroupEvent.ReportAnswered(target.id, refusal))
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -172,6 +172,19 @@
         assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
     }
 
+    // Guards against a crashed head that is never replaced, as its refusals are faster than the report that shows that
+    // the path works (KNOWN-RED 16).
+    @Test
+    fun `a head whose host refuses connections is replaced once it is not listed`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.crash(group.members.first())
+        val elapsed = fleet.runUntil(20_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+
+        assertTrue(elapsed <= ENTRY_EXPIRY_MILLISECONDS + 4_000, "took $elapsed ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `a group whose member stays silent is dissolved without a replacement, too`() {
         val fleet = settledFleet(mapOf("d0" to 6))
