Cut the streams of a group only once no caller waits for them

Its target was sound, and had been silent for about a second.

Cause: two report requests without an answer, 160 ms each, counted as the loss of a member if there was a spare. The head was ordered to leave, which cuts what it serves. One spare was counted for each group that lost a member in the same cycle, so two groups ended for one successor.

Why this works: to suspect a member and to cut are two decisions. A suspected group gets no new requests. Its head is ordered to leave once a process has certainly ended, or when the silence has lasted as long as callers wait for the next event of a stream (from the routes of the configuration, at least two seconds); before that it is closed only if it reports itself that it has no requests. Members of such a group are asked every 300 ms. An opened group that isn't listed yet follows the same rule. Spares that groups in dissolution need aren't counted again.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -311,6 +311,7 @@
             settings.failureDomains.size,
             traffic.hasTraffic(),
             peerDirectory.slotDemand(traffic.demand(), clock.steady()).mapValues { (_, slots) -> slots * share },
+            registryState.catalog!!.callerPatienceMilliseconds(service.name),
         )
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
@@ -28,7 +28,20 @@
     /** Returns the workspace that [key] belongs to, or null. */
     fun findWorkspace(key: String): Workspace? = workspaces[key]
 
+    /** How long callers of [service] wait for the next event of a stream, in milliseconds. */
+    fun callerPatienceMilliseconds(service: ServiceName): Long = configuration.routes
+        .filter { route -> route.kind == CallKind.STREAM && route.services.any { it.service == service } }
+        .maxOfOrNull { maxOf(it.latencyGoalMilliseconds * PATIENT_GOALS, it.maxEventGapMilliseconds * PATIENT_GAPS) }
+        .let { maxOf(it ?: 0, MIN_PATIENCE_MILLISECONDS) }
+
     /** Returns a catalog of [candidate] if its version is newer, or else this one. */
     fun selectNewer(candidate: ServingConfiguration): Catalog =
         if (candidate.version > configuration.version) Catalog(candidate) else this
+
+    private companion object {
+        /** Callers give up a stream after a pause of this time, or of a multiple of its route's goals if that is longer. */
+        const val MIN_PATIENCE_MILLISECONDS = 2_000L
+        const val PATIENT_GOALS = 4
+        const val PATIENT_GAPS = 8
+    }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -100,7 +100,8 @@
         dissolution: Dissolution,
         listed: TargetEntry?,
     ): Long {
-        val isEntryReliable = listed != null && dissolution.unansweredReports == 0
+        val wasPolled = dissolution.lastPolledAt > 0
+        val isEntryReliable = listed != null && dissolution.unansweredReports == 0 && wasPolled
         return if (isEntryReliable) cycle.settings.listingLagMilliseconds else cycle.settings.failedRetryMilliseconds
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/FormationSteps.kt
@@ -87,6 +87,12 @@
         return listed.isLeaving && listed.instance == member.instance && member.instance !in cycle.state.failed
     }
 
+    private fun hasEnded(member: TargetEntry): Boolean {
+        val listed = view.entries[member.id]
+        val isReplaced = listed != null && listed.instance != member.instance
+        return isReplaced || cycle.state.failed[member.instance]?.hasEnded == true
+    }
+
     private fun membersListedAs(
         formation: Formation,
         state: MemberState,
@@ -131,9 +137,14 @@
     private fun confirm(formation: Formation) {
         val isListed = membersListedAs(formation, MemberState.OPEN).isNotEmpty()
         val lost = formation.members.filter(::isLost)
-        if (lost.isNotEmpty()) {
-            val isGraceful = lost.all(::isLeaving)
-            cycle.abandon(formation, if (isGraceful) "member-leaving" else "member-lost", isGraceful)
+        val silent = lost.filter { it.instance in cycle.state.failed }
+        if (lost.isNotEmpty() && lost.size == silent.size) {
+            val check = MemberLossCheck(cycle, view)
+            check.dissolveIfLost(formation.key, formation.head, formation.members, formation.members.size)
+            if (formation.key in cycle.state.dissolutions) cycle.removeFormation(formation)
+        } else if (lost.isNotEmpty()) {
+            val reason = if (lost.all(::isLeaving)) "member-leaving" else "member-lost"
+            cycle.abandon(formation, reason, isGraceful = lost.none(::hasEnded))
         } else if (isListed && membersListedAs(formation, MemberState.READY).size == formation.members.size - 1) {
             cycle.removeFormation(formation)
         } else if (cycle.now - formation.phaseStartedAt > cycle.settings.listingLagMilliseconds) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -148,6 +148,16 @@
         return head.membership?.state == MemberState.READY || head.membership?.state == MemberState.JOINING
     }
 
+    /**
+     * How long no event of a stream has come once [failed] counts as lost: longer than any caller waits for one. Then
+     * no caller is left whose stream an order to leave would cut.
+     */
+    fun isBeyondPatience(
+        failed: FailedTarget,
+        view: DomainView,
+    ): Boolean =
+        failed.hasEnded || now - failed.since >= minOf(view.callerPatienceMilliseconds, settings.silenceMilliseconds)
+
     /**
      * Whether [target] may be used as its entry shows. Entries reach the registry with a delay, and an earlier
      * controller may have used the target meanwhile; so a report is requested from targets that are in no group of this
@@ -203,6 +213,7 @@
                 requestedAt = state.requestedAt.filterValues { it > retainedSince },
                 unansweredOrders = state.unansweredOrders.filterValues { it > retainedSince },
                 confirmations = state.confirmations.filterValues { it.updatedAt > retainedSince },
+                headReports = state.headReports.filterValues { it.at > retainedSince },
                 unconfirmedRefusals = state.unconfirmedRefusals.filterValues { it.at > retainedSince },
                 dissolutions = state.dissolutions.filterNot { (key, group) -> group.isHeadGone && key !in rosters },
                 releases =
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -23,6 +23,8 @@
     val hasTraffic: Boolean,
     /** The slots that callers need at once, by model: the share of this failure domain. */
     val demand: Map<String, Double> = emptyMap(),
+    /** How long callers of the service wait for the next event of a stream. */
+    val callerPatienceMilliseconds: Long = 2_000,
 )
 
 /** Input of the controller. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -62,11 +62,9 @@
     /** Consecutive unanswered report requests until a target counts as failed. */
     val missedReportsBeforeFailed: Int = 2,
     /**
-     * How long a group that closes waits for a failed member, with its requests in flight. Together with the time until
-     * the member counts as failed, it is as long as callers wait for the next event of a stream: two seconds.
+     * How long a group waits for a silent member where no other target can take its place: as long as its head waits
+     * before it breaks.
      */
-    val closingSilenceMilliseconds: Long = 1_200,
-    /** How long a group waits for a silent member where no other target can take its place. */
     val silenceMilliseconds: Long = 5_000,
     /** Before the first request, how long no new target must have been listed until spares are selected. */
     val settlingMilliseconds: Long = 1_500,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
 
@@ -69,12 +70,26 @@
     val updatedAt: Long,
 )
 
+/** Consecutive report requests that a target left unanswered; the first one was sent at [since]. */
+data class MissedReports(
+    val count: Int,
+    val since: Long,
+)
+
 /** A refused connection to a target, at [at], while it isn't certain that the network path works. */
 data class UnconfirmedRefusal(
     val result: ReportResult.Unresponsive,
     val at: Long,
 )
 
+/** What the head of a group last reported of itself, at [at]. */
+data class HeadReport(
+    val state: MemberState,
+    /** Requests that it works on or has queued, or null if it doesn't say. */
+    val requestsInProgress: Int?,
+    val at: Long,
+)
+
 /** The order to [instance] to leave the group [key], whose head can't be asked. */
 data class MemberRelease(
     val instance: TargetInstance,
@@ -110,9 +125,11 @@
     /** Target instances that didn't answer, or refused to join a group. */
     val failed: Map<TargetInstance, FailedTarget> = emptyMap(),
     /** Consecutive unanswered report requests by target instance. */
-    val unansweredReports: Map<TargetInstance, Int> = emptyMap(),
+    val unansweredReports: Map<TargetInstance, MissedReports> = emptyMap(),
     /** Refused connections that count as soon as another target's answer shows that the path works. */
     val unconfirmedRefusals: Map<HostId, UnconfirmedRefusal> = emptyMap(),
+    /** The last reports of heads about their groups. */
+    val headReports: Map<GroupKey, HeadReport> = emptyMap(),
     /** Members that are ordered to leave a group whose head can't be asked. */
     val releases: Map<HostId, MemberRelease> = emptyMap(),
     /** When a report was last requested from each target. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -114,7 +114,7 @@
         view: DomainView,
     ) {
         val dissolution = cycle.state.dissolutions[key]
-        if (dissolution != null && isGivenUp(cycle, dissolution)) {
+        if (dissolution != null && isGivenUp(cycle, dissolution, view)) {
             forceClose(cycle, dissolution)
             return
         }
@@ -123,16 +123,14 @@
         if (requested > 0) cycle.probeOtherTarget(view, members.map { it.id }.toSet())
     }
 
-    /**
-     * Whether the requests in flight of a group that is dissolved can't be completed. A sound member may be silent for
-     * a second or so; callers wait a little longer.
-     */
+    /** Whether the requests in flight of a group that is dissolved can't be completed. */
     private fun isGivenUp(
         cycle: GroupControlCycle,
         dissolution: Dissolution,
+        view: DomainView,
     ): Boolean = cycle.state.failed.any { (instance, failed) ->
-        val isProven = failed.hasEnded || cycle.now - failed.since >= settings.closingSilenceMilliseconds
-        instance.id in dissolution.members && (isProven || !dissolution.isGraceful)
+        val isLost = cycle.isBeyondPatience(failed, view) || !dissolution.isGraceful
+        instance.id in dissolution.members && isLost
     }
 
     /** Dissolves a group without waiting for its requests in flight, since a member that they depend on has failed. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
+import org.vanillalink.serving.targets.TargetInstance
 
 internal class GroupHealth(
     private val cycle: GroupControlCycle,
@@ -35,14 +36,14 @@
             cycle.dissolve(key, head, "member-released", isGraceful = false)
             return
         }
-        val reason = findDefect(key, roster, head)
-        if (reason ==
-            null
-        ) {
-            probeUnlisted(roster)
-        } else {
-            cycle.dissolve(key, head, reason, isGraceful = reason != MEMBER_SILENT)
+        val members = roster.members.values
+        if (members.any { it.instance in cycle.state.failed }) {
+            val size = view.engine.groupSize(head.model) ?: members.size
+            MemberLossCheck(cycle, view).dissolveIfLost(key, head, members, size)
+            return
         }
+        val reason = findDefect(key, roster, head)
+        if (reason == null) probeUnlisted(roster) else cycle.dissolve(key, head, reason, isGraceful = true)
     }
 
     private fun isForming(key: GroupKey): Boolean {
@@ -67,43 +68,12 @@
     ): String? {
         val members = roster.members.values
         val size = view.engine.groupSize(head.model) ?: return "model-unknown"
-        if (members.any { it.instance in cycle.state.failed }) {
-            return if (isLost(roster, head, size)) MEMBER_SILENT else null
-        }
         val isNew = cycle.now - roster.firstSeenAt < cycle.settings.listingLagMilliseconds
         val isIncomplete = members.size < size && !isNew && key !in cycle.state.formations
         if (isIncomplete) return "member-lost"
         return if (members.any { view.entries[it.id]?.isLeaving == true }) "member-leaving" else null
     }
 
-    /**
-     * Whether a group with failed members is given up. A sound target may be silent for a second or so, and to dissolve
-     * its group cuts the requests there. So as long as that gains no group in its place, the group is kept, for as long
-     * as a head waits for its members.
-     */
-    private fun isLost(
-        roster: Roster,
-        head: TargetEntry,
-        size: Int,
-    ): Boolean {
-        val failed = roster.members.values.mapNotNull { cycle.state.failed[it.instance] }
-        val isProven = failed.any { it.hasEnded || cycle.now - it.since >= cycle.settings.silenceMilliseconds }
-        return isProven || roster.members.size - failed.size + countSpares(head.fabricDomain) >= size
-    }
-
-    private fun countSpares(fabricDomain: String?): Int {
-        val used = cycle.targetsInUse()
-        return view.entries.values.count { entry ->
-            val isUsable = !entry.isLeaving && entry.instance !in cycle.state.failed && entry.id !in used
-            isUsable && entry.fabricDomain == fabricDomain && isInNoGroup(entry)
-        }
-    }
-
-    private fun isInNoGroup(entry: TargetEntry): Boolean {
-        val key = entry.membership?.key ?: return true
-        return StandbyGroups.isStandby(key) || key in cycle.state.dissolvedAt || cycle.hasLeft(entry.id, key)
-    }
-
     private fun probeUnlisted(roster: Roster) {
         val unlisted = roster.members.values.filter { it.id !in view.entries }
         val dueMembers =
@@ -117,7 +87,7 @@
 
     private fun retryFailed() {
         cycle.state.failed.forEach { (instance, failed) ->
-            if (cycle.now - failed.lastTriedAt < cycle.settings.failedRetryMilliseconds) return@forEach
+            if (cycle.now - failed.lastTriedAt < retryInterval(instance)) return@forEach
             val entry = view.entries[instance.id] ?: return@forEach
             val retried = failed.copy(lastTriedAt = cycle.now)
             cycle.state = cycle.state.copy(failed = cycle.state.failed + (instance to retried))
@@ -125,8 +95,17 @@
         }
     }
 
+    /** Whether to cut requests in flight depends on the members of a group that isn't dissolved yet. */
+    private fun retryInterval(instance: TargetInstance): Long {
+        val isAwaited =
+            cycle.state.rosters.any { (key, roster) ->
+                val isKept = key !in cycle.state.dissolutions && key !in cycle.state.dissolvedAt
+                isKept && roster.members[instance.id]?.instance == instance
+            }
+        return if (isAwaited) cycle.settings.reportRepeatMilliseconds else cycle.settings.failedRetryMilliseconds
+    }
+
     private companion object {
-        const val MEMBER_SILENT = "member-silent"
         val SERVING_STATES = setOf(MemberState.OPEN, MemberState.CLOSING)
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupOrder.kt
@@ -69,6 +69,8 @@
     val slowdownFactor: Double,
     /** Whether the target announced that it is leaving, which its entry may not show yet. */
     val isLeaving: Boolean = false,
+    /** Requests that the target works on or has queued, or null if it doesn't say. */
+    val requestsInProgress: Int? = null,
 )
 
 /** The outcome of a report request to a target. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -152,11 +152,13 @@
             cycle.state = cycle.state.copy(unansweredReports = cycle.state.unansweredReports - entry.instance)
             return
         }
-        val missedReports = (cycle.state.unansweredReports[entry.instance] ?: 0) + 1
+        val previous = cycle.state.unansweredReports[entry.instance]
+        val since = previous?.since ?: cycle.state.requestedAt[entry.id] ?: cycle.now
+        val missed = MissedReports((previous?.count ?: 0) + 1, since)
         cycle.state =
-            cycle.state.copy(unansweredReports = cycle.state.unansweredReports + (entry.instance to missedReports))
-        if (missedReports >= cycle.settings.missedReportsBeforeFailed || entry.instance in cycle.state.failed) {
-            markFailed(entry, result.reason, hasEnded = result.isRefused)
+            cycle.state.copy(unansweredReports = cycle.state.unansweredReports + (entry.instance to missed))
+        if (missed.count >= cycle.settings.missedReportsBeforeFailed || entry.instance in cycle.state.failed) {
+            markFailed(entry, result.reason, since, hasEnded = result.isRefused)
         } else {
             cycle.requestReport(entry)
         }
@@ -165,13 +167,14 @@
     private fun markFailed(
         entry: TargetEntry,
         reason: String,
+        since: Long,
         hasEnded: Boolean,
     ) {
         val previous = cycle.state.failed[entry.instance]
         if (previous == null) {
             cycle.log("target-silent", "target" to entry.id, "reason" to reason, "ended" to hasEnded)
         }
-        val failed = FailedTarget(previous?.since ?: cycle.now, cycle.now, hasEnded || previous?.hasEnded == true)
+        val failed = FailedTarget(previous?.since ?: since, cycle.now, hasEnded || previous?.hasEnded == true)
         cycle.state = cycle.state.copy(failed = cycle.state.failed + (entry.instance to failed))
     }
 
@@ -180,12 +183,18 @@
         report: GroupReport,
     ) {
         if (report.bornAt != null && entry.bornAt != null && report.bornAt != entry.bornAt) {
-            markFailed(entry, "restarted", hasEnded = true)
+            markFailed(entry, "restarted", cycle.now, hasEnded = true)
             return
         }
+        recordHeadReport(report)
         cycle.state = cycle.state.copy(unansweredReports = cycle.state.unansweredReports - entry.instance)
         if (entry.instance in cycle.state.failed) {
-            cycle.log("target-answers-again", "target" to entry.id)
+            val silentMilliseconds =
+                cycle.now -
+                    cycle.state.failed
+                        .getValue(entry.instance)
+                        .since
+            cycle.log("target-answers-again", "target" to entry.id, "afterMs" to silentMilliseconds)
             cycle.state = cycle.state.copy(failed = cycle.state.failed - entry.instance)
         }
         cycle.state.formations.values
@@ -195,6 +204,12 @@
         dissolveUnlistedHead(entry)
     }
 
+    private fun recordHeadReport(report: GroupReport) {
+        val membership = report.membership?.takeIf { it.rank == 0 } ?: return
+        val headReport = HeadReport(membership.state, report.requestsInProgress, cycle.now)
+        cycle.state = cycle.state.copy(headReports = cycle.state.headReports + (membership.key to headReport))
+    }
+
     /**
      * A head that isn't listed receives no further requests but is alive: it completes those in flight, and then its
      * members are used elsewhere.
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -320,13 +320,22 @@
                     ReportResult.Unresponsive("no answer")
                 } else {
                     ReportResult.Answered(
-                        GroupReport(runner!!.bornAt, runner.model, setOfNotNull(runner.staged), runner.membership, 1.0),
+                        report(runner!!),
                     )
                 }
             process(GroupEvent.ReportAnswered(target.id, result))
         }
     }
 
+    private fun report(runner: FakeRunner) = GroupReport(
+        runner.bornAt,
+        runner.model,
+        setOfNotNull(runner.staged),
+        runner.membership,
+        slowdownFactor = 1.0,
+        requestsInProgress = if (now < runner.busyUntil) 1 else 0,
+    )
+
     private fun apply(
         runner: FakeRunner,
         order: GroupOrder,
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -140,6 +140,56 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against cutting the streams of a group with a spare beside it since a member of it, sound, is silent for
+    // a second or so (LOST beside a change of the configuration, KNOWN-RED 18).
+    @Test
+    fun `a busy group with a silent member and a spare keeps its streams`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        listOf(group.members.first(), group.members.last()).forEach { silent ->
+            fleet.runners.getValue(group.members.first()).busyUntil = fleet.now + 5_000
+            fleet.stayUnresponsive(silent, group.key, milliseconds = 1_500)
+            fleet.run(3_500)
+        }
+
+        assertEquals(emptyList(), fleet.cuts)
+        assertTrue(fleet.serving().any { it.key == group.key })
+    }
+
+    // The other side: callers give up a stream after a pause of two seconds, so the group of a member that stays silent
+    // is replaced soon after that.
+    @Test
+    fun `a busy group whose member stays silent is replaced soon after its callers have gone`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.first()).busyUntil = Long.MAX_VALUE
+        val lostAt = fleet.now
+        fleet.loseMember(group.members.last())
+        fleet.runUntil(10_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+
+        assertTrue(fleet.now - lostAt in 2_000..3_500, "took ${fleet.now - lostAt} ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
+    // Guards against giving up two groups for one spare, as each takes it for its own.
+    @Test
+    fun `two groups that lose a member at once are not given up for the same spare`() {
+        val fleet = settledFleet(mapOf("d0" to 10))
+        val groups = fleet.serving().filter { it.model == "small" }
+        val spares = fleet.runners.keys - fleet.members()
+        assertEquals(2 to 2, groups.size to spares.size)
+        fleet.stopResponding(spares.first())
+        fleet.run(ENTRY_EXPIRY_MILLISECONDS + 2_000)
+        fleet.orders.clear()
+        groups.forEach { fleet.stopResponding(it.members.last()) }
+        fleet.run(300)
+        groups.forEach { fleet.process(GroupEvent.GroupSuspected(it.key, fleet.view())) }
+        fleet.runUntil(2_000) { fleet.state.dissolutions.isNotEmpty() }
+
+        assertEquals(1, fleet.state.dissolutions.size)
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     // Guards against joining the members of an open group elsewhere, since its head has been missing from the registry
     // for a while (TWO, review/3): it may serve behind a cut.
     @Test
