Ask the head of an earlier controller's group before it is ordered to leave

Cause: a head that its entry shows as ready was ordered to leave at once, since an earlier controller's order to open might take effect late. The entry may be older than the opening.

Why this works: the head is asked first. Only one that itself reports that it isn't open is ordered to leave at once; any other one is closed, and completes its streams.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -52,13 +52,23 @@
     }
 
     /**
-     * An earlier controller's order to open may take effect late, so its unopened groups are dissolved before reuse.
+     * An earlier controller's order to open may take effect late, so its unopened groups are dissolved before reuse. The
+     * entry may be older than the opening: only a head that has itself reported that it isn't open has no requests.
      */
     private fun dissolveUnopened(
         key: GroupKey,
         head: TargetEntry,
     ) {
-        if (cycle.canOpen(key, head)) cycle.dissolve(key, head, "formed-by-an-earlier-controller", isGraceful = false)
+        if (!cycle.canOpen(key, head)) return
+        val report = cycle.state.headReports[key]
+        val isUnanswered = head.instance in cycle.state.failed
+        if (report == null && !isUnanswered) {
+            val requestedAt = cycle.state.requestedAt[head.id] ?: 0
+            if (cycle.now - requestedAt >= cycle.settings.reportRepeatMilliseconds) cycle.requestReport(head)
+        } else {
+            val isUnopened = report != null && report.state !in SERVING_STATES
+            cycle.dissolve(key, head, "formed-by-an-earlier-controller", isGraceful = !isUnopened)
+        }
     }
 
     private fun findDefect(
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupClosingScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupClosingScenarios.kt
@@ -220,6 +220,25 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against cutting the streams of an open group, since its head's entry is older than its opening when another
+    // daemon takes control (LOST beside a planned stop).
+    @Test
+    fun `a daemon that takes over completes the streams of a head whose entry is older than its opening`() {
+        val fleet = FakeFleet(mapOf("d0" to 8))
+        fleet.runUntil(12_000) { fleet.largeHead()?.membership?.state == MemberState.READY }
+        fleet.disconnectFromRegistry(fleet.largeHead()!!.id)
+        fleet.run(2_000)
+        fleet.hasTraffic = true
+        val head = fleet.largeHead()!!
+        assertEquals(MemberState.OPEN, head.membership?.state)
+        head.busyUntil = fleet.now + STREAM_MILLISECONDS
+        fleet.takeOver()
+        fleet.run(STREAM_MILLISECONDS + 3_000)
+
+        assertEquals(emptyList(), fleet.cuts)
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `no stream is cut while members leave, orders are delayed and control changes`() {
         repeat(SEEDS) { seed -> runPlannedChanges(seed) }
@@ -258,6 +277,9 @@
         }
     }
 
+    private fun FakeFleet.largeHead(): FakeRunner? =
+        runners.values.firstOrNull { it.members.size > 2 && it.membership?.rank == 0 }
+
     private fun FakeFleet.head(group: AnnouncedGroup): FakeRunner = runners.getValue(group.members.first())
 
     private companion object {
