End the suspicion of a failure domain when one of its targets goes on

Callers would see: for up to three seconds after all targets of a failure domain that have requests of one daemon were silent for a moment, no requests there, refusals where the other domains are full, and second attempts, one after the other, beside streams that go on. Each of these counts against the route's attempts and the service's retry budget, so that a stream whose group is lost then has none left, and is cut.

Cause: ReachabilityMonitor ended a suspicion only by a message from a daemon inside the domain, or after 3 s. Such messages may be further apart than the 400 ms of silence that begin a suspicion (100 ms for each other domain), and there are none where the domain has no daemon but this one.

Evidence: `a failure domain is reachable again when one of its targets goes on` and `targets of a failure domain that was silent for a moment count as reachable once one of them goes on`, seen failing before the fix ("expected: <[]> but was: <[ikeja]>", "<[h-2, h-1]>"). The attempts used up follow from the code; they weren't measured.

Why it works: bytes of a response that arrive after the suspicion began have come over the path. A new request alone doesn't end it (`a new request alone does not show that a failure domain is reachable again`). A domain behind a cut sends no bytes, so it counts as unreachable as long as before.

Result: ReachabilityMonitorTest, TrafficStateTest, StreamCallTest, BufferedCallTest and BufferedCallProperties pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -97,7 +97,7 @@
     /** Records that bytes of the response to [attempt] were received. */
     fun recordProgress(attempt: Attempt) {
         val isFirst = !attempt.evidence.hasResponseBegun
-        context.state.stallDetector.recordProgress(attempt.target.id, now, isFirst)
+        context.state.recordProgress(attempt.target, now, isFirst)
         attempt.evidence.recordRead()
     }
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -107,6 +107,21 @@
         assertNull(testSubject.chooseTarget(engineService, "m0", emptySet(), now = 2_000))
     }
 
+    // Guards against second attempts, one after the other, beside streams that go on, until none is left for a real loss.
+    @Test
+    fun `targets of a failure domain that was silent for a moment count as reachable once one of them goes on`() {
+        val heads = listOf(targetEntry("h-1"), targetEntry("h-2"))
+        testSubject.view = groupsOf(heads)
+        heads.forEach { testSubject.recordSent(it, now = 1_000) }
+        testSubject.detectStalls(now = 1_700)
+        assertEquals(heads.map { it.id }.toSet(), testSubject.unreachableTargets())
+
+        heads.forEach { testSubject.recordProgress(it, now = 2_500, isFirst = true) }
+        testSubject.detectStalls(now = 2_550)
+
+        assertEquals(emptySet(), testSubject.unreachableTargets())
+    }
+
     @Test
     fun `a leaving target is reported until the start of the window passes its announcement`() {
         testSubject.recordMetadata(first, leaving, now = 1_000)
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitor.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitor.kt
@@ -3,7 +3,8 @@
  * has arrived from the domain for a while. Several stalled targets are required if its daemons have been gone for long.
  *
  * A network partition looks like stalled groups, but no controller inside the failure domain will report them as
- * broken, and new requests to it would only lose time. A message from a daemon inside ends the suspicion.
+ * broken, and new requests to it would only lose time. A message from a daemon inside ends the suspicion, and so does a
+ * byte from a target: sound ones may have been silent for a moment.
  */
 package org.vanillalink.serving.balancing
 
@@ -18,6 +19,7 @@
 /** Times are milliseconds on the steady clock. Not thread safe. */
 class ReachabilityMonitor {
     private val lastReceivedAt = HashMap<FailureDomainId, Long>()
+    private val lastProgressAt = HashMap<FailureDomainId, Long>()
     private val unreachableSince = HashMap<FailureDomainId, Long>()
 
     /** Records that a message from a daemon in [failureDomain] has arrived. */
@@ -28,6 +30,14 @@
         lastReceivedAt[failureDomain] = now
     }
 
+    /** Records that bytes of a response of a target in [failureDomain] have arrived. */
+    fun recordTargetProgress(
+        failureDomain: FailureDomainId,
+        now: Long,
+    ) {
+        lastProgressAt[failureDomain] = now
+    }
+
     /** Evaluates the [progress] in each failure domain and returns the unreachable ones. */
     fun findUnreachable(
         progress: Map<FailureDomainId, DomainProgress>,
@@ -58,7 +68,7 @@
         since: Long,
         now: Long,
     ): Boolean {
-        val lastReceived = lastReceivedAt[failureDomain] ?: 0
+        val lastReceived = maxOf(lastReceivedAt[failureDomain] ?: 0, lastProgressAt[failureDomain] ?: 0)
         return lastReceived > since || now - since > RETENTION_MILLISECONDS
     }
 
@@ -70,7 +80,7 @@
         /** Beyond this silence, the domain's daemons count as gone, and only its targets are considered. */
         const val LONG_SILENCE_MILLISECONDS = 5_000L
 
-        /** After this time without a message from inside, requests are sent there again. */
+        /** After this time without a message or a byte from inside, requests are sent there again. */
         const val RETENTION_MILLISECONDS = 3_000L
     }
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
@@ -39,4 +39,21 @@
         testSubject.recordDaemonMessage(IKEJA, now = 2_100)
         assertEquals(emptySet(), testSubject.findUnreachable(emptyMap(), now = 2_150))
     }
+
+    // Guards against seconds without requests to a failure domain whose sound targets were silent for a moment.
+    @Test
+    fun `a failure domain is reachable again when one of its targets goes on`() {
+        testSubject.recordDaemonMessage(IKEJA, now = 0)
+        testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(3, 3)), now = 500)
+        testSubject.recordTargetProgress(IKEJA, now = 1_100)
+        assertEquals(emptySet(), testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(3, 2)), now = 1_150))
+    }
+
+    @Test
+    fun `a new request alone does not show that a failure domain is reachable again`() {
+        testSubject.recordDaemonMessage(IKEJA, now = 0)
+        testSubject.recordTargetProgress(IKEJA, now = 0)
+        testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(3, 3)), now = 500)
+        assertEquals(setOf(IKEJA), testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(4, 3)), now = 1_150))
+    }
 }
