End a silent stream only if it stays silent after its target has answered

Callers of the own protocol would see: all streams of a sound target taken from it, to begin anew elsewhere or to end where no other group has room, because the target was silent for a moment.

Cause: after three expected gaps without a byte (1.5 s between tokens) PathHealth probes the target, and the answer counted as proof that the streams' connections were broken. A target that was silent as a whole answers the probe when it goes on, before it sends its next token.

Evidence: `streams go on if their target was silent and answers the probe before it sends on` and `a stream ends if it stays silent after its target has answered the probe`, both seen failing before the fix (EndStreams for both connections at the answer).

Why it works: the answer ends a stream at once only if the target has sent on another one for more than a gap since, so that it was not silent itself. Any other stream gets one expected gap after the answer, and ends if no byte came. Cost: a stream whose connection has gone silent while its target has no other one ends 0.5 s later (2 s before the first token).

--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/path/PathHealth.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/path/PathHealth.kt
@@ -4,6 +4,9 @@
  * Progress is monitored for each stream. When a stream is silent, the target is probed on a new connection. If the
  * probe succeeds, only the streams of the silent connections end; if several probes in a row fail, the target is
  * suspected and all of its streams end.
+ *
+ * A sound target may be silent for a while, and answers the probe when it goes on. So a stream ends only if its target
+ * has sent on another one meanwhile, or if it stays silent after the answer.
  */
 package org.vanillalink.dispatch.path
 
@@ -48,7 +51,8 @@
         now: Instant,
     ): PathTransition {
         val stream = state.streams[attempt] ?: return Transition(state)
-        return Transition(state.copy(streams = state.streams + (attempt to stream.copy(lastByteAt = now))))
+        val resumed = stream.copy(lastByteAt = now, probeAnsweredAt = null)
+        return Transition(state.copy(streams = state.streams + (attempt to resumed)))
     }
 
     private fun onTargetReported(
@@ -69,16 +73,31 @@
         now: Instant,
     ): PathTransition {
         if (state.probes[event.target]?.probeNumber != event.probeNumber) return Transition(state)
-        val silent = state.silentStreams(event.target, now).entries.groupBy({ it.value.connection }, { it.key })
-        val decisions = silent.map { (connection, attempts) -> PathDecision.EndStreams(connection, attempts.toSet()) }
-        val next =
-            state.copy(
-                streams = state.streams - silent.values.flatten().toSet(),
-                probes = state.probes - event.target,
-            )
-        return Transition(next, decisions)
+        val silentStreams = state.silentStreams(event.target, now)
+        val stuckStreams = silentStreams.filterValues { state.hasTargetSentSince(it) }
+        val waitingStreams =
+            (silentStreams - stuckStreams.keys).mapValues { (_, stream) ->
+                stream.copy(probeAnsweredAt = stream.probeAnsweredAt ?: now)
+            }
+        val next = state.copy(streams = state.streams + waitingStreams, probes = state.probes - event.target)
+        return endStreams(next, stuckStreams)
+    }
+
+    private fun endStreams(
+        state: PathState,
+        ended: Map<AttemptId, WatchedStream>,
+    ): PathTransition {
+        val decisions =
+            ended.entries
+                .groupBy({ it.value.connection }, { it.key })
+                .map { (connection, attempts) -> PathDecision.EndStreams(connection, attempts.toSet()) }
+        return Transition(state.copy(streams = state.streams - ended.keys), decisions)
     }
 
+    /** Whether the target of [stream] has sent on another stream for longer than [stream] usually pauses. */
+    private fun PathState.hasTargetSentSince(stream: WatchedStream): Boolean =
+        streams.values.any { it.target == stream.target && it.lastByteAt > stream.lastByteAt.plus(stream.expectedGap) }
+
     private fun onProbeFailed(
         state: PathState,
         event: PathEvent.ProbeFailed,
@@ -97,21 +116,35 @@
         target: HostId,
     ): PathTransition {
         val targetStreams = state.streams.filterValues { it.target == target }
-        val decisions =
-            targetStreams.entries
-                .groupBy({ it.value.connection }, { it.key })
-                .map { (connection, attempts) -> PathDecision.EndStreams(connection, attempts.toSet()) }
-        val next = state.copy(streams = state.streams - targetStreams.keys, probes = state.probes - target)
-        return Transition(next, listOf(PathDecision.SuspectTarget(target)) + decisions)
+        val ended = endStreams(state.copy(probes = state.probes - target), targetStreams)
+        return Transition(ended.state, listOf(PathDecision.SuspectTarget(target)) + ended.decisions)
     }
 
     private fun onTick(
         state: PathState,
         now: Instant,
+    ): PathTransition {
+        val ended = endStreams(state, state.streams.filterValues { isStuck(it, now) })
+        val probed = probeSilentTargets(ended.state, now)
+        return Transition(probed.state, ended.decisions + probed.decisions)
+    }
+
+    /** Whether [stream] has been silent for longer than it usually pauses since its target answered a probe. */
+    private fun isStuck(
+        stream: WatchedStream,
+        now: Instant,
+    ): Boolean {
+        val probeAnsweredAt = stream.probeAnsweredAt ?: return false
+        return isSilent(stream, now) && now.isAfter(probeAnsweredAt.plus(stream.expectedGap))
+    }
+
+    private fun probeSilentTargets(
+        state: PathState,
+        now: Instant,
     ): PathTransition {
         val silentTargets =
             state.streams.values
-                .filter { isSilent(it, now) }
+                .filter { isSilent(it, now) && it.probeAnsweredAt == null }
                 .map { it.target }
                 .toSet()
         val dueTargets = silentTargets.filter { target -> state.probes[target].isDue(now) }
--- a/dispatch/src/main/kotlin/org/vanillalink/dispatch/path/PathState.kt
+++ b/dispatch/src/main/kotlin/org/vanillalink/dispatch/path/PathState.kt
@@ -23,13 +23,17 @@
     val probeInterval: Duration = Duration.ofSeconds(1),
 )
 
-/** One open stream; [reportRequestedAt] is when the last report that lists its attempt as running was requested. */
+/**
+ * One open stream; [reportRequestedAt] is when the last report that lists its attempt as running was requested, and
+ * [probeAnsweredAt] when its target answered a probe while the stream was silent, which it has been since.
+ */
 data class WatchedStream(
     val target: HostId,
     val connection: ConnectionId,
     val expectedGap: Duration,
     val lastByteAt: Instant,
     val reportRequestedAt: Instant? = null,
+    val probeAnsweredAt: Instant? = null,
 )
 
 /** Consecutive probes of one target; [nextProbeAt] is set after a failure. */
--- a/dispatch/src/test/kotlin/org/vanillalink/dispatch/path/PathHealthTest.kt
+++ b/dispatch/src/test/kotlin/org/vanillalink/dispatch/path/PathHealthTest.kt
@@ -27,6 +27,38 @@
         assertEquals(setOf(active), state.streams.keys)
     }
 
+    // Guards against ending a sound target's streams because it answers a probe first when it goes on after a silence.
+    @Test
+    fun `streams go on if their target was silent and answers the probe before it sends on`() {
+        openBoth()
+        val probe = at(4, PathEvent.Tick).single() as PathDecision.ProbeOnNewConnection
+
+        val decisions =
+            at(5, PathEvent.ProbeSucceeded(target, probe.probeNumber)) +
+                at(5, PathEvent.Tick) +
+                at(6, PathEvent.BytesReceived(silent)) +
+                at(6, PathEvent.BytesReceived(active)) +
+                at(7, PathEvent.Tick)
+
+        assertEquals(emptyList(), decisions)
+        assertEquals(setOf(silent, active), state.streams.keys)
+    }
+
+    @Test
+    fun `a stream ends if it stays silent after its target has answered the probe`() {
+        openBoth()
+        val probe = at(4, PathEvent.Tick).single() as PathDecision.ProbeOnNewConnection
+        at(5, PathEvent.ProbeSucceeded(target, probe.probeNumber))
+        at(5, PathEvent.BytesReceived(active))
+
+        assertEquals(emptyList(), at(6, PathEvent.Tick))
+        assertEquals(
+            listOf<PathDecision>(PathDecision.EndStreams(ConnectionId("c1"), setOf(silent))),
+            at(7, PathEvent.Tick),
+        )
+        assertEquals(setOf(active), state.streams.keys)
+    }
+
     @Test
     fun `a target is suspected only after several failed probes`() {
         openBoth()
