Count a timeout only while the event loop of its connection runs

What would be seen: a sound target is logged as target-silent, its group is dissolved and streams are cut, while it was the daemon that was late.

Cause: HttpClient.call started its timeout before the connection was established, on any event loop, by the clock. A report goes over a new connection, which takes the loop three turns (to connect, to send, to read). A loop that was late for 160 ms in one of the first two sent the request and gave it up in the same turn; and a loop that was busy with other connections, or that was not the timeout's, left the answer unread in the socket. The time limits on a response's head and on silence within it had the last fault, too.

The timeout of a call that has ended is cancelled; before, it ran.

StaleConnectionTest passes the loop that NettyExchange now takes; what it checks is unchanged.

--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyExchange.kt
@@ -9,14 +9,13 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ConnectTimeoutException
+import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.util.concurrent.Future
 import java.net.ConnectException
 import java.time.Duration
-import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** The pool that an exchange's connection belongs to. */
@@ -33,19 +32,25 @@
     private val options: SendOptions,
     private val listener: ResponseListener,
     private val pool: ConnectionPool,
+    newConnectionLoop: EventLoop,
 ) : OutgoingExchange {
     private val isEnded = AtomicBoolean()
 
     @Volatile
     private var channel: Channel? = null
 
+    /** The event loop of the connection, or of the one to be established. */
+    @Volatile
+    var loop: EventLoop = newConnectionLoop
+        private set
+
     @Volatile
     override var isOnKeptConnection = false
         private set
 
     @Volatile
     private var isReading = true
-    private var timeoutTask: Future<*>? = null
+    private var silenceTimeout: LoopTimeout? = null
     private var isWritten = false
 
     val method: String get() = request.method
@@ -65,6 +70,7 @@
         onStale: () -> Unit,
     ) {
         channel = connected
+        loop = connected.eventLoop()
         connected.eventLoop().execute {
             if (isEnded.get()) {
                 connected.close()
@@ -85,7 +91,7 @@
             isOnKeptConnection = connection.attach(this)
             connected.config().isAutoRead = isReading
             listener.onSending()
-            scheduleTimeout(connected, options.responseTimeout)
+            startSilenceTimeout(options.responseTimeout)
             connected.writeAndFlush(message).addListener { written ->
                 isWritten = written.isSuccess
                 if (!written.isSuccess) fail(TransportFailure.ConnectionLost(written.cause().message.orEmpty()))
@@ -115,7 +121,7 @@
 
     /** The response is complete; no other request is sent on the connection for [reason], unless that is null. */
     fun onComplete(reason: ConnectionEnd?) {
-        timeoutTask?.cancel(false)
+        silenceTimeout?.cancel()
         if (!isEnded.compareAndSet(false, true)) return
         val connection = channel ?: return
         connection.connection().detach()
@@ -130,25 +136,22 @@
     }
 
     fun fail(failure: TransportFailure) {
-        timeoutTask?.cancel(false)
+        silenceTimeout?.cancel()
         if (!isEnded.compareAndSet(false, true)) return
         channel?.close()
         listener.onFailure(failure)
     }
 
     private fun restartReadTimeout() {
-        timeoutTask?.cancel(false)
-        val connected = channel ?: return
-        options.readTimeout?.let { scheduleTimeout(connected, it) }
+        silenceTimeout?.cancel()
+        options.readTimeout?.let(::startSilenceTimeout)
     }
 
-    /** Time while reading is paused does not count: a timeout that fires then is started again. */
-    private fun scheduleTimeout(
-        connected: Channel,
-        timeout: Duration,
-    ) {
-        val onTimeout = Runnable { if (isReading) expire(timeout) else scheduleTimeout(connected, timeout) }
-        timeoutTask = connected.eventLoop().schedule(onTimeout, timeout.toMillis(), TimeUnit.MILLISECONDS)
+    /** Time while reading is paused does not count: a timeout that expires then is started again. */
+    private fun startSilenceTimeout(timeout: Duration) {
+        val started = LoopTimeout(::loop, timeout) { if (isReading) expire(timeout) else startSilenceTimeout(timeout) }
+        silenceTimeout = started
+        started.start()
     }
 
     private fun expire(timeout: Duration) {
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpClient.kt
@@ -43,7 +43,14 @@
         request: HttpRequestMessage,
         options: SendOptions,
         listener: ResponseListener,
-    ): OutgoingExchange {
+    ): OutgoingExchange = start(endpoint, request, options, listener)
+
+    private fun start(
+        endpoint: Endpoint,
+        request: HttpRequestMessage,
+        options: SendOptions,
+        listener: ResponseListener,
+    ): NettyExchange {
         val pool =
             object : ConnectionPool {
                 override fun release(channel: Channel) =
@@ -51,7 +58,7 @@
 
                 override fun onUnresponsive() = closeIdleConnections(endpoint)
             }
-        val exchange = NettyExchange(request, options, listener, pool)
+        val exchange = NettyExchange(request, options, listener, pool, loops.group.next())
         if (options.connectionPolicy == ConnectionPolicy.NEW) {
             connect(endpoint, exchange)
         } else {
@@ -76,13 +83,12 @@
         connectionPolicy: ConnectionPolicy,
     ): CompletableFuture<Either<TransportFailure, HttpResponseMessage>> {
         val collector = ResponseCollector(memory)
-        val exchange = send(endpoint, request, SendOptions(connectionPolicy, timeout), collector)
+        val exchange = start(endpoint, request, SendOptions(connectionPolicy, timeout), collector)
         collector.onTooLarge { exchange.close() }
-        loops.group.schedule(
-            { if (collector.timeOut(exchange)) closeIdleConnections(endpoint) },
-            timeout.toMillis(),
-            TimeUnit.MILLISECONDS,
-        )
+        val callTimeout =
+            LoopTimeout(exchange::loop, timeout) { if (collector.timeOut(exchange)) closeIdleConnections(endpoint) }
+        callTimeout.start()
+        collector.response.whenComplete { _, _ -> callTimeout.cancel() }
         return collector.response
     }
 
@@ -93,7 +99,7 @@
         exchange: NettyExchange,
     ) {
         Bootstrap()
-            .group(loops.group)
+            .group(exchange.loop)
             .channelFactory { ProbedSocketChannel() }
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.toMillis().toInt())
--- a/transport/src/test/kotlin/org/vanillalink/transport/StaleConnectionTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/StaleConnectionTest.kt
@@ -29,7 +29,8 @@
 
             override fun onUnresponsive() = Unit
         }
-    private val testSubject = NettyExchange(HttpRequestMessage("POST", "/orders/"), SendOptions(), listener, pool)
+    private val loop = EmbeddedChannel().eventLoop()
+    private val testSubject = NettyExchange(HttpRequestMessage("POST", "/orders/"), SendOptions(), listener, pool, loop)
 
     // Guards against requests that wait for a response although they were never sent.
     @Test
