Accept the connections that are established before the listening socket closes

What callers saw: a whole request on a new connection was reset, 2.2 s after SIGTERM (LOST around a planned stop).

Cause: the drain closed the listening socket at once. The event loop was late by 3.4 s (loop-late delayMs=3391), so connections that the kernel had established weren't accepted yet, and it resets those when the socket closes.

Why this works: the socket closes four turns of its event loop later, each of which accepts up to 16 connections, and the server counts as having a connection until then, so that the process doesn't end before. A connection that is accepted during the drain gets an answer or a refusal already.

--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -93,7 +93,10 @@
     /** The number of requests that have been received completely and have no complete response yet. */
     val requestsInProgress: Int
 
-    /** The number of connections that have not been closed in both directions. */
+    /**
+     * The number of connections that have not been closed in both directions. While the server drains, one more until it
+     * has accepted those that were established before.
+     */
     val openConnections: Int
 
     /** Continues to serve, but closes each connection after its next response. */
--- a/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/NettyHttpServer.kt
@@ -69,7 +69,8 @@
 
     override val requestsInProgress: Int get() = inProgress.get()
 
-    override val openConnections: Int get() = connections.size
+    override val openConnections: Int
+        get() = connections.size + if (phase == ServerPhase.DRAINING && serverChannel.isOpen) 1 else 0
 
     override fun disableKeepAlive() {
         phase = ServerPhase.LEAVING
@@ -77,10 +78,19 @@
 
     override fun drain() {
         phase = ServerPhase.DRAINING
-        serverChannel.close()
+        closeOnceAccepted(ACCEPT_TURNS)
         connections.forEach { channel -> channel.pipeline().get(ServerConnection::class.java)?.closeIfIdle() }
     }
 
+    /**
+     * The kernel resets connections that it has established and that weren't accepted before the listening socket
+     * closes. An event loop that is late accepts them in its next turns.
+     */
+    private fun closeOnceAccepted(turns: Int) {
+        val next = Runnable { if (turns > 1) closeOnceAccepted(turns - 1) else serverChannel.close() }
+        serverChannel.eventLoop().schedule(next, ACCEPT_TURN_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
     override fun close() {
         phase = ServerPhase.CLOSED
         serverChannel.close().syncUninterruptibly()
@@ -109,6 +119,10 @@
         /** Netty's default; limits how long one connection delays the others on its event loop. */
         const val MAX_READS_PER_LOOP = 16
 
+        /** Each turn of the event loop accepts up to 16 connections. */
+        const val ACCEPT_TURNS = 4
+        const val ACCEPT_TURN_MILLISECONDS = 5L
+
         /** A few percent of the connections that a server may have. */
         const val MAX_LINGERING_CONNECTIONS = 256
     }
