Let the soak's heads stand still, and play more of what operators did

A stand-in head without one of its members accepts on, moves nothing, and is broken after 5 s: its streams end (GROUP_BROKEN, a break-off by the target) and requests get 503 with Not-Executed. A member that drains remains while its head has work, for 10 s at most. TWO binds members also while their head stands still.

Changes of the configuration come every few seconds beside all other kinds; silences come again at one target, or at up to three groups within 0.3 s of each other.

EARLY_CLOSE could meet no request: the proxy closed only connections that were idle at that moment. Half of them now close as the next request comes, which isn't passed on.

Ports come from blocks of 500, which a run holds by listening on the first port.

The profile `scarce` has one group of four in each failure domain, three spares, twelve slots and long streams.

--- a/soak/src/main/kotlin/org/vanillalink/soak/Profile.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/Profile.kt
@@ -29,7 +29,10 @@
     val leaving: Double,
 )
 
-/** A site. [pauseMs] is the mean pause of a caller between two requests. */
+/**
+ * A site. [pauseMs] is the mean pause of a caller between two requests, [slots] the requests that a group runs at once,
+ * and [spares] the targets of models in each failure domain that no group needs.
+ */
 data class Profile(
     val name: String,
     val models: List<ModelShape>,
@@ -40,6 +43,8 @@
     val styles: CallerMix,
     val events: IntRange,
     val eventMs: IntRange,
+    val slots: Int = 18,
+    val spares: Int = 1,
 ) {
     companion object {
         /** Mostly long streams of models over several hosts, on connections that are kept. */
@@ -70,7 +75,23 @@
                 eventMs = 20..50,
             )
 
+        /** Long streams of one model, which has one group in each failure domain, with spares and hardly any room. */
+        val SCARCE =
+            Profile(
+                name = "scarce",
+                models = listOf(ModelShape("m4", 4, 1)),
+                plainTargets = 1,
+                callers = 60,
+                pauseMs = 350,
+                calls = CallMix(0.9, 0.05, 0.15, 0.05, 0.2),
+                styles = CallerMix(0.08, 0.12, 0.1, 0.1, 0.08, 0.08),
+                events = 40..80,
+                eventMs = 40..60,
+                slots = 12,
+                spares = 3,
+            )
+
         /** The profiles by name. */
-        val ALL = listOf(STREAMS, PLAIN).associateBy { it.name }
+        val ALL = listOf(STREAMS, PLAIN, SCARCE).associateBy { it.name }
     }
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/SoakCommand.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/SoakCommand.kt
@@ -40,7 +40,7 @@
     )
     private var work: Path? = null
 
-    @Option(names = ["--profile"], description = ["streams or plain. Default: \${DEFAULT-VALUE}"])
+    @Option(names = ["--profile"], description = ["streams, plain or scarce. Default: \${DEFAULT-VALUE}"])
     private var profile: String = Profile.STREAMS.name
 
     @Option(
--- a/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.soak.deployment.DeploymentPlan
 import org.vanillalink.soak.deployment.Rotation
 import org.vanillalink.soak.deployment.SoakDeployment
+import org.vanillalink.soak.faults.ConfigurationChanges
 import org.vanillalink.soak.faults.DaemonFaults
 import org.vanillalink.soak.faults.TargetFaults
 import org.vanillalink.soak.record.Bounds
@@ -124,9 +125,14 @@
         val endMs = recorder.now() + settings.seconds * MS_PER_SECOND
         val daemonFaults = DaemonFaults(deployment, recorder, ofDaemons, Random(random.nextInt()), executor)
         val targetFaults = TargetFaults(deployment, recorder, ofTargets, Random(random.nextInt()), executor)
+        val changes = ConfigurationChanges(deployment, recorder, Random(random.nextInt()))
+        val ofConfigurations = settings.kinds.filter { it == FaultKind.CONFIGURATION }
         val players =
-            listOf(ofDaemons to daemonFaults::playNext, ofTargets to targetFaults::playNext)
-                .filter { (kinds, _) -> kinds.isNotEmpty() }
+            listOf(
+                ofDaemons to daemonFaults::playNext,
+                ofTargets to targetFaults::playNext,
+                ofConfigurations to changes::playNext,
+            ).filter { (kinds, _) -> kinds.isNotEmpty() }
                 .map { (_, playNext) ->
                     thread(isDaemon = true) {
                         while (recorder.now() < endMs) Thread.sleep(playNext())
--- a/soak/src/main/kotlin/org/vanillalink/soak/check/GroupRules.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/GroupRules.kt
@@ -24,14 +24,19 @@
         val openFromMs: Long? = null,
         val isClosing: Boolean = false,
     ) {
-        fun holdsMembers(atMs: Long) = isClosing || (openFromMs != null && openFromMs <= atMs)
+        fun serves(atMs: Long) = isClosing || (openFromMs != null && openFromMs <= atMs)
     }
 
     private fun two(): List<Finding> {
         val standings = mutableMapOf<String, Standing>()
+        val incompleteFromMs = mutableMapOf<GroupIdentity, Long>()
         return events.mapNotNull { event ->
-            val finding = standings[event.target]?.let { join(event, it, standings) }
+            val current = standings[event.target]
+            val finding = current?.let { join(event, it, standings, incompleteFromMs) }
             val next = advance(event)
+            if (current != null && current.group != next?.group) {
+                incompleteFromMs.putIfAbsent(current.group, event.atMs)
+            }
             if (next == null) standings.remove(event.target) else standings[event.target] = next
             finding
         }
@@ -41,10 +46,12 @@
         event: GroupEvent,
         own: Standing,
         standings: Map<String, Standing>,
+        incompleteFromMs: Map<GroupIdentity, Long>,
     ): Finding? {
         if (event.change.kind != GroupChangeKind.JOINED || event.change.group == own.group) return null
         val head = own.group.members.first()
-        val ofHead = standings[head]?.takeIf { it.group == own.group && it.holdsMembers(event.atMs) } ?: return null
+        val ofHead = standings[head]?.takeIf { it.group == own.group && it.serves(event.atMs) } ?: return null
+        if (isBroken(ofHead, incompleteFromMs[own.group], event.atMs)) return null
         return Finding(
             "TWO",
             event.atMs,
@@ -57,6 +64,16 @@
         )
     }
 
+    /** A head that has lost a member stands still for a time, in which it holds the others, and then is broken. */
+    private fun isBroken(
+        head: Standing,
+        incompleteFromMs: Long?,
+        atMs: Long,
+    ): Boolean {
+        val stallsFromMs = maxOf(incompleteFromMs ?: return false, head.openFromMs ?: 0)
+        return atMs >= stallsFromMs + index.bounds.stallMs
+    }
+
     private fun advance(event: GroupEvent): Standing? = when (event.change.kind) {
         GroupChangeKind.JOINED, GroupChangeKind.CLOSED -> Standing(event.change.group)
         GroupChangeKind.OPENED -> Standing(event.change.group, event.effectiveMs)
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/OperatorConfiguration.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/OperatorConfiguration.kt
@@ -87,7 +87,7 @@
                     "pace":1.0,"loadS":0.5,"warmS":0.1}"""
             }
         return """{"name":"$WRITER","healthPath":"/health","maxConns":$MOST_CONNECTIONS,
-            "engine":{"slots":18,"formMs":50,"loadsPerS":4,"loads_at_once":4,"cachedPrefixes":1,"step_ms":6.07,
+            "engine":{"slots":${profile.slots},"formMs":50,"loadsPerS":4,"loads_at_once":4,"cachedPrefixes":1,"step_ms":6.07,
             "per_seq_ms":0.241,"read_per_s":46000,"stride":5,"models":[$models]}}"""
     }
 
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/Ports.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/Ports.kt
@@ -9,11 +9,20 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 
-/** Gives out ports that nobody listens on, below those that the system gives to connections. */
-internal class Ports(
-    first: Int,
-) {
-    private val free = generateSequence(first) { if (it >= LAST) FIRST else it + 1 }.filter(::isFree).iterator()
+/**
+ * Gives out ports that nobody listens on, below those that the system gives to connections. They come from blocks of
+ * ports, each of which one run holds by listening on its first port, so that runs side by side have different ones.
+ */
+internal class Ports : AutoCloseable {
+    private val locks = mutableListOf<ServerSocket>()
+    private val free =
+        (FIRST until LAST step BLOCK)
+            .shuffled()
+            .asSequence()
+            .filter(::acquire)
+            .flatMap { (it + 1 until it + BLOCK).asSequence() }
+            .filter(::isFree)
+            .iterator()
 
     fun next(): Endpoint = Endpoint(LOOPBACK, free.next())
 
@@ -27,6 +36,15 @@
         return ports.first()
     }
 
+    override fun close() = locks.forEach { it.close() }
+
+    private fun acquire(block: Int): Boolean = try {
+        locks += ServerSocket(block, 1, InetAddress.getByName(LOOPBACK))
+        true
+    } catch (_: IOException) {
+        false
+    }
+
     private fun isFree(port: Int): Boolean = try {
         val address = InetAddress.getByName(LOOPBACK)
         ServerSocket(port, 1, address).close()
@@ -36,9 +54,10 @@
         false
     }
 
-    companion object {
+    private companion object {
         const val FIRST = 14_000
         const val LAST = 30_000
-        private const val LOOPBACK = "127.0.0.1"
+        const val BLOCK = 500
+        const val LOOPBACK = "127.0.0.1"
     }
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/SoakDeployment.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/SoakDeployment.kt
@@ -42,7 +42,7 @@
     private val recorder: Recorder,
 ) {
     private val random = Random(plan.seed)
-    private val ports = Ports(Random.nextInt(Ports.FIRST, Ports.LAST))
+    private val ports = Ports()
     private val loops = NettyEventLoops(THREADS)
     private val configuration = OperatorConfiguration(plan.profile, Random(random.nextInt()))
     private val host =
@@ -51,6 +51,7 @@
             MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory()),
             RowStore(),
             recorder,
+            plan.profile.slots,
         )
     private val storeEndpoint = ports.next()
 
@@ -68,7 +69,7 @@
     }
 
     private fun targetsOf(domain: String): List<SoakTarget> {
-        val members = plan.profile.models.sumOf { it.size * it.groups } + 1
+        val members = plan.profile.models.sumOf { it.size * it.groups } + plan.profile.spares
         val ofModels =
             List(members) { number ->
                 target(
@@ -113,6 +114,7 @@
     }
 
     /** Changes the configuration. */
+    @Synchronized
     fun changeConfiguration() {
         val fromMs = recorder.now()
         val change = configuration.change()
--- a/soak/src/main/kotlin/org/vanillalink/soak/faults/TargetFaults.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/faults/TargetFaults.kt
@@ -26,8 +26,8 @@
     fun playNext(): Long {
         val seed = Random(random.nextInt())
         when (kinds.random(random)) {
-            FaultKind.SILENT_TARGET -> silence(deployment.targets.random(seed), seed.nextLong(SILENT_FROM, SILENT_TO))
-            FaultKind.SILENT_GROUP -> silenceNeighbours(seed)
+            FaultKind.SILENT_TARGET -> executor.execute { silenceAgain(deployment.targets.random(seed), seed) }
+            FaultKind.SILENT_GROUP -> executor.execute { silenceSeveral(seed) }
             FaultKind.TARGET_CRASH -> begin(seed, ::crash)
             FaultKind.TARGET_DRAINS -> begin(seed, ::leave)
             else -> Unit
@@ -40,6 +40,21 @@
         milliseconds: Long,
     ) = target.silence(recorder.now() + milliseconds)
 
+    private fun silenceAgain(
+        target: SoakTarget,
+        seed: Random,
+    ) = repeat(1 + seed.nextInt(MOST_SPANS)) {
+        val milliseconds = seed.nextLong(SILENT_FROM, SILENT_TO)
+        silence(target, milliseconds)
+        Thread.sleep(milliseconds + seed.nextLong(MOST_BETWEEN_SPANS_MS))
+    }
+
+    /** Several groups, one shortly after the other. */
+    private fun silenceSeveral(seed: Random) = repeat(1 + seed.nextInt(MOST_GROUPS)) {
+        silenceNeighbours(seed)
+        Thread.sleep(seed.nextLong(MOST_BETWEEN_GROUPS_MS))
+    }
+
     /** The targets of a model in one failure domain, or some of them: the members of groups. */
     private fun silenceNeighbours(seed: Random) {
         val domain = SoakDeployment.DOMAINS.random(seed)
@@ -82,6 +97,8 @@
     ) {
         if (seed.nextInt(SILENT_LEAVERS) > 0) target.startDraining() else target.expire()
         Thread.sleep(DRAIN_MS + seed.nextLong(DOWN_TO))
+        val untilMs = recorder.now() + LONGEST_WAIT_FOR_HEAD_MS
+        while (target.hasWorkInGroup() && recorder.now() < untilMs) Thread.sleep(WORK_CHECK_MS)
         target.leave()
         Thread.sleep(seed.nextLong(DOWN_FROM, DOWN_TO))
         target.start()
@@ -93,12 +110,18 @@
         const val SILENT_TO = 1_600L
         const val SHORTEST_PAUSE_MS = 700L
         const val LONGEST_PAUSE_MS = 4_000L
+        const val MOST_SPANS = 4
+        const val MOST_BETWEEN_SPANS_MS = 1_500L
+        const val MOST_GROUPS = 3
+        const val MOST_BETWEEN_GROUPS_MS = 300L
         const val NEIGHBOURS = 4
         const val DOWN_FROM = 500L
         const val DOWN_TO = 3_000L
 
         /** Longer than the deployment's `drainMs` of two seconds. */
         const val DRAIN_MS = 2_500L
+        const val LONGEST_WAIT_FOR_HEAD_MS = 10_000L
+        const val WORK_CHECK_MS = 20L
         const val SILENT_LEAVERS = 4
         const val SETTLE_MS = 3_000L
     }
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
@@ -16,6 +16,7 @@
     SILENT,
     SILENT_TARGET,
     SILENT_GROUP,
+    GROUP_BROKEN(true),
     ENDLESS(true),
     STOP_IN_HEAD(true),
     STOP_IN_BODY(true),
@@ -113,6 +114,7 @@
     val stableWindowMs: Long = 3_000,
     val lossSlackMs: Long = 200,
     val configApplyMs: Long = 2_000,
+    val stallMs: Long = 5_000,
 )
 
 /** All that was recorded in a run; [groupEvents] in their order, [modelSizes] are the members of a group by model. */
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/ConnectionFault.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/ConnectionFault.kt
@@ -47,9 +47,9 @@
         override val kind get() = FaultKind.ENDLESS
     }
 
-    /** The connection is closed [delayMs] after the answer, unless another request comes before. */
+    /** The connection is closed [delayMs] after the answer, or, if that is null, as the next request comes. */
     data class EarlyClose(
-        val delayMs: Long,
+        val delayMs: Long?,
     ) : ConnectionFault {
         override val kind get() = FaultKind.EARLY_CLOSE
     }
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/FaultChooser.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/FaultChooser.kt
@@ -60,7 +60,7 @@
         }
 
         FaultKind.EARLY_CLOSE -> {
-            ConnectionFault.EarlyClose(random.nextLong(MOST_DELAY_MS))
+            ConnectionFault.EarlyClose(random.nextLong(MOST_DELAY_MS).takeIf { random.nextBoolean() })
         }
 
         else -> {
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/ProxyConnection.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/ProxyConnection.kt
@@ -36,6 +36,7 @@
 
     /** Written before the next answer. */
     private var beforeNextAnswer = ByteArray(0)
+    private var closesWithNextRequest: ConnectionFault.EarlyClose? = null
     private var pendingStutter: Pair<ConnectionFault.Stutter, ByteArray>? = null
 
     /** Identifies the request under way; null on an idle connection. */
@@ -43,7 +44,7 @@
 
     override fun onRequestBytes(bytes: ByteArray) = pass(idIn(bytes)) {
         if (!isBusy) beginRequest(bytes)
-        pipe.toTarget(bytes)
+        if (!isBroken) pipe.toTarget(bytes)
     }
 
     private fun beginRequest(bytes: ByteArray) {
@@ -52,6 +53,11 @@
         requestStartedMs = recorder.now()
         answer = AnswerFraming()
         fault = settings.chooser.choose(recorder.now())
+        closesWithNextRequest?.let {
+            record(it, "as the request came")
+            breakOff()
+            return pipe.close()
+        }
         pendingStutter?.let { (stutter, copy) ->
             pendingStutter = null
             record(stutter, "${copy.size} bytes, ${stutter.time}")
@@ -166,6 +172,10 @@
     }
 
     private fun closeEarly(early: ConnectionFault.EarlyClose) {
+        if (early.delayMs == null) {
+            closesWithNextRequest = early
+            return
+        }
         val idleAt = position
         pipe.schedule(early.delayMs) {
             if (position == idleAt && !isBusy && pipe.isOpen) {
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.standins.rows.RowStore
 import org.vanillalink.standins.runner.FakeRunner
 import org.vanillalink.standins.runner.GroupIdentity
+import org.vanillalink.standins.runner.GroupMemberships
 import org.vanillalink.standins.runner.RunnerSettings
 import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.NettyEventLoops
@@ -23,6 +24,8 @@
     val proxyLoops: EventLoopGroup,
     val store: RowStore,
     val recorder: Recorder,
+    val slots: Int,
+    val memberships: GroupMemberships = GroupMemberships(),
 )
 
 /** A target whose registry entry names its proxy on [listen]; the target itself listens on [behind]. */
@@ -45,11 +48,14 @@
     @Synchronized
     fun start() {
         proxy.start()
-        val settings = RunnerSettings(name, service, failureDomain, fabricDomain, "$listen", slots = SLOTS)
+        val settings = RunnerSettings(name, service, failureDomain, fabricDomain, "$listen", slots = host.slots)
         runner =
-            FakeRunner(host.loops, behind, settings, host.store) {
+            FakeRunner(host.loops, behind, settings, host.store, host.memberships) {
                 host.recorder.add(GroupEvent(name, host.recorder.now(), it))
-            }.also { it.handler.onExecuted = ::recordRun }
+            }.also {
+                it.handler.onExecuted = ::recordRun
+                it.handler.onBroken = ::recordBreak
+            }
     }
 
     private fun recordRun(
@@ -70,6 +76,13 @@
         )
     }
 
+    private fun recordBreak(requestId: String) {
+        host.recorder.add(InjectedFault(FaultKind.GROUP_BROKEN, host.recorder.now(), name, requestId))
+    }
+
+    /** Whether the head of its group has streams under way, for which a member that drains remains. */
+    fun hasWorkInGroup(): Boolean = runner?.hasWorkInGroup() == true
+
     /** Lets nothing pass until [untilMs]. */
     fun silence(untilMs: Long) {
         proxy.silentUntilMs = untilMs
@@ -99,8 +112,4 @@
     fun expire() {
         runner?.expireEntry()
     }
-
-    private companion object {
-        const val SLOTS = 18
-    }
 }
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/GroupRulesTest.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/GroupRulesTest.kt
@@ -60,6 +60,21 @@
         breaks("TWO", reopened.groupChange("t2", GroupChangeKind.JOINED, other, start))
     }
 
+    // Guards against taking a group that stands still for one that is broken, and the other way round.
+    @Test
+    fun `a group that has lost a member binds the others until it is broken`() {
+        val third = group.copy(members = listOf(TARGET, "t2", "t3"))
+        val lost = { lostMs: Long ->
+            third.members
+                .fold(RecordedRun()) { run, member -> run.groupChange(member, GroupChangeKind.JOINED, third, 0) }
+                .groupChange(TARGET, GroupChangeKind.OPENED, third, 100)
+                .groupChange("t3", GroupChangeKind.ENDED, third, lostMs)
+                .groupChange("t2", GroupChangeKind.JOINED, other, start)
+        }
+        breaks("TWO", lost(start - 4_999))
+        holds(lost(start - 5_000))
+    }
+
     @Test
     fun `a request in a whole group breaks nothing`() = holds(opened().call("a").run("a", group = group))
 
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/FakeRunner.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/FakeRunner.kt
@@ -17,9 +17,10 @@
     listen: Endpoint,
     private val settings: RunnerSettings,
     private val store: RowStore,
+    private val memberships: GroupMemberships = GroupMemberships(),
     onGroupChanged: (GroupChange) -> Unit = {},
 ) {
-    private val state = RunnerState(settings, onGroupChanged = onGroupChanged)
+    private val state = RunnerState(settings, memberships = memberships, onGroupChanged = onGroupChanged)
 
     @Volatile
     private var isEnded = false
@@ -32,6 +33,7 @@
     private val server = NettyHttpServer(loops, listen, ServerLimits(), handler)
 
     init {
+        memberships.onIncomplete(settings.id, handler::publishBreak)
         publishEntry()
     }
 
@@ -50,6 +52,9 @@
         publishEntry()
     }
 
+    /** Whether the head of its group has streams under way. */
+    fun hasWorkInGroup(): Boolean = memberships.hasWork(settings.id)
+
     /** Stops the server without draining. */
     fun kill() {
         isEnded = true
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerHandler.kt
@@ -75,6 +75,11 @@
     /** How often the runner has crashed by [deadlyPromptPart]. */
     val crashes = AtomicInteger()
 
+    /** Called with the id of each request that ends because the group has broken. */
+    @Volatile
+    var onBroken: (String) -> Unit = {}
+
+    private val queuedRequests = AtomicInteger()
     private val openResponses = ConcurrentHashMap.newKeySet<ResponseWriter>()
 
     /** The ids of the requests that were executed here. */
@@ -125,6 +130,15 @@
                 response.respond(OK, HeaderFields.of("instance-id" to settings.id))
             }
 
+            state.headCondition() == HeadCondition.STANDING_STILL -> {
+                state.queuedRequests = queuedRequests.incrementAndGet()
+                awaitBreak(response)
+            }
+
+            state.headCondition() == HeadCondition.BROKEN -> {
+                rejectBroken(response)
+            }
+
             state.isGrouped && group == null -> {
                 response.respond(MISDIRECTED_REQUEST, HeaderFields.of("instance-id" to settings.id))
             }
@@ -147,6 +161,24 @@
         }
     }
 
+    /** Holds a request of a group that stands still; it never begins to run. */
+    private fun awaitBreak(response: ResponseWriter) {
+        if (state.headCondition() == HeadCondition.STANDING_STILL) {
+            timer.schedule({ awaitBreak(response) }, SILENCE_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
+            return
+        }
+        state.queuedRequests = queuedRequests.decrementAndGet()
+        rejectBroken(response)
+    }
+
+    private fun rejectBroken(response: ResponseWriter) =
+        response.respond(SERVICE_UNAVAILABLE, HeaderFields.of("not-executed" to "1"))
+
+    /** The entry shows that the group is broken as soon as it is. */
+    internal fun publishBreak() {
+        timer.schedule(onEntryChanged, settings.stallMilliseconds + 1, TimeUnit.MILLISECONDS)
+    }
+
     private fun applyOrder(
         request: HttpRequestMessage,
         response: ResponseWriter,
@@ -208,11 +240,15 @@
             } else {
                 { event -> RequestedAnswer.eventData(settings.id, id, event) }
             }
-        sendEvent(EventStream(response, count, requested?.milliseconds ?: settings.tokenMilliseconds, data), firstEvent)
+        sendEvent(
+            EventStream(id, response, count, requested?.milliseconds ?: settings.tokenMilliseconds, data),
+            firstEvent,
+        )
     }
 
     /** An answer of [count] events with a pause of [pauseMilliseconds] after each. */
     private class EventStream(
+        val id: String,
         val response: ResponseWriter,
         val count: Int,
         val pauseMilliseconds: Long,
@@ -244,27 +280,36 @@
         if (openResponses.remove(response) && state.recordStreams(openResponses.size)) onEntryChanged()
     }
 
+    /** Breaks [stream] off before [event] if the group is broken, or within it if it is to be torn there. */
+    private fun breaksOff(
+        stream: EventStream,
+        event: Int,
+    ): Boolean {
+        val isBroken = state.headCondition() == HeadCondition.BROKEN
+        val isTorn = fault == RunnerFault.TORN && event == stream.count / 2 && event < stream.count
+        if (!isBroken && !isTorn) return false
+        if (isBroken) onBroken(stream.id) else stream.response.write("id: $event\nda".toByteArray())
+        removeStream(stream.response)
+        stream.response.abort()
+        return true
+    }
+
     private fun sendEvent(
         stream: EventStream,
         event: Int,
     ) {
         val response = stream.response
         if (fault == RunnerFault.DARK || response !in openResponses) return
-        if (fault in SILENCES) {
+        if (fault in SILENCES || state.headCondition() == HeadCondition.STANDING_STILL) {
             timer.schedule({ sendEvent(stream, event) }, SILENCE_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
             return
         }
+        if (breaksOff(stream, event)) return
         if (event >= stream.count) {
             removeStream(response)
             response.finish()
             return
         }
-        if (fault == RunnerFault.TORN && event == stream.count / 2) {
-            response.write("id: $event\nda".toByteArray())
-            removeStream(response)
-            response.abort()
-            return
-        }
         response.write("id: $event\ndata: ${stream.data(event)}\n\n".toByteArray())
         timer.schedule({ sendEvent(stream, event + 1) }, stream.pauseMilliseconds, TimeUnit.MILLISECONDS)
     }
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RunnerState.kt
@@ -16,12 +16,17 @@
     val joinMilliseconds: Long = 50,
     val openMilliseconds: Long = 50,
     val tokenMilliseconds: Long = 10,
+    val stallMilliseconds: Long = 5_000,
 )
 
+/** Whether a head serves; without one of its members it stands still, and then breaks. */
+enum class HeadCondition { SERVING, STANDING_STILL, BROKEN }
+
 /** State of one runner; thread-safe. */
 class RunnerState(
     private val settings: RunnerSettings,
     private val now: () -> Long = System::currentTimeMillis,
+    private val memberships: GroupMemberships = GroupMemberships(now),
     private val onGroupChanged: (GroupChange) -> Unit = {},
 ) {
     private class Membership(
@@ -40,6 +45,10 @@
     private var highestEpoch = 0L
     private var runningStreams = 0
 
+    /** How many requests wait for the group to move on. */
+    @Volatile
+    var queuedRequests = 0
+
     /** Whether the entry announces that the runner is leaving. */
     @Volatile
     var isDraining = false
@@ -58,7 +67,7 @@
     @Synchronized
     fun end() {
         reportChange(GroupChangeKind.ENDED)
-        membership = null
+        replaceMembership(null)
     }
 
     /** Records how many streams are under way; returns whether the group has closed by that. */
@@ -66,6 +75,7 @@
     fun recordStreams(count: Int): Boolean {
         val wasClosing = groupState() == "closing"
         runningStreams = count
+        membership?.let { memberships.recordStreams(it.group, count) }
         val hasClosed = wasClosing && groupState() == "ready"
         if (hasClosed) reportChange(GroupChangeKind.CLOSED)
         return hasClosed
@@ -78,6 +88,26 @@
     @Synchronized
     fun openGroup(): GroupIdentity? = membership?.group?.takeIf { groupState() == "open" }
 
+    /** Returns the condition of this runner as the head of a group. */
+    @Synchronized
+    fun headCondition(): HeadCondition = when {
+        groupState() == "broken" -> HeadCondition.BROKEN
+        stallsFromMs() != null -> HeadCondition.STANDING_STILL
+        else -> HeadCondition.SERVING
+    }
+
+    /** Returns since when the head of a group that has been opened waits for a member, or null. */
+    private fun stallsFromMs(): Long? {
+        val ownMembership = membership?.takeIf { it.rank == 0 } ?: return null
+        val incompleteSinceMs = memberships.incompleteSince(ownMembership.group) ?: return null
+        val openAtMs = ownMembership.openAtMs
+        return when {
+            openAtMs != null -> maxOf(openAtMs, incompleteSinceMs).takeIf { now() >= it }
+            ownMembership.isClosing && runningStreams > 0 -> incompleteSinceMs
+            else -> null
+        }
+    }
+
     /** Returns the registry entry. */
     @Synchronized
     fun entry(): Map<String, Any?> = listedReport() +
@@ -93,7 +123,7 @@
 
     /** Returns the response to a report request. */
     @Synchronized
-    fun report(): Map<String, Any?> = listedReport() + mapOf("queued" to 0, "running" to runningStreams)
+    fun report(): Map<String, Any?> = listedReport() + mapOf("queued" to queuedRequests, "running" to runningStreams)
 
     private fun listedReport(): Map<String, Any?> {
         val models = listOfNotNull(model).map { mapOf("name" to it, "version" to 1, "adapters" to emptyList<String>()) }
@@ -136,7 +166,7 @@
         model = joinedModel
         staged = joinedModel
         val group = GroupIdentity(order.path("group").asText(), epoch, joinedModel, members)
-        membership = Membership(group, members.indexOf(settings.id), now() + settings.joinMilliseconds)
+        replaceMembership(Membership(group, members.indexOf(settings.id), now() + settings.joinMilliseconds))
         reportChange(GroupChangeKind.JOINED, settings.joinMilliseconds)
         return ACCEPTED
     }
@@ -172,10 +202,15 @@
     ): Int {
         if (!isMemberOf(order, epoch)) return ALREADY_DONE
         reportChange(GroupChangeKind.LEFT)
-        membership = null
+        replaceMembership(null)
         return ACCEPTED
     }
 
+    private fun replaceMembership(next: Membership?) {
+        membership = next
+        memberships.update(settings.id, next?.group)
+    }
+
     private fun isMemberOf(
         order: JsonNode,
         epoch: Long,
@@ -191,8 +226,10 @@
     private fun groupState(): String {
         val ownMembership = membership ?: return "none"
         val openAtMs = ownMembership.openAtMs
+        val stallsFromMs = stallsFromMs()
         return when {
             now() < ownMembership.readyAtMs -> "joining"
+            stallsFromMs != null && now() >= stallsFromMs + settings.stallMilliseconds -> "broken"
             openAtMs != null && now() >= openAtMs -> "open"
             ownMembership.isClosing && runningStreams > 0 -> "closing"
             else -> "ready"
