Decide nothing while the traffic thread is paused

What would be seen: a daemon whose traffic thread was late by a second takes control of a failure domain from a peer that is alive and has it; two daemons give orders until they have heard of each other.

Cause: DecisionHoldOff knew pauses of the control thread only. Peers' messages and all responses come in on the traffic thread. While that one is paused and the control thread runs, each peer grows silent, and after 1 s counts as ended.

Why it works: each tick of the control loop looks at when the traffic thread last ran. Beyond 500 ms, the bound for the control thread, decisions are held off until 400 ms after it runs again, which is sooner than the least time after which a peer counts as ended, and long enough for the messages of live peers.

Not covered: the view for traffic, which uses the registry's groups for a failure domain whose controller isn't heard, still counts such a time as silence.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -266,6 +266,7 @@
         val now = clock.steady()
         loopDelayMonitor.recordStart(decisionHoldOff.lastTickAt + TICK_INTERVAL.toMillis(), now)
         decisionHoldOff.recordTick(now)
+        decisionHoldOff.recordTrafficThread(traffic.lastRanAt, now)
         registryState.removeExpired(now)
         traffic.leavingTargets().forEach { registryState.recordLeaving(it, settings.daemon.value) }
         reportSuspects(now)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionHoldOff.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionHoldOff.kt
@@ -1,6 +1,6 @@
 /*
  * The periods in which a daemon makes no decisions because it can't know yet which daemon has control: after its start,
- * after a pause of its process, and after the store becomes available again.
+ * after a pause of its process or of its traffic thread, and after the store becomes available again.
  *
  * The peer state of a paused process is as old as the pause, and another daemon may have taken control in the meantime.
  * Responses that queued up during the pause must not lead to orders before peers' messages have been received again.
@@ -23,6 +23,14 @@
         lastTickAt = now
     }
 
+    /** Records at [now] when the traffic thread last ran; while it is paused no message of a peer can arrive. */
+    fun recordTrafficThread(
+        lastRanAt: Long,
+        now: Long,
+    ) {
+        if (now - lastRanAt > PROCESS_PAUSE_MILLISECONDS) endsAt = now + HOLD_OFF_MILLISECONDS
+    }
+
     /** The store responds again since [now]; peers have not yet reported that it responds to them, too. */
     fun onStoreRegained(now: Long) {
         endsAt = now + HOLD_OFF_MILLISECONDS * 2
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -11,6 +11,9 @@
 
 /** State of the traffic threads that the control loop reads, and the view that it publishes. Thread-safe. */
 interface TrafficSummary {
+    /** When the traffic thread last ran, on the steady clock; it receives peers' messages and all responses. */
+    val lastRanAt: Long
+
     /** Requests in progress at each target. */
     fun inFlight(): Map<HostId, Int>
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -64,7 +64,10 @@
     @Volatile
     private var hasTraffic = false
     private var lastCleanupAt = 0L
-    private var lastCheckAt = now()
+
+    @Volatile
+    override var lastRanAt = now()
+        private set
 
     init {
         eventLoops.schedule(CHECK_INTERVAL, ::check)
@@ -119,9 +122,9 @@
 
     private fun check() {
         val time = now()
-        loopDelayMonitor.recordStart(lastCheckAt + CHECK_INTERVAL.toMillis(), time)
-        if (time - lastCheckAt > PROCESS_PAUSE_MILLISECONDS) state.stallDetector.resetAfterPause(time)
-        lastCheckAt = time
+        loopDelayMonitor.recordStart(lastRanAt + CHECK_INTERVAL.toMillis(), time)
+        if (time - lastRanAt > PROCESS_PAUSE_MILLISECONDS) state.stallDetector.resetAfterPause(time)
+        lastRanAt = time
         val stalledTargets = state.detectStalls(time)
         stalledGroups = activeCalls.groupsWithCallsAt(stalledTargets.keys)
         // A call that found no other target before may find one now.
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionHoldOffTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionHoldOffTest.kt
@@ -45,6 +45,28 @@
         assertTrue(testSubject.isOver(1_800))
     }
 
+    // Guards against control that is taken from live peers by a daemon that didn't read their messages (issue 40).
+    @Test
+    fun `while the traffic thread is paused and right after it decisions are held off`() {
+        recordTicks(from = 0, until = 1_000)
+        (1_050L..1_600 step TICK_MILLISECONDS).forEach { now ->
+            testSubject.recordTick(now)
+            testSubject.recordTrafficThread(lastRanAt = 1_000, now)
+        }
+        assertFalse(testSubject.isOver(1_600))
+        recordTicks(from = 1_650, until = 1_950)
+        assertFalse(testSubject.isOver(1_950))
+        recordTicks(from = 2_000, until = 2_000)
+        assertTrue(testSubject.isOver(2_000))
+    }
+
+    @Test
+    fun `a slightly late traffic thread does not count as paused`() {
+        recordTicks(from = 0, until = 1_000)
+        testSubject.recordTrafficThread(lastRanAt = 550, now = 1_000)
+        assertTrue(testSubject.isOver(1_000))
+    }
+
     private fun recordTicks(
         from: Long,
         until: Long,
