Check that a short silence of a member ends no attempts in the own protocol

Callers see no change. The own protocol's daemons end the attempts of a group whose member's last report is 2 s old. The two scenarios check that a pause of 1.6 s, after which a sound member goes on, ends none, and that a lasting one does.

--- a/control/src/test/kotlin/org/vanillalink/control/simulation/GroupOperationScenarios.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/simulation/GroupOperationScenarios.kt
@@ -51,6 +51,26 @@
         expect { awaitServing(group, 20.seconds) }
     }
 
+    // A sound member may be silent for a moment; cutting its group's streams for that would lose them (LOST).
+    @Test
+    fun `a member that pauses for a moment costs its group no attempts`() = siteScenario("a member pauses briefly") {
+        at(1.seconds) { pauseMember(group, 1) }
+        at(2.seconds.plusMillis(600)) { targets.values.filter { it.isPaused }.forEach { it.resume() } }
+        at(8.seconds) {
+            val ended = daemons.flatMap { it.hostsWithEndedAttempts }
+            scenario.check(ended.isEmpty()) { "attempts were ended at $ended" }
+        }
+        expect { awaitServing(group, 1.seconds) }
+    }
+
+    @Test
+    fun `the attempts of a group whose member stays silent end`() = siteScenario("a member stays silent") {
+        at(1.seconds) { pauseMember(group, 1) }
+        at(8.seconds) {
+            scenario.check(daemonsOf("ikeja").all { it.hostsWithEndedAttempts.isNotEmpty() }) { "no attempts ended" }
+        }
+    }
+
     @Test
     fun `a group moves to another fabric domain when its own is lost`() = siteScenario("a fabric domain goes dark") {
         siteSize { fabricDomains = 2 }
--- a/control/src/test/kotlin/org/vanillalink/control/simulation/SimulatedDaemon.kt
+++ b/control/src/test/kotlin/org/vanillalink/control/simulation/SimulatedDaemon.kt
@@ -31,6 +31,7 @@
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.model.HostId
 import org.vanillalink.model.TargetReport
 import java.time.Duration
 
@@ -58,6 +59,9 @@
     /** The revisions that came into force since the start, in order. */
     val revisions = mutableListOf<Long>()
 
+    /** The hosts whose attempts were ended because their groups stopped serving. */
+    val hostsWithEndedAttempts = mutableSetOf<HostId>()
+
     fun start() {
         starts++
         isAlive = true
@@ -133,34 +137,63 @@
 
     private fun execute(decision: DaemonDecision) {
         when (decision) {
-            is DaemonDecision.FetchReport -> fetchReport(decision)
+            is DaemonDecision.FetchReport -> {
+                fetchReport(decision)
+            }
 
-            is DaemonDecision.ShareReports -> share(decision)
+            is DaemonDecision.ShareReports -> {
+                share(decision)
+            }
 
-            is DaemonDecision.ForMembership -> execute(decision.decision)
+            is DaemonDecision.ForMembership -> {
+                execute(decision.decision)
+            }
 
-            is DaemonDecision.ForDomain -> execute(decision.decision)
+            is DaemonDecision.ForDomain -> {
+                execute(decision.decision)
+            }
 
-            is DaemonDecision.ForReplica -> execute(decision.decision)
+            is DaemonDecision.ForReplica -> {
+                execute(decision.decision)
+            }
 
-            is DaemonDecision.ForEditor -> execute(decision.decision)
+            is DaemonDecision.ForEditor -> {
+                execute(decision.decision)
+            }
 
-            is DaemonDecision.StartAttempt -> calls.startAttempt(decision)
+            is DaemonDecision.StartAttempt -> {
+                calls.startAttempt(decision)
+            }
 
-            is DaemonDecision.ForDispatch -> calls.execute(decision.decision)
+            is DaemonDecision.ForDispatch -> {
+                calls.execute(decision.decision)
+            }
 
-            is DaemonDecision.ForRouter -> calls.execute(decision.decision)
+            is DaemonDecision.ForRouter -> {
+                calls.execute(decision.decision)
+            }
 
-            is DaemonDecision.ForAdmission -> admission.execute(decision.task)
+            is DaemonDecision.ForAdmission -> {
+                admission.execute(decision.task)
+            }
 
             // Requests here have no fingerprints and streams no connections; other tests cover these two.
-            is DaemonDecision.ForPoison, is DaemonDecision.ForPath -> Unit
+            is DaemonDecision.ForPoison, is DaemonDecision.ForPath -> {
+                Unit
+            }
 
-            is DaemonDecision.EndAttempts -> calls.endAttemptsAt(decision.host)
+            is DaemonDecision.EndAttempts -> {
+                hostsWithEndedAttempts.add(decision.host)
+                calls.endAttemptsAt(decision.host)
+            }
 
-            is DaemonDecision.ConfigurationChanged -> revisions.add(decision.revision)
+            is DaemonDecision.ConfigurationChanged -> {
+                revisions.add(decision.revision)
+            }
 
-            is DaemonDecision.Record -> scenario.note("$id ${decision.name} ${decision.fields}")
+            is DaemonDecision.Record -> {
+                scenario.note("$id ${decision.name} ${decision.fields}")
+            }
         }
     }
 
