Keep the release of a member for each group that it leaves

Cause: the order to leave was kept by member. A member that was released from two groups one after the other had each of them overwrite the other's, so both were sent in each tick.

Evidence: `a member leaves each of two groups whose heads are gone once`.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -95,7 +95,7 @@
     fun hasLeft(
         target: HostId,
         key: GroupKey,
-    ): Boolean = state.releases[target]?.let { it.key == key && it.hasLeft } == true
+    ): Boolean = state.releases[GroupMember(target, key)]?.hasLeft == true
 
     /** Targets of groups that are being formed or dissolved, whatever the registry lists. */
     fun targetsInUse(): Set<HostId> {
@@ -129,7 +129,7 @@
     }
 
     fun saveRelease(
-        member: HostId,
+        member: GroupMember,
         release: MemberRelease,
     ) {
         state = state.copy(releases = state.releases + (member to release))
@@ -217,9 +217,8 @@
                 unconfirmedRefusals = state.unconfirmedRefusals.filterValues { it.at > retainedSince },
                 dissolutions = state.dissolutions.filterNot { (key, group) -> group.isHeadGone && key !in rosters },
                 releases =
-                    state.releases.filterValues {
-                        it.instance in instances &&
-                            (it.key in rosters || it.key in state.dissolutions)
+                    state.releases.filter { (member, release) ->
+                        release.instance in instances && (member.key in rosters || member.key in state.dissolutions)
                     },
                 staging = state.staging.filter { (id, staging) -> isInProgress(view.entries[id], staging) },
             )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -90,10 +90,15 @@
     val at: Long,
 )
 
-/** The order to [instance] to leave the group [key], whose head can't be asked. */
+/** The membership of [target] in the group [key]. */
+data class GroupMember(
+    val target: HostId,
+    val key: GroupKey,
+)
+
+/** The order to a member of a group whose head can't be asked to leave it. */
 data class MemberRelease(
     val instance: TargetInstance,
-    val key: GroupKey,
     val lastSentAt: Long,
     /** Whether the member itself has confirmed that it isn't in the group. */
     val hasLeft: Boolean = false,
@@ -131,7 +136,7 @@
     /** The last reports of heads about their groups. */
     val headReports: Map<GroupKey, HeadReport> = emptyMap(),
     /** Members that are ordered to leave a group whose head can't be asked. */
-    val releases: Map<HostId, MemberRelease> = emptyMap(),
+    val releases: Map<GroupMember, MemberRelease> = emptyMap(),
     /** When a report was last requested from each target. */
     val requestedAt: Map<HostId, Long> = emptyMap(),
     /** Models that hosts were ordered to stage. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -30,7 +30,7 @@
             dissolveUnopened(key, head)
             return
         }
-        if (cycle.state.releases.values
+        if (cycle.state.releases.keys
                 .any { it.key == key }
         ) {
             cycle.dissolve(key, head, "member-released", isGraceful = false)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/MemberReleaseSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/MemberReleaseSteps.kt
@@ -44,12 +44,10 @@
         key: GroupKey,
         member: TargetEntry,
     ) {
-        val lastSentAt =
-            cycle.state.releases[member.id]
-                ?.takeIf { it.key == key }
-                ?.lastSentAt
+        val groupMember = GroupMember(member.id, key)
+        val lastSentAt = cycle.state.releases[groupMember]?.lastSentAt
         if (lastSentAt != null && cycle.now - lastSentAt < cycle.settings.resendMilliseconds) return
         cycle.send(member, GroupOrder.Leave(key))
-        cycle.saveRelease(member.id, MemberRelease(member.instance, key, cycle.now))
+        cycle.saveRelease(groupMember, MemberRelease(member.instance, cycle.now))
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -130,10 +130,11 @@
         key: GroupKey,
         result: OrderResult,
     ) {
-        val release = cycle.state.releases[target]?.takeIf { it.key == key && !it.hasLeft } ?: return
+        val member = GroupMember(target, key)
+        val release = cycle.state.releases[member]?.takeUnless { it.hasLeft } ?: return
         if (result != OrderResult.ACCEPTED) return
         cycle.log("member-left", "target" to target, "group" to key.group, "epoch" to key.epoch)
-        cycle.saveRelease(target, release.copy(hasLeft = true))
+        cycle.saveRelease(member, release.copy(hasLeft = true))
     }
 
     private fun stageAnswered(
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -222,6 +222,23 @@
         assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
     }
 
+    // Guards against orders to leave that are sent again and again (12,826 on a quiet day of a trial), since a member was
+    // released from two groups one after the other.
+    @Test
+    fun `a member leaves each of two groups whose heads are gone once`() {
+        val fleet = settledFleet(mapOf("d0" to 9))
+        repeat(2) {
+            val group = fleet.serving().first { it.model == "large" }
+            fleet.crash(group.members.first())
+            fleet.runUntil(15_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+        }
+        fleet.run(10_000)
+        val orders = fleet.orders.filter { it.second is GroupOrder.Leave && !fleet.runners.getValue(it.first).isDead }
+
+        assertEquals(orders.toSet().size, orders.size, "$orders")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     // Guards against a crashed head that is never replaced, as its refusals are faster than the report that shows that
     // the path works (KNOWN-RED 16).
     @Test
