Record a target's progress where its bytes are received

Callers see no change.

CallAttempts tells the stall detector and the reachability monitor of received bytes itself. The test of TrafficState makes the same two calls and expects the same.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -97,7 +97,8 @@
     /** Records that bytes of the response to [attempt] were received. */
     fun recordProgress(attempt: Attempt) {
         val isFirst = !attempt.evidence.hasResponseBegun
-        context.state.recordProgress(attempt.target, now, isFirst)
+        context.state.stallDetector.recordProgress(attempt.target.id, now, isFirst)
+        context.state.reachabilityMonitor.recordTargetProgress(attempt.target.failureDomain, now)
         attempt.evidence.recordRead()
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -252,16 +252,6 @@
         failureDomainByTarget[entry.id] = entry.failureDomain
     }
 
-    /** Records bytes of a response of [entry]; [isFirst] is true for the first bytes of that response. */
-    fun recordProgress(
-        entry: TargetEntry,
-        now: Long,
-        isFirst: Boolean,
-    ) {
-        stallDetector.recordProgress(entry.id, now, isFirst)
-        reachabilityMonitor.recordTargetProgress(entry.failureDomain, now)
-    }
-
     /** Records the end of a request at [target]; [hasResponseBegun] is whether bytes of its response were received. */
     fun recordEnded(
         target: HostId,
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -107,7 +107,7 @@
         assertNull(testSubject.chooseTarget(engineService, "m0", emptySet(), now = 2_000))
     }
 
-    // Guards against second attempts, one after the other, beside streams that go on, until none is left for a real loss.
+    // Guards against second attempts again and again beside streams that go on, until none is left for a real loss.
     @Test
     fun `targets of a failure domain that was silent for a moment count as reachable once one of them goes on`() {
         val heads = listOf(targetEntry("h-1"), targetEntry("h-2"))
@@ -116,7 +116,10 @@
         testSubject.detectStalls(now = 1_700)
         assertEquals(heads.map { it.id }.toSet(), testSubject.unreachableTargets())
 
-        heads.forEach { testSubject.recordProgress(it, now = 2_500, isFirst = true) }
+        heads.forEach {
+            testSubject.stallDetector.recordProgress(it.id, now = 2_500, isFirst = true)
+            testSubject.reachabilityMonitor.recordTargetProgress(it.failureDomain, now = 2_500)
+        }
         testSubject.detectStalls(now = 2_550)
 
         assertEquals(emptySet(), testSubject.unreachableTargets())
