Log how late the daemon was with what its controller decides

What on-call saw: `target-silent` alike for a target that was silent and for a daemon that was late itself; `loop-late` had to be looked up beside it, and isn't written while the thread is still late.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -56,7 +56,14 @@
     var peerDirectory = PeerDirectory()
         private set
     private val decisionExecutor =
-        DecisionExecutor(targets, controlThread, eventLogger, groupControlMetrics, ::onTargetResponse)
+        DecisionExecutor(
+            targets,
+            controlThread,
+            eventLogger,
+            groupControlMetrics,
+            ::recentLoopDelay,
+            ::onTargetResponse,
+        )
     private var targetIndex = TargetIndex(registryState.directory)
     private var controlledDomains: List<ControlledDomain> = emptyList()
     private var previousSuspects: Set<GroupKey> = emptySet()
@@ -260,6 +267,8 @@
         if (part == RegistryPart.OPERATORS) configurationMonitor.recordConfirmed(configurationVersion, requestedAt)
     }
 
+    private fun recentLoopDelay(): Long = maxOf(traffic.recentDelay(), loopDelayMonitor.recentMaxMilliseconds)
+
     private fun storeAge(): Long = clock.steady() - lastStoreResponseAt
 
     private fun tick() {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionExecutor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/DecisionExecutor.kt
@@ -10,12 +10,16 @@
 import org.vanillalink.serving.control.GroupEvent
 import org.vanillalink.serving.targets.TargetEntry
 
-/** Calls [onTargetResponse] on [controlThread], with the term in which the decision was made. */
+/**
+ * Logs [recentLoopDelay] with each event, and calls [onTargetResponse] on [controlThread], with the term in which the
+ * decision was made.
+ */
 internal class DecisionExecutor(
     private val targets: TargetControl,
     private val controlThread: ControlThread,
     private val eventLogger: EventLogger,
     private val groupControlMetrics: GroupControlMetrics,
+    private val recentLoopDelay: () -> Long,
     private val onTargetResponse: (domain: DomainControl, term: Long, target: TargetEntry, event: GroupEvent) -> Unit,
 ) {
     fun execute(
@@ -36,7 +40,8 @@
         groupControlMetrics.record(note.event, note.fields)
         eventLogger.record(
             note.event,
-            note.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term),
+            note.fields + ("failureDomain" to domain.failureDomain) + ("term" to domain.term) +
+                ("loopDelayMs" to recentLoopDelay()),
         )
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -14,6 +14,9 @@
     /** When the traffic thread last ran, on the steady clock; it receives peers' messages and all responses. */
     val lastRanAt: Long
 
+    /** How late the traffic thread was within the last one to two seconds, or is now, in milliseconds. */
+    fun recentDelay(): Long
+
     /** Requests in progress at each target. */
     fun inFlight(): Map<HostId, Int>
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -73,6 +73,9 @@
         eventLoops.schedule(CHECK_INTERVAL, ::check)
     }
 
+    override fun recentDelay(): Long =
+        maxOf(loopDelayMonitor.recentMaxMilliseconds, now() - lastRanAt - CHECK_INTERVAL.toMillis())
+
     override fun inFlight(): Map<HostId, Int> = inFlightCounts
 
     override fun demand(): Map<String, Double> = demand
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
@@ -12,7 +12,6 @@
 import org.vanillalink.gateway.ports.RegistryFailure
 import org.vanillalink.gateway.ports.RegistryPart
 import org.vanillalink.gateway.ports.RegistryRecords
-import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
@@ -20,14 +19,10 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
-import org.vanillalink.serving.control.GroupOrder
-import org.vanillalink.serving.control.OrderResult
-import org.vanillalink.serving.control.ReportResult
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
-import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
 import org.vanillalink.testing.InMemoryTableStore
 import java.time.Duration
@@ -123,6 +118,8 @@
         override val lastRanAt: Long get() = ranAt()
         override val limitsVersion = 0L
 
+        override fun recentDelay() = 0L
+
         override fun inFlight(): Map<HostId, Int> = emptyMap()
 
         override fun demand(): Map<String, Double> = emptyMap()
@@ -148,15 +145,6 @@
         ) = CompletableFuture<Either<RegistryFailure, RegistryRecords>>()
     }
 
-    private object UnansweredTargets : TargetControl {
-        override fun sendOrder(
-            target: TargetEntry,
-            order: GroupOrder,
-        ) = CompletableFuture<OrderResult>()
-
-        override fun requestReport(target: TargetEntry) = CompletableFuture<ReportResult>()
-    }
-
     private companion object {
         val ENDPOINT = Endpoint("127.0.0.1", 1)
         const val POLL_INTERVAL_MILLISECONDS = 20L
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionExecutorTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionExecutorTest.kt
@@ -3,12 +3,9 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.vanillalink.gateway.logs.EventLogger
 import org.vanillalink.gateway.logs.GroupControlMetrics
-import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.serving.control.GroupDecision
-import org.vanillalink.serving.control.GroupOrder
-import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.testing.InMemoryTableStore
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -31,10 +28,11 @@
         )
     private val testSubject =
         DecisionExecutor(
-            NoTargetControl,
+            UnansweredTargets,
             controlThread,
             eventLogger,
             GroupControlMetrics(meterRegistry),
+            recentLoopDelay = { 0 },
         ) { _, _, _, _ -> error("not used") }
 
     @AfterTest
@@ -94,13 +92,4 @@
         .find(name)
         .counters()
         .associate { counter -> counter.id.tags.map { "${it.key}=${it.value}" } to counter.count() }
-
-    private object NoTargetControl : TargetControl {
-        override fun sendOrder(
-            target: TargetEntry,
-            order: GroupOrder,
-        ) = error("not used")
-
-        override fun requestReport(target: TargetEntry) = error("not used")
-    }
 }
