--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -37,6 +37,22 @@
         calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.hedge(reason) }
     }
 
+    /**
+     * Begins second attempts for calls at groups whose heads are among [stalledTargets] and that their controller does
+     * not announce any more: it suspects them, too.
+     */
+    fun hedgeAtSuspectedGroups(
+        stalledTargets: Set<HostId>,
+        announcedGroups: Set<GroupKey>,
+    ) {
+        if (stalledTargets.isEmpty()) return
+        calls
+            .filter {
+                it.currentTarget in stalledTargets &&
+                    it.currentGroup?.let { key -> key !in announcedGroups } == true
+            }.forEach { it.hedge("group-suspected") }
+    }
+
     /** Stops the calls that [detector] blocks and that their targets have not begun to answer. */
     fun stopBlocked(
         detector: PoisonRequestDetector,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -133,6 +133,7 @@
         // A call that found no other target before may find one now.
         activeCalls.failOverFromGroups(state.view.broken)
         activeCalls.hedgeAtTargets(state.unreachableTargets(), "path-cut")
+        activeCalls.hedgeAtSuspectedGroups(stalledTargets.keys, state.view.groups.mapTo(HashSet()) { it.key })
         activeCalls.hedgeAtTargets(
             stalledTargets.filterValues { it > STALL_LIMIT_MILLISECONDS }.keys,
             "group-stalled",
