--- a/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/HttpServer.kt
@@ -94,8 +94,8 @@
     val requestsInProgress: Int
 
     /**
-     * The number of connections that have not been closed in both directions. While the server drains, one more until it
-     * has accepted those that were established before.
+     * The number of connections that have not been closed in both directions. While the server drains, one more until
+     * it has accepted those that were established before.
      */
     val openConnections: Int
 
--- a/transport/src/test/kotlin/org/vanillalink/transport/DrainingListenerTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/DrainingListenerTest.kt
@@ -21,8 +21,8 @@
         loops.close()
     }
 
-    // Guards against resetting a whole request on a new connection that a late event loop hasn't accepted when its daemon
-    // stops (LOST around a planned stop, soak --seed 5).
+    // Guards against resetting a whole request on a new connection that a late event loop hasn't accepted when its
+    // daemon stops (LOST around a planned stop, soak --seed 5).
     @Test
     fun `a request on a connection that was not yet accepted when draining began is answered`() {
         val isLate = CountDownLatch(1)
