Take silence for a loss only while it is observed

- A pause of the daemon, or a cut of its own path, counted as the silence of a member that had been suspected before: a member counts as lost only if its last request, sent within 700 ms, is unanswered while another target answers.
Members of groups that serve or close are asked every 300 ms, also if they aren't listed, together with another target.
`a pause of the daemon does not count as the silence of a member`.
- A head that closes and isn't listed counted as gone after about a second: now after as long as callers wait.
- An opened group that isn't listed yet stayed announced with a silent member.
`an opened group that is not listed yet is not announced while a member is silent`.
- A head that has left the group that its entry shows was asked for ever, and its members were never used.
`a daemon that takes over uses the members of a head that has left the group of its entry`.
- Members of a group that its head reports to serve aren't ordered to leave as if the head were unknown.
A head that is listed again isn't cut unless a member has left.
A member that is in the group again that it had left is released again, and isn't used unasked.
Silent members aren't sent orders.
A released group holds no spares.

--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
@@ -39,7 +39,10 @@
         if (candidate.version > configuration.version) Catalog(candidate) else this
 
     private companion object {
-        /** Callers give up a stream after a pause of this time, or of a multiple of its route's goals if that is longer. */
+        /**
+         * Callers give up a stream after a pause of this time, or of a multiple of its route's goals if that is
+         * longer.
+         */
         const val MIN_PATIENCE_MILLISECONDS = 2_000L
         const val PATIENT_GOALS = 4
         const val PATIENT_GAPS = 8
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DissolutionSteps.kt
@@ -50,12 +50,14 @@
         return dissolution.copy(isHeadGone = isGone).also(cycle::saveDissolution)
     }
 
-    /** A head that closes may have requests in flight, so only a longer silence counts. */
+    /** A head that closes may have requests in flight, so only a silence that no caller waits for counts. */
     private fun isUnresponsive(dissolution: Dissolution): Boolean {
         val settings = cycle.settings
-        val isClosing = isFinishingRequests(dissolution, listed = null)
-        val limit = if (isClosing) settings.unansweredBeforeClosingGone else settings.unansweredBeforeGone
-        return dissolution.unansweredReports >= limit
+        if (!isFinishingRequests(dissolution, listed = null)) {
+            return dissolution.unansweredReports >= settings.unansweredBeforeGone
+        }
+        val isBeyondPatience = cycle.now - dissolution.unansweredSince >= cycle.patience(view)
+        return dissolution.unansweredReports >= settings.unansweredBeforeClosingGone && isBeyondPatience
     }
 
     private fun isFinishingRequests(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -148,15 +148,27 @@
         return head.membership?.state == MemberState.READY || head.membership?.state == MemberState.JOINING
     }
 
+    /** How long callers wait for the next event of a stream, but no longer than a head waits for its members. */
+    fun patience(view: DomainView): Long = minOf(view.callerPatienceMilliseconds, settings.silenceMilliseconds)
+
     /**
-     * How long no event of a stream has come once [failed] counts as lost: longer than any caller waits for one. Then
-     * no caller is left whose stream an order to leave would cut.
+     * Whether the process of [failed] has ended, or has been silent for [milliseconds] and still is. While this daemon
+     * or the path to the target is cut off there are no missing answers, and the time proves nothing.
      */
-    fun isBeyondPatience(
+    fun isLost(
         failed: FailedTarget,
+        milliseconds: Long,
+    ): Boolean {
+        val isStillSilent = now - failed.lastMissedAt < settings.failedRetryMilliseconds
+        return failed.hasEnded || (isStillSilent && now - failed.since >= milliseconds)
+    }
+
+    /** Whether all members of [group] whose head can't be asked have left it, except those that aren't listed. */
+    fun isReleased(
+        group: Dissolution,
         view: DomainView,
-    ): Boolean =
-        failed.hasEnded || now - failed.since >= minOf(view.callerPatienceMilliseconds, settings.silenceMilliseconds)
+    ): Boolean = group.isHeadGone &&
+        (group.members - group.head.id).none { it in view.entries && !hasLeft(it, group.key) }
 
     /**
      * Whether [target] may be used as its entry shows. Entries reach the registry with a delay, and an earlier
@@ -166,7 +178,8 @@
     fun isConfirmedFree(target: TargetEntry): Boolean {
         val key = target.membership?.key
         val isOfThisTerm = key != null && key.epoch >= state.firstEpoch
-        if (!state.hasPredecessor || isOfThisTerm) return true
+        val mayHaveReturned = key != null && hasLeft(target.id, key)
+        if ((!state.hasPredecessor || isOfThisTerm) && !mayHaveReturned) return true
         val confirmation = state.confirmations[target.id]?.takeIf { it.instance == target.instance && it.key == key }
         val isCurrent = confirmation != null && now - confirmation.updatedAt < settings.confirmationMilliseconds
         if (isCurrent) return confirmation.isConfirmed == true
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -45,7 +45,9 @@
      * long while its head has requests, so those that take longer can't be completed.
      */
     val gracefulCloseMilliseconds: Long = 10_000,
-    /** Consecutive unanswered report requests to an unlisted head that closes until its members are ordered to leave. */
+    /**
+     * Consecutive unanswered report requests to an unlisted head that closes until its members are ordered to leave.
+     */
     val unansweredBeforeClosingGone: Int = 3,
     /** How long the registry may take to list an opened group. */
     val listingLagMilliseconds: Long = 2_500,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -52,7 +52,11 @@
     val hasClosed: Boolean = false,
     /** Consecutive unanswered report requests to the head. */
     val unansweredReports: Int = 0,
-    /** Whether the head is neither listed nor answers, so that only the members themselves can confirm that they left. */
+    /** When the first of them was recorded. */
+    val unansweredSince: Long = 0,
+    /**
+     * Whether the head is neither listed nor answers, so that only the members themselves can confirm that they left.
+     */
     val isHeadGone: Boolean = false,
     val lastUnansweredAt: Long = Long.MIN_VALUE / 2,
     /** The model that the group served, or null if that isn't certain. */
@@ -84,7 +88,8 @@
 
 /** What the head of a group last reported of itself, at [at]. */
 data class HeadReport(
-    val state: MemberState,
+    /** Its state in the group, or null if it isn't in it. */
+    val state: MemberState?,
     /** Requests that it works on or has queued, or null if it doesn't say. */
     val requestsInProgress: Int?,
     val at: Long,
@@ -110,6 +115,8 @@
     val lastTriedAt: Long,
     /** Whether its process has ended, as another one or no one listens at its address; otherwise it may be silent. */
     val hasEnded: Boolean = false,
+    /** When the last request was sent that it left unanswered while another target answered. */
+    val lastMissedAt: Long = since,
 )
 
 /** The state of [GroupController]. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupController.kt
@@ -7,8 +7,9 @@
  * predecessor but a higher epoch.
  *
  * Two rules ensure safety. A group is opened only after each member has itself reported that it is ready under the
- * group's name and epoch. A member of a group is used elsewhere only after the group's head has itself confirmed that it
- * doesn't serve the group, after the member has itself confirmed that it left, or if the head was never ordered to open.
+ * group's name and epoch. A member of a group is used elsewhere only after the group's head has itself confirmed that
+ * it doesn't serve the group, after the member has itself confirmed that it left, or if the head was never ordered to
+ * open.
  */
 package org.vanillalink.serving.control
 
@@ -50,7 +51,7 @@
     ): List<AnnouncedGroup> {
         val servingRosters = state.rosters.filter { (key, roster) -> isServing(state, view, key, roster) }
         val listed = servingRosters.map { (key, roster) -> toAnnouncedGroup(key, roster.members.values) }
-        val opened = state.formations.values.filter { it.phase == FormationPhase.OPENED }
+        val opened = state.formations.values.filter { isServing(state, it) }
         return (
             opened.map {
                 AnnouncedGroup(
@@ -96,6 +97,12 @@
         return isOpen && roster.members.size == size && roster.members.values.none { it.instance in state.failed }
     }
 
+    private fun isServing(
+        state: GroupControlState,
+        formation: Formation,
+    ): Boolean = formation.phase == FormationPhase.OPENED && formation.key !in state.dissolutions &&
+        formation.members.none { it.instance in state.failed }
+
     private fun tick(
         cycle: GroupControlCycle,
         view: DomainView,
@@ -129,7 +136,7 @@
         dissolution: Dissolution,
         view: DomainView,
     ): Boolean = cycle.state.failed.any { (instance, failed) ->
-        val isLost = cycle.isBeyondPatience(failed, view) || !dissolution.isGraceful
+        val isLost = cycle.isLost(failed, cycle.patience(view)) || !dissolution.isGraceful
         instance.id in dissolution.members && isLost
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupHealth.kt
@@ -33,7 +33,8 @@
         if (cycle.state.releases.keys
                 .any { it.key == key }
         ) {
-            cycle.dissolve(key, head, "member-released", isGraceful = false)
+            val hasLost = roster.members.keys.any { cycle.hasLeft(it, key) }
+            cycle.dissolve(key, head, "member-released", isGraceful = !hasLost)
             return
         }
         val members = roster.members.values
@@ -52,8 +53,8 @@
     }
 
     /**
-     * An earlier controller's order to open may take effect late, so its unopened groups are dissolved before reuse. The
-     * entry may be older than the opening: only a head that has itself reported that it isn't open has no requests.
+     * An earlier controller's order to open may take effect late, so its unopened groups are dissolved before reuse.
+     * The entry may be older than the opening: only a head that has itself reported that it isn't open has no requests.
      */
     private fun dissolveUnopened(
         key: GroupKey,
@@ -96,25 +97,38 @@
     }
 
     private fun retryFailed() {
-        cycle.state.failed.forEach { (instance, failed) ->
-            if (cycle.now - failed.lastTriedAt < retryInterval(instance)) return@forEach
-            val entry = view.entries[instance.id] ?: return@forEach
-            val retried = failed.copy(lastTriedAt = cycle.now)
-            cycle.state = cycle.state.copy(failed = cycle.state.failed + (instance to retried))
-            cycle.requestReport(entry)
-        }
+        val awaited = awaitedMembers()
+        val due =
+            cycle.state.failed.mapNotNull { (instance, failed) ->
+                val settings = cycle.settings
+                val member = awaited[instance]
+                val interval =
+                    if (member ==
+                        null
+                    ) {
+                        settings.failedRetryMilliseconds
+                    } else {
+                        settings.reportRepeatMilliseconds
+                    }
+                (view.entries[instance.id] ?: member)?.takeIf { cycle.now - failed.lastTriedAt >= interval }
+            }
+        due.forEach(::retry)
+        if (due.any { it.instance in awaited }) cycle.probeOtherTarget(view, due.map { it.id }.toSet())
     }
 
-    /** Whether to cut requests in flight depends on the members of a group that isn't dissolved yet. */
-    private fun retryInterval(instance: TargetInstance): Long {
-        val isAwaited =
-            cycle.state.rosters.any { (key, roster) ->
-                val isKept = key !in cycle.state.dissolutions && key !in cycle.state.dissolvedAt
-                isKept && roster.members[instance.id]?.instance == instance
-            }
-        return if (isAwaited) cycle.settings.reportRepeatMilliseconds else cycle.settings.failedRetryMilliseconds
+    private fun retry(entry: TargetEntry) {
+        val retried = cycle.state.failed[entry.instance]?.copy(lastTriedAt = cycle.now)
+        if (retried != null) cycle.state = cycle.state.copy(failed = cycle.state.failed + (entry.instance to retried))
+        cycle.requestReport(entry)
     }
 
+    /** Members of groups that serve or close: whether to cut requests in flight depends on them. */
+    private fun awaitedMembers(): Map<TargetInstance, TargetEntry> = cycle.state.rosters
+        .filterKeys { cycle.state.dissolutions[it]?.isGraceful != false && it !in cycle.state.dissolvedAt }
+        .values
+        .flatMap { it.members.values }
+        .associateBy { it.instance }
+
     private companion object {
         val SERVING_STATES = setOf(MemberState.OPEN, MemberState.CLOSING)
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -65,7 +65,8 @@
         model: ModelDefinition,
     ): Boolean {
         val key = target.membership?.key
-        return target.model == model.name && key != null && key !in cycle.state.dissolvedAt
+        return target.model == model.name && key != null && key !in cycle.state.dissolvedAt &&
+            !cycle.hasLeft(target.id, key)
     }
 
     /** A spare with its model in memory joins a group in a fraction of the time that it needs with the model staged. */
@@ -113,7 +114,7 @@
         val survivorsExpected =
             cycle.state.dissolutions.values.any { group ->
                 val isInDomain = group.head.fabricDomain == free.first().fabricDomain
-                isInDomain && !(group.isHeadGone && hasNoMemberLeft(group))
+                isInDomain && !cycle.isReleased(group, view)
             }
         if (survivorsExpected) return null
         val isUnserved = activeGroups.none { it.model == model.name }
@@ -121,9 +122,6 @@
         return chosen
     }
 
-    private fun hasNoMemberLeft(group: Dissolution): Boolean =
-        (group.members - group.head.id).none { it in view.entries && !cycle.hasLeft(it, group.key) }
-
     private fun readinessRank(
         target: TargetEntry,
         model: String,
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
@@ -24,13 +24,13 @@
         size: Int,
     ) {
         val failed = members.mapNotNull { cycle.state.failed[it.instance] }
-        if (failed.any { it.hasEnded || cycle.now - it.since >= cycle.settings.silenceMilliseconds }) {
+        if (failed.any { cycle.isLost(it, cycle.settings.silenceMilliseconds) }) {
             cycle.dissolve(key, head, MEMBER_SILENT, isGraceful = false)
             return
         }
         val isReplaceable = members.size - failed.size + countSpares(head.fabricDomain) >= size
         if (!isReplaceable) return
-        if (failed.any { cycle.isBeyondPatience(it, view) }) {
+        if (failed.any { cycle.isLost(it, cycle.patience(view)) }) {
             cycle.dissolve(key, head, MEMBER_SILENT, isGraceful = false)
         } else if (isIdle(key, head, failed.minOf { it.since })) {
             cycle.dissolve(key, head, MEMBER_SILENT, isGraceful = true)
@@ -59,7 +59,7 @@
             }
         val reserved =
             cycle.state.dissolutions.values
-                .filter { it.head.fabricDomain == fabricDomain }
+                .filter { it.head.fabricDomain == fabricDomain && !cycle.isReleased(it, view) }
                 .sumOf { group -> group.members.count { id -> view.entries[id]?.let(::isUsable) != true } }
         return spares - reserved
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/MemberReleaseSteps.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/MemberReleaseSteps.kt
@@ -2,8 +2,8 @@
  * Orders single members to leave a group whose head can't be asked: a head that is neither listed nor answers, or one
  * that this controller has never seen listed.
  *
- * Such a head may have ended, or may serve behind a cut. A member that has itself confirmed that it left is free in both
- * cases: a head that lost a member makes no progress, and breaks.
+ * Such a head may have ended, or may serve behind a cut. A member that has itself confirmed that it left is free in
+ * both cases: a head that lost a member makes no progress, and breaks.
  */
 package org.vanillalink.serving.control
 
@@ -28,7 +28,10 @@
         key: GroupKey,
         roster: Roster,
     ): Boolean {
-        val isKnown = roster.head != null || key in cycle.state.formations || key in cycle.state.dissolvedAt
+        // An entry that stays behind may not show the group that the head reports.
+        val isReported = cycle.state.headReports[key]?.state != null
+        val isKnown =
+            roster.head != null || key in cycle.state.formations || key in cycle.state.dissolvedAt || isReported
         return !isKnown && cycle.now - roster.firstSeenAt > cycle.settings.unknownHeadMilliseconds
     }
 
@@ -37,7 +40,7 @@
         members: Set<HostId>,
     ) = members
         .mapNotNull { view.entries[it] }
-        .filterNot { cycle.hasLeft(it.id, key) }
+        .filterNot { cycle.hasLeft(it.id, key) || it.instance in cycle.state.failed }
         .forEach { sendLeave(key, it) }
 
     private fun sendLeave(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -114,6 +114,7 @@
         if (cycle.now - dissolution.lastUnansweredAt < cycle.settings.reportRepeatMilliseconds) return dissolution
         return dissolution.copy(
             unansweredReports = dissolution.unansweredReports + 1,
+            unansweredSince = if (dissolution.unansweredReports == 0) cycle.now else dissolution.unansweredSince,
             lastUnansweredAt = cycle.now,
         )
     }
@@ -174,7 +175,13 @@
         if (previous == null) {
             cycle.log("target-silent", "target" to entry.id, "reason" to reason, "ended" to hasEnded)
         }
-        val failed = FailedTarget(previous?.since ?: since, cycle.now, hasEnded || previous?.hasEnded == true)
+        val failed =
+            FailedTarget(
+                since = previous?.since ?: since,
+                lastTriedAt = cycle.now,
+                hasEnded = hasEnded || previous?.hasEnded == true,
+                lastMissedAt = cycle.state.requestedAt[entry.id] ?: cycle.now,
+            )
         cycle.state = cycle.state.copy(failed = cycle.state.failed + (entry.instance to failed))
     }
 
@@ -186,7 +193,8 @@
             markFailed(entry, "restarted", cycle.now, hasEnded = true)
             return
         }
-        recordHeadReport(report)
+        recordHeadReport(entry, report)
+        recordReturn(entry, report)
         cycle.state = cycle.state.copy(unansweredReports = cycle.state.unansweredReports - entry.instance)
         if (entry.instance in cycle.state.failed) {
             val silentMilliseconds =
@@ -204,10 +212,29 @@
         dissolveUnlistedHead(entry)
     }
 
-    private fun recordHeadReport(report: GroupReport) {
-        val membership = report.membership?.takeIf { it.rank == 0 } ?: return
-        val headReport = HeadReport(membership.state, report.requestsInProgress, cycle.now)
-        cycle.state = cycle.state.copy(headReports = cycle.state.headReports + (membership.key to headReport))
+    /** Records what the head says of the group that its entry shows, and of the one that it reports. */
+    private fun recordHeadReport(
+        entry: TargetEntry,
+        report: GroupReport,
+    ) {
+        val reported = report.membership
+        val listedKey = entry.membership?.takeIf { it.rank == 0 }?.key
+        val reportedKey = reported?.takeIf { it.rank == 0 }?.key
+        setOfNotNull(listedKey, reportedKey).forEach { key ->
+            val state = reported?.takeIf { it.key == key }?.state
+            val headReport = HeadReport(state, report.requestsInProgress, cycle.now)
+            cycle.state = cycle.state.copy(headReports = cycle.state.headReports + (key to headReport))
+        }
+    }
+
+    /** A member that is in a group again that it had left is released again. */
+    private fun recordReturn(
+        entry: TargetEntry,
+        report: GroupReport,
+    ) {
+        val member = GroupMember(entry.id, report.membership?.key ?: return)
+        val release = cycle.state.releases[member]?.takeIf { it.hasLeft } ?: return
+        cycle.saveRelease(member, release.copy(hasLeft = false))
     }
 
     /**
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupClosingScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupClosingScenarios.kt
@@ -220,8 +220,8 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
-    // Guards against cutting the streams of an open group, since its head's entry is older than its opening when another
-    // daemon takes control (LOST beside a planned stop).
+    // Guards against cutting the streams of an open group, since its head's entry is older than its opening when
+    // another daemon takes control (LOST beside a planned stop).
     @Test
     fun `a daemon that takes over completes the streams of a head whose entry is older than its opening`() {
         val fleet = FakeFleet(mapOf("d0" to 8))
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -141,7 +141,7 @@
     }
 
     // Guards against cutting the streams of a group with a spare beside it since a member of it, sound, is silent for
-    // a second or so (LOST beside a change of the configuration, KNOWN-RED 18).
+    // a second or so (LOST beside a change of the configuration, issue 40).
     @Test
     fun `a busy group with a silent member and a spare keeps its streams`() {
         val fleet = settledFleet(mapOf("d0" to 8))
@@ -171,6 +171,54 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against cutting streams since the daemon itself was paused: nobody has asked the member meanwhile
+    // (issue 40).
+    @Test
+    fun `a pause of the daemon does not count as the silence of a member`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.first()).busyUntil = fleet.now + 6_000
+        fleet.stayUnresponsive(group.members.last(), group.key, milliseconds = 1_250)
+        fleet.now += 1_500
+        fleet.run(3_000)
+
+        assertEquals(emptyList(), fleet.cuts)
+        assertTrue(fleet.serving().any { it.key == group.key })
+    }
+
+    // Guards against requests to an opened group whose member is silent, since the registry doesn't list it yet.
+    @Test
+    fun `an opened group that is not listed yet is not announced while a member is silent`() {
+        val fleet = settledFleet(mapOf("d0" to 9))
+        fleet.freezeRegistry()
+        val lost = fleet.serving().first { it.model == "large" }
+        fleet.loseMember(lost.members.last())
+        fleet.runUntil(3_000) { fleet.serving().any { it.model == "large" && it.key != lost.key } }
+        val formed = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(formed.members.first()).busyUntil = fleet.now + 5_000
+        fleet.stayUnresponsive(formed.members.last(), formed.key, milliseconds = 1_000)
+
+        assertTrue(fleet.serving().none { it.key == formed.key })
+        assertEquals(emptyList(), fleet.cuts)
+    }
+
+    // Guards against members that are never used again, since the head of an earlier controller's group has left it and
+    // its entry doesn't show that.
+    @Test
+    fun `a daemon that takes over uses the members of a head that has left the group of its entry`() {
+        val fleet = FakeFleet(mapOf("d0" to 8))
+        fleet.runUntil(12_000) { fleet.runners.values.any { it.members.size > 2 && it.isReadyHead() } }
+        val head = fleet.runners.values.first { it.members.size > 2 && it.isReadyHead() }
+        fleet.disconnectFromRegistry(head.id)
+        head.membership = null
+        head.openAt = null
+        fleet.takeOver()
+        val elapsed = fleet.runUntil(20_000) { fleet.serving().any { it.model == "large" } }
+
+        assertTrue(elapsed <= 6_000, "took $elapsed ms")
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     // Guards against giving up two groups for one spare, as each takes it for its own.
     @Test
     fun `two groups that lose a member at once are not given up for the same spare`() {
@@ -193,7 +241,7 @@
     // Guards against joining the members of an open group elsewhere, since its head has been missing from the registry
     // for a while (TWO, review/3): it may serve behind a cut.
     @Test
-    fun `a daemon that takes over does not use the members of a head that it has never seen listed`() {
+    fun `the members of a head that a daemon has never seen listed leave before they are used elsewhere`() {
         val fleet = settledFleet(mapOf("d0" to 8))
         val group = fleet.serving().first { it.model == "large" }
         fleet.runners.getValue(group.members.first()).isUnlisted = true
@@ -205,8 +253,8 @@
         assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
     }
 
-    // Guards against joining the members of a head elsewhere that neither is listed nor answers, but serves behind a cut
-    // of its own (TWO, KNOWN-RED 6).
+    // Guards against joining the members of a head elsewhere that neither is listed nor answers, but serves behind a
+    // cut of its own (TWO).
     @Test
     fun `the members of a head behind a cut of its own leave before they are used elsewhere`() {
         val fleet = settledFleet(mapOf("d0" to 8))
@@ -222,8 +270,8 @@
         assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
     }
 
-    // Guards against orders to leave that are sent again and again (12,826 on a quiet day of a trial), since a member was
-    // released from two groups one after the other.
+    // Guards against orders to leave that are sent again and again (12,826 on a quiet day of a trial), since a member
+    // was released from two groups one after the other.
     @Test
     fun `a member leaves each of two groups whose heads are gone once`() {
         val fleet = settledFleet(mapOf("d0" to 9))
@@ -240,7 +288,7 @@
     }
 
     // Guards against a crashed head that is never replaced, as its refusals are faster than the report that shows that
-    // the path works (KNOWN-RED 16).
+    // the path works (issue 37).
     @Test
     fun `a head whose host refuses connections is replaced once it is not listed`() {
         val fleet = settledFleet(mapOf("d0" to 8))
@@ -500,6 +548,8 @@
         assertEquals(emptyList(), fleet.violations, "seed $seed\n" + fleet.violationHistory())
     }
 
+    private fun FakeRunner.isReadyHead() = membership?.rank == 0 && membership?.state == MemberState.READY
+
     private fun FakeFleet.members(): Set<HostId> = serving().flatMap { it.members }.toSet()
 
     /** Makes the member unresponsive; daemons detect shortly after that its group is stalled. */
