--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -391,23 +391,15 @@
         recordOwnDomains(ownDomains)
     }
 
-    /**
-     * Groups that break, or that are suspected and so no longer announced, affect streams in progress. They are sent to
-     * peers ahead of the next heartbeat.
-     */
+    /** Groups that break affect streams in progress, so they are sent to peers ahead of the next heartbeat. */
     private fun recordOwnDomains(ownDomains: List<ControlledDomain>) {
         if (controlledDomains == ownDomains) return
         val previouslyBroken = controlledDomains.flatMap { it.broken }.toSet()
-        val withdrawn = announcedKeys(controlledDomains) - announcedKeys(ownDomains)
         controlledDomains = ownDomains
         groupsVersion += 1
-        val hasBroken = ownDomains.any { domain -> (domain.broken - previouslyBroken).isNotEmpty() }
-        if (hasBroken || withdrawn.isNotEmpty()) onUrgentChange()
+        if (ownDomains.any { domain -> (domain.broken - previouslyBroken).isNotEmpty() }) onUrgentChange()
     }
 
-    private fun announcedKeys(domains: List<ControlledDomain>): Set<GroupKey> =
-        domains.flatMap { domain -> domain.groups.orEmpty().map { it.key } }.toSet()
-
     private fun routableGroups(
         failureDomain: FailureDomainId,
         announcedDomain: ControlledDomain?,
