Ask a head for its requests until they have left it

A busy head was asked once, so a group whose streams had gone on elsewhere was still dissolved only after the callers' patience. `a group with a silent member is replaced soon after its streams have left`.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
@@ -37,14 +37,14 @@
         }
     }
 
-    /** Whether the head has reported no request since [since]; requests a report if it has reported nothing. */
+    /** Whether the head has reported no request since [since]; it is asked until it does. */
     private fun isIdle(
         key: GroupKey,
         head: TargetEntry,
         since: Long,
     ): Boolean {
         val report = cycle.state.headReports[key]?.takeIf { it.at >= since }
-        if (report != null) return report.requestsInProgress == 0
+        if (report?.requestsInProgress == 0) return true
         val requestedAt = cycle.state.requestedAt[head.id] ?: 0
         if (cycle.now - requestedAt >= cycle.settings.reportRepeatMilliseconds) cycle.requestReport(head)
         return false
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -171,6 +171,20 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    // Guards against a group that is repaired late although its streams have gone on elsewhere: its head is asked again.
+    @Test
+    fun `a group with a silent member is replaced soon after its streams have left`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.runners.getValue(group.members.first()).busyUntil = fleet.now + 1_200
+        val lostAt = fleet.now
+        fleet.loseMember(group.members.last())
+        fleet.runUntil(10_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+
+        assertTrue(fleet.now - lostAt in 1_200..1_200 + 300 + 500 + 500, "took ${fleet.now - lostAt} ms")
+        assertEquals(emptyList(), fleet.cuts)
+    }
+
     // Guards against cutting streams since the daemon itself was paused: nobody has asked the member meanwhile
     // (issue 40).
     @Test
