Use the members of a head that is gone together

A report that was older than the answer to the order to leave also released them a second time.

Members are used once all of them that are listed and answer have left.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -95,7 +95,41 @@
     fun hasLeft(
         target: HostId,
         key: GroupKey,
-    ): Boolean = state.releases[GroupMember(target, key)]?.hasLeft == true
+    ): Boolean = state.releases[GroupMember(target, key)]?.leftAt != null
+
+    /**
+     * Whether [target] has left the group [key], and so have its other members that are listed and answer: they are
+     * used together, so that they form a group again before one of them loads another model.
+     */
+    fun isFreed(
+        target: HostId,
+        key: GroupKey,
+    ): Boolean = hasLeft(target, key) && areReleased(key)
+
+    /** Whether all members of [key] have left it, except its head and those that aren't listed or don't answer. */
+    fun areReleased(key: GroupKey): Boolean {
+        val dissolution = state.dissolutions[key]
+        val members =
+            dissolution?.let { it.members - it.head.id } ?: state.rosters[key]
+                ?.members
+                ?.keys
+                .orEmpty()
+        val silent =
+            state.failed.keys
+                .map { it.id }
+                .toSet()
+        return members.none { it in state.listedTargets && it !in silent && !hasLeft(it, key) }
+    }
+
+    /**
+     * A report may be some hundred milliseconds old, so one that follows the answer to an order to leave proves
+     * nothing.
+     */
+    fun mayHaveReturned(
+        target: HostId,
+        key: GroupKey,
+    ): Boolean =
+        state.releases[GroupMember(target, key)]?.leftAt?.let { now - it >= settings.failedRetryMilliseconds } == true
 
     /** Targets of groups that are being formed or dissolved, whatever the registry lists. */
     fun targetsInUse(): Set<HostId> {
@@ -105,7 +139,7 @@
                 .map { it.id }
         val dissolving =
             state.dissolutions.values.flatMap { group ->
-                group.members.filterNot { hasLeft(it, group.key) }
+                group.members.filterNot { isFreed(it, group.key) }
             }
         return (forming + dissolving).toSet()
     }
@@ -163,12 +197,8 @@
         return failed.hasEnded || (isStillSilent && now - failed.since >= milliseconds)
     }
 
-    /** Whether all members of [group] whose head can't be asked have left it, except those that aren't listed. */
-    fun isReleased(
-        group: Dissolution,
-        view: DomainView,
-    ): Boolean = group.isHeadGone &&
-        (group.members - group.head.id).none { it in view.entries && !hasLeft(it, group.key) }
+    /** Whether nothing is left of [group] but its head, which can't be asked. */
+    fun isReleased(group: Dissolution): Boolean = group.isHeadGone && areReleased(group.key)
 
     /**
      * Whether [target] may be used as its entry shows. Entries reach the registry with a delay, and an earlier
@@ -178,8 +208,9 @@
     fun isConfirmedFree(target: TargetEntry): Boolean {
         val key = target.membership?.key
         val isOfThisTerm = key != null && key.epoch >= state.firstEpoch
-        val mayHaveReturned = key != null && hasLeft(target.id, key)
-        if ((!state.hasPredecessor || isOfThisTerm) && !mayHaveReturned) return true
+        val mayHaveReturned = key != null && mayHaveReturned(target.id, key)
+        val mustBeAsked = mayHaveReturned || (state.hasPredecessor && !isOfThisTerm)
+        if (!mustBeAsked) return true
         val confirmation = state.confirmations[target.id]?.takeIf { it.instance == target.instance && it.key == key }
         val isCurrent = confirmation != null && now - confirmation.updatedAt < settings.confirmationMilliseconds
         if (isCurrent) return confirmation.isConfirmed == true
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -105,8 +105,8 @@
 data class MemberRelease(
     val instance: TargetInstance,
     val lastSentAt: Long,
-    /** Whether the member itself has confirmed that it isn't in the group. */
-    val hasLeft: Boolean = false,
+    /** When the member itself confirmed that it isn't in the group, or null. */
+    val leftAt: Long? = null,
 )
 
 /** A target instance that has given no answer since [since]; it was last asked at [lastTriedAt]. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -114,7 +114,7 @@
         val survivorsExpected =
             cycle.state.dissolutions.values.any { group ->
                 val isInDomain = group.head.fabricDomain == free.first().fabricDomain
-                isInDomain && !cycle.isReleased(group, view)
+                isInDomain && !cycle.isReleased(group)
             }
         if (survivorsExpected) return null
         val isUnserved = activeGroups.none { it.model == model.name }
@@ -253,7 +253,7 @@
     private fun isUnused(entry: TargetEntry): Boolean {
         val key = entry.membership?.key
         return when {
-            key == null || key in cycle.state.dissolvedAt || cycle.hasLeft(entry.id, key) -> true
+            key == null || key in cycle.state.dissolvedAt || cycle.isFreed(entry.id, key) -> true
             key in cycle.state.dissolutions -> false
             else -> cycle.state.rosters[key]?.let { hasNotOpened(key, it) } ?: true
         }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/MemberLossCheck.kt
@@ -59,7 +59,7 @@
             }
         val reserved =
             cycle.state.dissolutions.values
-                .filter { it.head.fabricDomain == fabricDomain && !cycle.isReleased(it, view) }
+                .filter { it.head.fabricDomain == fabricDomain && !cycle.isReleased(it) }
                 .sumOf { group -> group.members.count { id -> view.entries[id]?.let(::isUsable) != true } }
         return spares - reserved
     }
@@ -68,7 +68,7 @@
 
     private fun isInNoGroup(entry: TargetEntry): Boolean {
         val key = entry.membership?.key ?: return true
-        return StandbyGroups.isStandby(key) || key in cycle.state.dissolvedAt || cycle.hasLeft(entry.id, key)
+        return StandbyGroups.isStandby(key) || key in cycle.state.dissolvedAt || cycle.isFreed(entry.id, key)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -131,10 +131,10 @@
         result: OrderResult,
     ) {
         val member = GroupMember(target, key)
-        val release = cycle.state.releases[member]?.takeUnless { it.hasLeft } ?: return
+        val release = cycle.state.releases[member]?.takeIf { it.leftAt == null } ?: return
         if (result != OrderResult.ACCEPTED) return
         cycle.log("member-left", "target" to target, "group" to key.group, "epoch" to key.epoch)
-        cycle.saveRelease(member, release.copy(hasLeft = true))
+        cycle.saveRelease(member, release.copy(leftAt = cycle.now))
     }
 
     private fun stageAnswered(
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ReportAnswers.kt
@@ -79,7 +79,7 @@
     ): Boolean {
         if (reported == null || StandbyGroups.isStandby(reported) || reported in cycle.state.dissolvedAt) return true
         // One that left a group whose head can't be asked may have joined it again on a delayed order.
-        return reported == listed && !cycle.hasLeft(target, reported)
+        return reported == listed && !cycle.mayHaveReturned(target, reported)
     }
 
     /** Whether another target answered around the time of the request to [target], so that the network path works. */
@@ -233,8 +233,8 @@
         report: GroupReport,
     ) {
         val member = GroupMember(entry.id, report.membership?.key ?: return)
-        val release = cycle.state.releases[member]?.takeIf { it.hasLeft } ?: return
-        cycle.saveRelease(member, release.copy(hasLeft = false))
+        val release = cycle.state.releases[member] ?: return
+        if (cycle.mayHaveReturned(member.target, member.key)) cycle.saveRelease(member, release.copy(leftAt = null))
     }
 
     /**
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/GroupControllerScenarios.kt
@@ -171,7 +171,8 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
-    // Guards against a group that is repaired late although its streams have gone on elsewhere: its head is asked again.
+    // Guards against a group that is repaired late although its streams have gone on elsewhere: its head is asked
+    // again.
     @Test
     fun `a group with a silent member is replaced soon after its streams have left`() {
         val fleet = settledFleet(mapOf("d0" to 8))
@@ -284,6 +285,31 @@
         assertTrue(fleet.serving().any { it.model == "large" && it.key != group.key })
     }
 
+    // Guards against members that load another model as soon as the first of them has left, so that they can't form
+    // a group any more when the last one has (scale-1 of vidal-cortes: 30 s without the group).
+    @Test
+    fun `the members of a head that is gone form a group again before they load another model`() {
+        val fleet = settledFleet(mapOf("d0" to 8))
+        val group = fleet.serving().first { it.model == "large" }
+        fleet.orderDelay = { target, order ->
+            val isFirst = fleet.orders.count { it == target to order } < 2
+            if (isFirst && order is GroupOrder.Leave && target == group.members[2]) 900 else null
+        }
+        fleet.crash(group.members.first())
+        fleet.runUntil(15_000) { fleet.serving().any { it.model == "large" && it.key != group.key } }
+        val survivors = group.members.drop(1)
+
+        assertTrue(
+            fleet
+                .serving()
+                .first { it.model == "large" }
+                .members
+                .containsAll(survivors),
+        )
+        assertEquals(emptyList(), fleet.orders.filter { it.first in survivors && it.second is GroupOrder.Stage })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     // Guards against orders to leave that are sent again and again (12,826 on a quiet day of a trial), since a member
     // was released from two groups one after the other.
     @Test
