--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -91,46 +91,6 @@
         state = state.copy(dissolutions = state.dissolutions - key, dissolvedAt = state.dissolvedAt + (key to now))
     }
 
-    /** Whether [target] itself has confirmed that it isn't in the group [key]. */
-    fun hasLeft(
-        target: HostId,
-        key: GroupKey,
-    ): Boolean = state.releases[GroupMember(target, key)]?.leftAt != null
-
-    /**
-     * Whether [target] has left the group [key], and so have its other members that are listed and answer: they are
-     * used together, so that they form a group again before one of them loads another model.
-     */
-    fun isFreed(
-        target: HostId,
-        key: GroupKey,
-    ): Boolean = hasLeft(target, key) && areReleased(key)
-
-    /** Whether all members of [key] have left it, except its head and those that aren't listed or don't answer. */
-    fun areReleased(key: GroupKey): Boolean {
-        val dissolution = state.dissolutions[key]
-        val members =
-            dissolution?.let { it.members - it.head.id } ?: state.rosters[key]
-                ?.members
-                ?.keys
-                .orEmpty()
-        val silent =
-            state.failed.keys
-                .map { it.id }
-                .toSet()
-        return members.none { it in state.listedTargets && it !in silent && !hasLeft(it, key) }
-    }
-
-    /**
-     * A report may be some hundred milliseconds old, so one that follows the answer to an order to leave proves
-     * nothing.
-     */
-    fun mayHaveReturned(
-        target: HostId,
-        key: GroupKey,
-    ): Boolean =
-        state.releases[GroupMember(target, key)]?.leftAt?.let { now - it >= settings.failedRetryMilliseconds } == true
-
     /** Targets of groups that are being formed or dissolved, whatever the registry lists. */
     fun targetsInUse(): Set<HostId> {
         val forming =
@@ -197,9 +157,6 @@
         return failed.hasEnded || (isStillSilent && now - failed.since >= milliseconds)
     }
 
-    /** Whether nothing is left of [group] but its head, which can't be asked. */
-    fun isReleased(group: Dissolution): Boolean = group.isHeadGone && areReleased(group.key)
-
     /**
      * Whether [target] may be used as its entry shows. Entries reach the registry with a delay, and an earlier
      * controller may have used the target meanwhile; so a report is requested from targets that are in no group of this
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -449,3 +449,13 @@
     fleet.orders.clear()
     return fleet
 }
+
+internal fun FakeFleet.members(): Set<HostId> = serving().flatMap { it.members }.toSet()
+
+/** Makes the member unresponsive; daemons detect shortly after that its group is stalled. */
+internal fun FakeFleet.loseMember(id: HostId) {
+    val group = serving().firstOrNull { id in it.members }
+    stopResponding(id)
+    run(300)
+    group?.let { process(GroupEvent.GroupSuspected(it.key, view())) }
+}
