--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -21,6 +21,8 @@
     val promptTokens: Int,
     /** The ids of the parts of the prompt that other requests may have in common with this one, in order. */
     val sharedPromptParts: List<String> = emptyList(),
+    /** The caller's estimate of the tokens of the answer, or null if it gave none that can be used. */
+    val answerTokens: Int? = null,
 )
 
 /** The metadata that is added to a request forwarded to a target. */
@@ -29,6 +31,8 @@
     val workspace: WorkspaceId?,
     val deadlineMilliseconds: Long,
     val lastEventId: Long?,
+    /** The place of the request in the target's queue, where 0 is the first, or null if it has none. */
+    val priority: Int? = null,
 )
 
 /** What a target's response says about the requests per second that it takes from all daemons together. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.gateway.ports.RequestMetadata
 import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.RequestWork
 import org.vanillalink.serving.catalog.Route
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.catalog.Workspace
@@ -23,6 +24,7 @@
     val responseDeadline: Long,
     val callerDeadline: Long,
     val signature: RequestSignature,
+    val work: RequestWork = RequestWork(),
 ) {
     /**
      * When capacity is likely: engines finish a batch, or groups are formed again, within one or two seconds; plain
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -154,7 +154,8 @@
     ) {
         val remaining = maxOf(1, request.callerDeadline - now)
         val eventId = lastEventId ?: request.metadata.lastEventId
-        val metadata = ForwardingMetadata(attempt.target, request.workspace?.id, remaining, eventId)
+        val metadata =
+            ForwardingMetadata(attempt.target, request.workspace?.id, remaining, eventId, request.work.priority)
         val options = SendOptions(responseTimeout = Duration.ofMillis(remaining + RESPONSE_TIMEOUT_MARGIN_MILLISECONDS))
         val forwarded = context.protocol.buildForwardedRequest(request.message, metadata)
         attempt.exchange = context.http.send(attempt.target.endpoint, forwarded, options, listener)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.RequestWork
 import org.vanillalink.serving.catalog.CallKind
 import org.vanillalink.serving.catalog.Catalog
 import org.vanillalink.serving.catalog.Route
@@ -118,7 +119,7 @@
         if (needsKey && (!isFresh || workspace == null)) return if (isFresh) UNKNOWN_KEY else STALE_CONFIGURATION
         val service = chooseService(catalog, route) ?: return NO_SERVICE
         context.state.recordRequest(service, metadata.model, now)
-        return startUnlessPoison(buildRequest(request, metadata, route, service, workspace, now), response)
+        return startUnlessPoison(buildRequest(catalog, request, metadata, route, service, workspace, now), response)
     }
 
     private fun startUnlessPoison(
@@ -146,6 +147,7 @@
     }
 
     private fun buildRequest(
+        catalog: Catalog,
         request: HttpRequestMessage,
         metadata: RequestMetadata,
         route: Route,
@@ -156,6 +158,7 @@
         val callerTimeout = metadata.deadlineMilliseconds ?: route.timeoutMilliseconds
         val timeout =
             if (route.timeoutMilliseconds > 0) minOf(callerTimeout, route.timeoutMilliseconds) else callerTimeout
+        val hasPriorities = catalog.hasPriorities(service.name)
         return AdmittedRequest(
             message = request,
             metadata = metadata,
@@ -166,6 +169,13 @@
             responseDeadline = now + timeout,
             callerDeadline = now + callerTimeout,
             signature = RequestSignature(computeFingerprint(request, metadata), metadata.sharedPromptParts),
+            work =
+                RequestWork(
+                    promptTokens = metadata.promptTokens,
+                    answerTokens = metadata.answerTokens,
+                    priority = (workspace?.priority ?: route.priority).takeIf { hasPriorities },
+                    goalAt = now + route.latencyGoalMilliseconds,
+                ),
         )
     }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/Catalog.kt
@@ -28,6 +28,19 @@
     /** Returns the workspace that [key] belongs to, or null. */
     fun findWorkspace(key: String): Workspace? = workspaces[key]
 
+    private val hasWorkspacePriorities = configuration.workspaces.any { it.priority != null }
+
+    /** The services whose routes or workspaces differ in priority, so that their requests are ordered. */
+    private val prioritizedServices: Set<ServiceName> =
+        configuration.routes
+            .flatMap { route -> route.services.map { it.service to route.priority } }
+            .groupBy({ it.first }, { it.second })
+            .filterValues { priorities -> hasWorkspacePriorities || priorities.toSet().size > 1 }
+            .keys
+
+    /** Whether requests for [service] differ in priority. */
+    fun hasPriorities(service: ServiceName): Boolean = service in prioritizedServices
+
     /** How long callers of [service] wait for the next event of a stream, in milliseconds. */
     fun callerPatienceMilliseconds(service: ServiceName): Long = configuration.routes
         .filter { route -> route.kind == CallKind.STREAM && route.services.any { it.service == service } }
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/ServingConfiguration.kt
@@ -62,6 +62,19 @@
     val openMilliseconds: Long,
     /** How many models a host keeps staged, so that it can load them without the weight store. */
     val stagedModelsPerHost: Int,
+    /** Added to a step for each 1,000 tokens of context of each request that is writing. */
+    val contextMilliseconds: Double = 0.0,
+    /** Added to reading for each million pairs of a token and an earlier one. */
+    val pairsMilliseconds: Double = 0.0,
+    /** Prompt tokens that are read in one pass at most; 0 if the engine doesn't say. */
+    val chunkTokens: Int = 0,
+    /** Mean tokens of a prompt and of an answer, or 0 if the engine doesn't say. */
+    val usualPromptTokens: Int = 0,
+    val usualAnswerTokens: Int = 0,
+    /** How old the figures in a target's report are. */
+    val reportLagMilliseconds: Long = 0,
+    /** Tokens that a group can hold in memory, or 0 if the engine doesn't say. */
+    val capacityTokens: Long = 0,
 ) {
     /** Number of members in a group of the model [name], or null if there is no such model. */
     fun groupSize(name: String?): Int? = models.firstOrNull { it.name == name }?.size
