Give each model a group wherever the hosts suffice

Cause: the planner took only models whose size fitted the targets that were free at the moment, so while targets were listed by pages the small model took all of them. Under traffic a formation needed a permit for each member that must load, and the bucket never holds that many for a group of 16; no group gave members up.

Change: targets of a fabric domain are reserved for models without a group there; before traffic, smaller models wait while targets are being listed, and groups are undone for a larger model that has none. Under traffic members are staged one by one as permits come, and a refused load returns its permit. A model without a group for 3 s is an alarm, and groups with room give members up: these load the model while their groups serve, which are then closed and drained.

Measured: ModelCoverageScenarios on virtual time, seen failing on the code before: the listing order, the late fabric domain, the last group lost under load, three fabric domains, the report and the staging by permits (there the missing report fails). The returned permit was not run there, and the case of kept groups is a guard that holds before, too. The scenarios of control pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -66,6 +66,7 @@
         )
     private var targetIndex = TargetIndex(registryState.directory)
     private var controlledDomains: List<ControlledDomain> = emptyList()
+    private var modelsByDomain: Map<FailureDomainId, Set<String>> = emptyMap()
     private var previousSuspects: Set<GroupKey> = emptySet()
     private val brokenGroupsUntil = HashMap<GroupKey, Long>()
 
@@ -322,6 +323,11 @@
             traffic.hasTraffic(),
             peerDirectory.slotDemand(traffic.demand(), clock.steady()).mapValues { (_, slots) -> slots * share },
             registryState.catalog!!.callerPatienceMilliseconds(service.name),
+            modelsByDomain
+                .filterKeys { it != failureDomain }
+                .values
+                .flatten()
+                .toSet(),
         )
     }
 
@@ -371,6 +377,13 @@
         val now = clock.steady()
         val ownDomains = collectOwnDomains()
         val announcedDomains = peerDirectory.announcedDomains(now) + ownDomains.associateBy { it.failureDomain }
+        modelsByDomain =
+            announcedDomains.mapValues { (_, domain) ->
+                domain.groups
+                    .orEmpty()
+                    .map { it.model }
+                    .toSet()
+            }
         announcedDomains.values
             .flatMap { it.broken }
             .forEach { brokenGroupsUntil[it] = now + BROKEN_RETENTION_MILLISECONDS }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/GroupControlMetrics.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/GroupControlMetrics.kt
@@ -17,6 +17,8 @@
         "group-dissolving" -> countDissolving(fields["reason"], fields["gentle"] == true)
         "target-silent" -> count("vanillalink.targets.silent", "ended", (fields["ended"] == true).toString())
         "target-answers-again" -> count("vanillalink.targets.answered.again")
+        "model-unserved" -> countUnserved(fields["elsewhere"] == true)
+        "model-served-again" -> count("vanillalink.models.served.again")
         else -> Unit
     }
 
@@ -28,6 +30,9 @@
         count("vanillalink.groups.dissolving", "reason", reasonTag, "gentle", isGentle.toString())
     }
 
+    private fun countUnserved(isServedElsewhere: Boolean) =
+        count("vanillalink.models.unserved", "elsewhere", isServedElsewhere.toString())
+
     private fun count(
         name: String,
         vararg tags: String,
@@ -45,6 +50,7 @@
                 "member-released",
                 "member-silent",
                 "member-strayed",
+                "members-reassigned",
                 "model-unknown",
                 "open-failed",
                 "open-refused",
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DemandShares.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DemandShares.kt
@@ -28,6 +28,21 @@
         groups: Int,
     ): Boolean = (demand[model.name] ?: 0.0) > groups * engine.slots * MAX_SLOT_UTILIZATION
 
+    /** The slots of [groups] groups of [model] that callers don't need; negative if they need more. */
+    fun idleSlots(
+        model: String,
+        groups: Int,
+    ): Double = groups * engine.slots - (demand[model] ?: 0.0)
+
+    /** The fraction of the demand for [model] that [groups] groups can serve at most; over 1 if there is room. */
+    fun servedFraction(
+        model: String,
+        groups: Int,
+    ): Double {
+        val needed = demand[model] ?: 0.0
+        return if (needed > 0) groups * engine.slots / needed else Double.MAX_VALUE
+    }
+
     private companion object {
         /** Below this, there are too few requests to estimate the shares. */
         const val MIN_MEASURED_MEMBERS = 0.5
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlCycle.kt
@@ -211,6 +211,7 @@
                 standby = state.standby.filter { (id, standby) -> id in view.entries && standby.expiresAt > now },
                 listedTargets = view.entries.keys,
                 newTargetAt = if (state.listedTargets.containsAll(view.entries.keys)) state.newTargetAt else now,
+                firstListedAt = view.entries.values.associate { it.fabricDomain to now } + state.firstListedAt,
                 requestedAt = state.requestedAt.filterValues { it > retainedSince },
                 unansweredOrders = state.unansweredOrders.filterValues { it > retainedSince },
                 confirmations = state.confirmations.filterValues { it.updatedAt > retainedSince },
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlMessages.kt
@@ -25,6 +25,8 @@
     val demand: Map<String, Double> = emptyMap(),
     /** How long callers of the service wait for the next event of a stream. */
     val callerPatienceMilliseconds: Long = 2_000,
+    /** Models that other failure domains have groups of. */
+    val modelsElsewhere: Set<String> = emptySet(),
 )
 
 /** Input of the controller. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -70,6 +70,16 @@
     val silenceMilliseconds: Long = 5_000,
     /** Before the first request, how long no new target must have been listed until spares are selected. */
     val settlingMilliseconds: Long = 1_500,
+    /**
+     * Before the first request, how long a fabric domain whose targets are being listed waits at most for those of a
+     * larger model before it forms groups of a smaller one.
+     */
+    val listingMilliseconds: Long = 4_000,
+    /**
+     * How long a model has no open group until that is reported and other groups give members up; longer than a group
+     * with a spare in memory takes to be formed again.
+     */
+    val unservedAlarmMilliseconds: Long = 3_000,
     /** Free targets that must remain in a fabric domain when it forms a second group of a model. */
     val reservePerFabricDomain: Int = 2,
 )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -158,6 +158,10 @@
     /** The targets that are listed; [newTargetAt] is when the last new one was listed. */
     val listedTargets: Set<HostId> = emptySet(),
     val newTargetAt: Long = 0,
+    /** When the first target of each fabric domain was listed. */
+    val firstListedAt: Map<String?, Long> = emptyMap(),
+    /** Models without an open group while there is traffic. */
+    val unservedModels: Map<String, UnservedModel> = emptyMap(),
     /** Hosts that were ordered to hold a model in memory without an open group. */
     val standby: Map<HostId, Staging> = emptyMap(),
     /** Token bucket for loads from the weight store. */
@@ -169,6 +173,10 @@
 data class Staging(
     val model: String,
     val expiresAt: Long,
+    /** The same if the target has accepted the order, as loads that run at once take longer. */
+    val contendedUntil: Long = expiresAt,
+    /** Whether it took a permit, which is returned if the target refuses the order. */
+    val hasPermit: Boolean = false,
 )
 
 /** The members of one group: all that were ever listed in it, except those now listed elsewhere. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -1,35 +1,33 @@
 /*
  * Selects which groups to form from free targets, and which models free hosts keep staged.
  *
- * Each fabric domain first gets one group of each model, starting with the model with the largest shortfall. Further
- * groups are formed only if a reserve of free targets remains, or for a model whose groups can't serve the demand. The
- * reserve makes repairs fast: a spare that has the model staged replaces a lost member in a fraction of the time of a
- * load from the weight store.
+ * Each fabric domain first gets one group of each model, starting with the largest; targets are kept for those that
+ * can't be formed yet. Further groups are formed only if a reserve of free targets remains, or for a model whose groups
+ * can't serve the demand. The reserve makes repairs fast: a spare that has the model staged replaces a lost member in a
+ * fraction of the time of a load from the weight store.
  */
 package org.vanillalink.serving.control
 
 import org.vanillalink.serving.catalog.ModelDefinition
 import org.vanillalink.serving.targets.GroupKey
-import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
 
 internal class GroupPlanner(
     private val cycle: GroupControlCycle,
     private val view: DomainView,
 ) {
-    private class ActiveGroup(
-        val fabricDomain: String?,
-        val model: String,
-        val members: Int,
-    )
-
-    private val activeGroups: MutableList<ActiveGroup> = findActiveGroups().toMutableList()
+    private val groups = ActiveGroups(cycle, view)
     private val shares = DemandShares(view.engine, view.demand)
+    private val staging = HostStaging(cycle, view)
+    private val freeByDomain: Map<String?, List<TargetEntry>> = freeTargets().groupBy { it.fabricDomain }
 
     fun apply() {
-        refillLoadTokens()
-        val free = freeTargets().groupBy { it.fabricDomain }
-        free.toSortedMap(compareBy { it.orEmpty() }).forEach { (domain, targets) -> planFabricDomain(domain, targets) }
+        staging.refillPermits()
+        UnservedModels(cycle, view, groups).update()
+        GroupReassignment(cycle, view, groups, shares, staging, ::availableTargets).apply()
+        freeByDomain.toSortedMap(compareBy { it.orEmpty() }).forEach { (domain, targets) ->
+            planFabricDomain(domain, targets)
+        }
     }
 
     private fun planFabricDomain(
@@ -47,12 +45,12 @@
         domain: String?,
         targets: List<TargetEntry>,
     ): List<TargetEntry> {
-        val model = nextModel(domain, targets.size) ?: return targets
-        val members = chooseMembers(targets, model) ?: return targets
+        val (model, members) =
+            candidateModels(domain, targets.size)
+                .firstNotNullOfOrNull { model -> chooseMembers(targets, model)?.let { model to it } } ?: return targets
         // Uses count() instead of any(), so that reports are requested from all members at once.
         if (members.count { !cycle.isConfirmedFree(it) } > 0) return targets
         startFormation(members, model)
-        activeGroups += ActiveGroup(domain, model.name, model.size)
         return formGroups(domain, targets - members.toSet())
     }
 
@@ -83,54 +81,76 @@
         }
     }
 
-    private fun nextModel(
+    /** The models that [domain] could form a group of from [free] targets; those without a group there come first. */
+    private fun candidateModels(
         domain: String?,
         free: Int,
-    ): ModelDefinition? = view.engine.models
-        .filter { model ->
-            val isFirst = activeGroups.none { it.fabricDomain == domain && it.model == model.name }
-            val needsReserve = !isFirst && !isUnderCapacity(model)
-            free >= if (needsReserve) model.size + cycle.settings.reservePerFabricDomain else model.size
-        }.maxByOrNull(::memberShortfall)
+    ): List<ModelDefinition> {
+        val missing =
+            view.engine.models
+                .filter { groups.count(domain, it.name) == 0 }
+                .sortedWith(compareBy({ groups.count(it.name) > 0 }, { -memberShortfall(it) }))
+        val reservations = ModelReservations(missing, free + survivors(domain).size)
+        val awaited = reservations.largestUnattainable?.takeIf { isBeingListed(domain) }
+        val others =
+            view.engine.models
+                .filter { it !in reservations.reserved }
+                .sortedByDescending(::memberShortfall)
+        return (reservations.reserved + others).filter { model ->
+            val needsReserve = model !in missing && !isUnderCapacity(model)
+            val needed = if (needsReserve) model.size + cycle.settings.reservePerFabricDomain else model.size
+            val available = minOf(free, reservations.availableFor(model) { yields(it, model) })
+            available >= needed && (awaited == null || model.size > awaited.size)
+        }
+    }
+
+    /** Whether [reserved], served well by other fabric domains, leaves its targets to [model], which is short. */
+    private fun yields(
+        reserved: ModelDefinition,
+        model: ModelDefinition,
+    ): Boolean = groups.count(reserved.name) > 0 && !isUnderCapacity(reserved) && isUnderCapacity(model)
+
+    private fun isBeingListed(domain: String?): Boolean {
+        if (view.hasTraffic || cycle.now - cycle.state.newTargetAt >= cycle.settings.settlingMilliseconds) return false
+        val firstListedAt = cycle.state.firstListedAt[domain] ?: return false
+        return cycle.now - firstListedAt < cycle.settings.listingMilliseconds
+    }
+
+    /** The targets of [domain] that are free, and those that will be once its groups are dissolved. */
+    private fun availableTargets(domain: String?): List<TargetEntry> =
+        freeByDomain[domain].orEmpty() + survivors(domain)
+
+    private fun survivors(domain: String?): List<TargetEntry> = cycle.state.dissolutions.values
+        .flatMap { group -> group.members.filterNot { cycle.isFreed(it, group.key) } }
+        .mapNotNull { view.entries[it] }
+        .filter { it.fabricDomain == domain && !it.isLeaving && it.instance !in cycle.state.failed }
 
     private fun isUnderCapacity(model: ModelDefinition): Boolean =
-        shares.isUnderCapacity(model, activeGroups.count { it.model == model.name })
+        shares.isUnderCapacity(model, groups.count(model.name))
 
     /** The number of members that [model] lacks to reach its share of all group members; negative if it has more. */
     private fun memberShortfall(model: ModelDefinition): Double {
-        val total = activeGroups.sumOf { it.members } + model.size
-        return shares.memberShare(model) * total - activeGroups.filter { it.model == model.name }.sumOf { it.members }
+        val total = groups.all.sumOf { it.size } + model.size
+        return shares.memberShare(model) * total - groups.all.filter { it.model == model.name }.sumOf { it.size }
     }
 
-    /** Returns the members that would be ready first, or null if the model should be staged first. */
+    /** Returns the members that would be ready first, or null if the model must be staged first. */
     private fun chooseMembers(
         free: List<TargetEntry>,
         model: ModelDefinition,
     ): List<TargetEntry>? {
-        val chosen = free.sortedWith(compareBy({ readinessRank(it, model.name) }, { it.id })).take(model.size)
-        val loadCount = chosen.count { readinessRank(it, model.name) > STAGED }
-        if (loadCount == 0 || !view.hasTraffic) return chosen
+        val chosen =
+            free.sortedWith(compareBy({ staging.readinessRank(it, model.name) }, { it.id })).take(model.size)
+        val areStaged = chosen.all { staging.readinessRank(it, model.name) <= HostStaging.STAGED }
+        if (areStaged || !view.hasTraffic) return chosen
         // The remaining members of a group that is being dissolved are ready much sooner than a load would be.
         val survivorsExpected =
             cycle.state.dissolutions.values.any { group ->
                 val isInDomain = group.head.fabricDomain == free.first().fabricDomain
                 isInDomain && !cycle.isReleased(group)
             }
-        if (survivorsExpected) return null
-        val isUnserved = activeGroups.none { it.model == model.name }
-        if (!isUnserved || !acquireLoadTokens(loadCount)) return null
-        return chosen
-    }
-
-    private fun readinessRank(
-        target: TargetEntry,
-        model: String,
-    ): Int = when {
-        target.model == model && model in target.staged -> IN_MEMORY
-        model in target.staged -> STAGED
-        cycle.state.staging[target.id]?.model == model -> STAGING
-        target.staged.isEmpty() -> EMPTY
-        else -> OTHER_MODEL
+        if (!survivorsExpected && groups.count(model.name) == 0) staging.stageAll(chosen, model)
+        return null
     }
 
     private fun startFormation(
@@ -163,6 +183,7 @@
         members.forEach { member ->
             cycle.send(member, GroupOrder.Join(key, model.name, members.map { it.id }))
         }
+        groups.add(ActiveGroup(key, members.first().fabricDomain, model.name, model.size, isEstablished = false))
         val sentAt = members.associate { it.id to cycle.now }
         cycle.saveFormation(
             cycle.state.formations
@@ -174,9 +195,9 @@
     private fun expectedMilliseconds(
         member: TargetEntry,
         model: ModelDefinition,
-    ): Long = when (readinessRank(member, model.name)) {
-        IN_MEMORY -> cycle.settings.rejoinMilliseconds
-        STAGED -> model.stagedLoadMilliseconds
+    ): Long = when (staging.readinessRank(member, model.name)) {
+        HostStaging.IN_MEMORY -> cycle.settings.rejoinMilliseconds
+        HostStaging.STAGED -> model.stagedLoadMilliseconds
         else -> if (view.hasTraffic) model.loadMilliseconds else model.loadMilliseconds / FIRST_LOAD_SPEEDUP
     }
 
@@ -184,59 +205,28 @@
         domain: String?,
         free: List<TargetEntry>,
     ) {
-        val models = view.engine.models.map { it.copy(share = shares.memberShare(it)) }
+        val targets = view.entries.values.count { it.fabricDomain == domain && !it.isLeaving }
+        val models =
+            view.engine.models
+                .filter { groups.count(domain, it.name) > 0 || it.size <= targets }
+                .map { it.copy(share = shares.memberShare(it)) }
         val underCapacity = models.filter(::isUnderCapacity).map { it.name }.toSet()
         val spares =
             SpareModelSelector(
                 models,
-                free.map(::stagedModel),
-                groupsInFabricDomain(domain),
-                groupsInFailureDomain(),
+                free.map(staging::stagedModel),
+                groups.countByModel(domain),
+                groups.countByModel(),
                 underCapacity,
             )
         free.filter { it.id !in cycle.state.staging }.forEach { target ->
-            val current = stagedModel(target)
+            val current = staging.stagedModel(target)
             val model = spares.nextModel(current) ?: return@forEach
-            if (view.hasTraffic && !acquireLoadTokens(1)) return
-            val until = cycle.now + model.loadMilliseconds + cycle.settings.formationGraceMilliseconds
-            cycle.state = cycle.state.copy(staging = cycle.state.staging + (target.id to Staging(model.name, until)))
-            cycle.log("model-staging", "target" to target.id, "model" to model.name, "instead" to current)
-            cycle.send(target, GroupOrder.Stage(model.name))
+            if (!staging.stage(target, model)) return
             spares.recordReplacement(current, model.name)
         }
     }
 
-    /** The model that [target] has staged, or will have once its load completes. */
-    private fun stagedModel(target: TargetEntry): String? = cycle.state.staging[target.id]?.model
-        ?: target.staged.firstOrNull { name -> view.engine.models.any { it.name == name } }
-
-    private fun groupsInFabricDomain(domain: String?): Map<String, Int> =
-        activeGroups.filter { it.fabricDomain == domain }.groupingBy { it.model }.eachCount()
-
-    private fun groupsInFailureDomain(): Map<String, Int> = activeGroups.groupingBy { it.model }.eachCount()
-
-    private fun findActiveGroups(): List<ActiveGroup> {
-        val forming =
-            cycle.state.formations.values.map {
-                ActiveGroup(
-                    it.head.fabricDomain,
-                    it.model,
-                    it.members.size,
-                )
-            }
-        val open =
-            cycle.state.rosters.filter { (key, roster) ->
-                roster.head?.membership?.state == MemberState.OPEN && !isDissolved(key) &&
-                    key !in cycle.state.formations
-            }
-        return forming +
-            open.values.mapNotNull { it.head }.map { head ->
-                ActiveGroup(head.fabricDomain, head.model.orEmpty(), view.engine.groupSize(head.model) ?: 0)
-            }
-    }
-
-    private fun isDissolved(key: GroupKey) = key in cycle.state.dissolutions || key in cycle.state.dissolvedAt
-
     private fun freeTargets(): List<TargetEntry> {
         val usedTargets = cycle.targetsInUse()
         return view.entries.values.filter { entry ->
@@ -255,48 +245,16 @@
         return when {
             key == null || key in cycle.state.dissolvedAt || cycle.isFreed(entry.id, key) -> true
             key in cycle.state.dissolutions -> false
-            else -> cycle.state.rosters[key]?.let { hasNotOpened(key, it) } ?: true
+            else -> cycle.state.rosters[key]?.let { cycle.hasNotOpened(key, it) } ?: true
         }
     }
 
-    private fun hasNotOpened(
-        key: GroupKey,
-        roster: Roster,
-    ): Boolean {
-        val head = roster.head ?: return false
-        val serves = head.membership?.state == MemberState.OPEN || head.membership?.state == MemberState.CLOSING
-        return !serves && !cycle.canOpen(key, head)
-    }
-
-    private fun refillLoadTokens() {
-        val tokensPerSecond = view.engine.loadsPerSecond / view.failureDomainCount
-        val elapsed = cycle.now - cycle.state.loadTokensFilledAt
-        val tokens = cycle.state.loadTokens + tokensPerSecond * elapsed / MILLISECONDS_PER_SECOND
-        cycle.state = cycle.state.copy(loadTokens = minOf(tokens, MAX_LOAD_TOKENS), loadTokensFilledAt = cycle.now)
-    }
-
-    private fun acquireLoadTokens(count: Int): Boolean {
-        if (cycle.state.loadTokens < count) return false
-        cycle.state = cycle.state.copy(loadTokens = cycle.state.loadTokens - count)
-        return true
-    }
-
     private companion object {
-        const val IN_MEMORY = 0
-        const val STAGED = 1
-        const val STAGING = 2
-        const val EMPTY = 3
-        const val OTHER_MODEL = 4
-
         /** Time until the order is sent again to a target that doesn't hold its model by then. */
         const val STANDBY_RESEND_MILLISECONDS = 10_000L
         const val FIRST_LOAD_SPEEDUP = 10
-        const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** All first loads of a fleet run concurrently, so each takes longer than a single one. */
         const val FIRST_LOAD_CONTENTION_FACTOR = 12
-
-        /** Loads that may start together after an idle time; well below the store's limit per window. */
-        const val MAX_LOAD_TOKENS = 4.0
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -141,8 +141,32 @@
         target: HostId,
         result: OrderResult,
     ) {
-        if (result == OrderResult.ACCEPTED || result == OrderResult.UNKNOWN) return
-        cycle.state = cycle.state.copy(staging = cycle.state.staging - target)
+        val staging = cycle.state.staging[target] ?: return
+        when (result) {
+            OrderResult.ACCEPTED -> saveStaging(target, staging.copy(expiresAt = staging.contendedUntil))
+            OrderResult.UNKNOWN -> Unit
+            else -> cancelStaging(target, staging)
+        }
+    }
+
+    private fun saveStaging(
+        target: HostId,
+        staging: Staging,
+    ) {
+        cycle.state = cycle.state.copy(staging = cycle.state.staging + (target to staging))
+    }
+
+    /** No load has begun, so the permit is available to another target. */
+    private fun cancelStaging(
+        target: HostId,
+        staging: Staging,
+    ) {
+        val returnedTokens = if (staging.hasPermit) 1 else 0
+        cycle.state =
+            cycle.state.copy(
+                staging = cycle.state.staging - target,
+                loadTokens = cycle.state.loadTokens + returnedTokens,
+            )
     }
 
     private companion object {
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -48,11 +48,15 @@
 internal class FakeFleet(
     runners: Map<String, Int>,
     private val controller: GroupController = GroupController(),
+    sizes: Map<String, Int> = mapOf("large" to 4, "small" to 2),
 ) {
     val runners = LinkedHashMap<HostId, FakeRunner>()
     var now = 0L
     var hasTraffic = false
 
+    var failureDomainCount = 1
+    var modelsElsewhere: Set<String> = emptySet()
+
     /** Slots that callers need, by model. */
     var demand: Map<String, Double> = emptyMap()
     var state = GroupControlState(nextEpoch = 1_000_000)
@@ -91,8 +95,8 @@
             slots = 18,
             models =
                 listOf(
-                    ModelDefinition("large", 4, 0.67, 1.0, 16_000, 1_600),
-                    ModelDefinition("small", 2, 0.33, 0.6, 12_000, 1_100),
+                    ModelDefinition("large", sizes.getValue("large"), 0.67, 1.0, 16_000, 1_600),
+                    ModelDefinition("small", sizes.getValue("small"), 0.33, 0.6, 12_000, 1_100),
                 ),
             stepMilliseconds = 6.0,
             perSequenceMilliseconds = 0.35,
@@ -113,7 +117,8 @@
         domain: String,
     ): FakeRunner = FakeRunner(HostId(id), domain, now + 1).also { runners[it.id] = it }
 
-    fun view() = DomainView(IKEJA, listed(), removedEntries(), engine, failureDomainCount = 1, hasTraffic, demand)
+    fun view() = DomainView(IKEJA, listed(), removedEntries(), engine, failureDomainCount, hasTraffic, demand)
+        .copy(modelsElsewhere = modelsElsewhere)
 
     /** Advances the virtual time by [milliseconds]. */
     fun run(milliseconds: Long) {
@@ -443,13 +448,18 @@
 /** A fleet by [domains] whose groups serve. */
 internal fun settledFleet(domains: Map<String, Int>): FakeFleet {
     val fleet = FakeFleet(domains)
-    fleet.run(12_000)
-    fleet.hasTraffic = true
-    fleet.run(1_000)
-    fleet.orders.clear()
+    fleet.settle()
     return fleet
 }
 
+/** Runs until the groups serve, and begins the traffic. */
+internal fun FakeFleet.settle() {
+    run(12_000)
+    hasTraffic = true
+    run(1_000)
+    orders.clear()
+}
+
 internal fun FakeFleet.members(): Set<HostId> = serving().flatMap { it.members }.toSet()
 
 /** Makes the member unresponsive; daemons detect shortly after that its group is stalled. */
--- /dev/null
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
@@ -0,0 +1,147 @@
+package org.vanillalink.serving.control
+
+import org.vanillalink.model.HostId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards against a model whose requests are refused all day since it never gets a group (ogw-binlink-now-grown). */
+internal class ModelCoverageScenarios {
+    @Test
+    fun `each fabric domain gets a group of each model, in whatever order its targets are listed`() {
+        for ((large, small, hosts) in listOf(Triple(16, 4, 37), Triple(8, 4, 19), Triple(8, 3, 19))) {
+            repeat(SEEDS) { seed ->
+                val fleet = fleetOf(large, small, mapOf("d0" to hosts, "d1" to hosts))
+                fleet.listByPages(fleet.runners.keys.shuffled(Random(seed)))
+                fleet.settle()
+                assertServesAll(fleet, setOf("d0", "d1"), "$large and $small, seed $seed")
+            }
+        }
+    }
+
+    @Test
+    fun `three fabric domains each get a group of each model, though one is listed last`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 37, "d1" to 37, "d2" to 37))
+        fleet.listByPages(fleet.runners.keys.toList())
+        fleet.settle()
+        assertServesAll(fleet, setOf("d0", "d1", "d2"))
+    }
+
+    // Too few remain for the large model by then, so groups of the small one are undone before the first request.
+    @Test
+    fun `a fabric domain whose targets are listed late gets a group of each model before traffic`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 22))
+        val late = fleet.runners.values.drop(12)
+        late.forEach { it.isUnlisted = true }
+        fleet.at(5_000) { late.forEach { it.isUnlisted = false } }
+        fleet.settle()
+        assertServesAll(fleet, setOf("d0"))
+    }
+
+    @Test
+    fun `the last group of the large model comes back under full load`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 37, "d1" to 37))
+        fleet.failureDomainCount = 3
+        fleet.settle()
+        fleet.demand = mapOf("large" to 17.0, "small" to fleet.serving().count { it.model == "small" } * 14.0)
+        fleet.run(2_000)
+        val lost = fleet.serving().filter { it.model == "large" }
+        lost.forEach { group -> group.members.forEach(fleet::crash) }
+        lost.forEach { fleet.process(GroupEvent.GroupSuspected(it.key, fleet.view())) }
+        val before = fleet.serving().count { it.model == "small" }
+        fleet.run(10_000)
+        assertTrue(fleet.serving().any { it.model == "small" })
+
+        val elapsed = fleet.runUntil(120_000) { fleet.serving().any { it.model == "large" } }
+        assertTrue(elapsed < REPAIR_MILLISECONDS, "took $elapsed ms")
+        assertTrue(fleet.serving().count { it.model == "small" } >= before / 2)
+        assertEquals(1, fleet.notes.count { "model-served-again" in it })
+        assertEquals(emptyList(), fleet.violations)
+        assertEquals(emptyList(), fleet.cuts)
+        assertLoadsWithinLimit(fleet)
+    }
+
+    @Test
+    fun `a model without a group is reported, and staged as permits come though the bucket never holds enough`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 37))
+        fleet.failureDomainCount = 3
+        fleet.hasTraffic = true
+        val elapsed =
+            fleet.runUntil(120_000) {
+                fleet
+                    .serving()
+                    .map { it.model }
+                    .toSet()
+                    .size == 2
+            }
+        assertTrue(elapsed < REPAIR_MILLISECONDS, "took $elapsed ms")
+        assertTrue(fleet.notes.any { "model-unserved" in it && "model=large" in it })
+        assertLoadsWithinLimit(fleet)
+    }
+
+    @Test
+    fun `a permit comes back when the target refuses to load`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 37))
+        fleet.hasTraffic = true
+        fleet.runUntil(5_000) { fleet.state.staging.isNotEmpty() }
+        val (target, staging) =
+            fleet.state.staging.entries
+                .first()
+        val before = fleet.state.loadTokens
+        fleet.process(GroupEvent.OrderAnswered(target, GroupOrder.Stage(staging.model), OrderResult.REFUSED))
+        assertEquals(before + 1, fleet.state.loadTokens)
+    }
+
+    @Test
+    fun `groups that the demand of their own callers needs are kept while another failure domain serves the model`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 15))
+        fleet.modelsElsewhere = setOf("large")
+        fleet.settle()
+        repeat(3) { fleet.add("new-$it", "d0") }
+        fleet.demand = mapOf("large" to 4.0, "small" to fleet.serving().size * 14.0)
+        val before = fleet.serving().map { it.key }
+        fleet.run(60_000)
+        assertTrue(fleet.serving().map { it.key }.containsAll(before))
+    }
+
+    private fun fleetOf(
+        large: Int,
+        small: Int,
+        hosts: Map<String, Int>,
+    ) = FakeFleet(hosts, sizes = mapOf("large" to large, "small" to small))
+
+    private fun FakeFleet.listByPages(order: List<HostId>) {
+        runners.values.forEach { it.isUnlisted = true }
+        order.chunked(PAGE).forEachIndexed { page, ids ->
+            at(page * PAGE_MILLISECONDS) { ids.forEach { runners.getValue(it).isUnlisted = false } }
+        }
+    }
+
+    private fun assertServesAll(
+        fleet: FakeFleet,
+        domains: Set<String>,
+        case: String = "",
+    ) {
+        val served = fleet.serving().map { fleet.runners.getValue(it.members.first()).fabricDomain to it.model }.toSet()
+        assertEquals(domains.flatMap { listOf(it to "large", it to "small") }.toSet(), served, case)
+        assertEquals(emptyList(), fleet.violations, case)
+    }
+
+    /** The published limit on loads that begin, for this failure domain's share of them. */
+    private fun assertLoadsWithinLimit(fleet: FakeFleet) {
+        val loads = fleet.notes.filter { "model-staging" in it }.map { it.substringBefore(' ').toLong() }
+        val most = loads.maxOf { start -> loads.count { it in start until start + WINDOW_MILLISECONDS } }
+        assertTrue(most <= fleet.engine.loadsPerSecond / 3 * 5 * 1.1 + 3, "$most loads in five seconds")
+    }
+
+    private companion object {
+        const val SEEDS = 5
+        const val PAGE = 9
+        const val PAGE_MILLISECONDS = 200L
+        const val WINDOW_MILLISECONDS = 5_000L
+
+        /** Sixteen loads begin in 12 s by this failure domain's share of permits; one takes 16 s, joining 2 s. */
+        const val REPAIR_MILLISECONDS = 45_000L
+    }
+}
