Leave groups as they are where the traffic may not be known yet

And a fabric domain whose large model is served elsewhere kept the hosts of its lost small groups for it, while it loaded.

Change: a controller with a predecessor closes nothing before it knows of traffic. Under traffic a model that is served well elsewhere keeps targets only where half of its members are loaded. Groups are formed in all fabric domains before spares load.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -25,16 +25,17 @@
         staging.refillPermits()
         UnservedModels(cycle, view, groups).update()
         GroupReassignment(cycle, view, groups, shares, staging, ::availableTargets).apply()
-        freeByDomain.toSortedMap(compareBy { it.orEmpty() }).forEach { (domain, targets) ->
-            planFabricDomain(domain, targets)
-        }
+        // All groups come before any spare, as both need permits to load.
+        freeByDomain
+            .toSortedMap(compareBy { it.orEmpty() })
+            .map { (domain, targets) -> domain to formGroups(domain, targets) }
+            .forEach { (domain, free) -> keepSpares(domain, free) }
     }
 
-    private fun planFabricDomain(
+    private fun keepSpares(
         domain: String?,
-        targets: List<TargetEntry>,
+        free: List<TargetEntry>,
     ) {
-        val free = formGroups(domain, targets)
         if (!view.hasTraffic && cycle.now - cycle.state.newTargetAt < cycle.settings.settlingMilliseconds) return
         stageSpares(domain, free)
         sendStandbyOrders(free)
@@ -99,16 +100,24 @@
         return (reservations.reserved + others).filter { model ->
             val needsReserve = model !in missing && !isUnderCapacity(model)
             val needed = if (needsReserve) model.size + cycle.settings.reservePerFabricDomain else model.size
-            val available = minOf(free, reservations.availableFor(model) { yields(it, model) })
+            val available = minOf(free, reservations.availableFor(model) { yields(domain, it, model) })
             available >= needed && (awaited == null || model.size > awaited.size)
         }
     }
 
-    /** Whether [reserved], served well by other fabric domains, leaves its targets to [model], which is short. */
+    /**
+     * Whether [reserved] leaves its targets in [domain] to [model]: other fabric domains serve it well, and [model] is
+     * short, or could serve much sooner than most members of [reserved] load.
+     */
     private fun yields(
+        domain: String?,
         reserved: ModelDefinition,
         model: ModelDefinition,
-    ): Boolean = groups.count(reserved.name) > 0 && !isUnderCapacity(reserved) && isUnderCapacity(model)
+    ): Boolean {
+        if (groups.count(reserved.name) == 0 || isUnderCapacity(reserved)) return false
+        val loaded = availableTargets(domain).count { staging.readinessRank(it, reserved.name) <= HostStaging.STAGING }
+        return isUnderCapacity(model) || (view.hasTraffic && loaded * 2 < reserved.size)
+    }
 
     private fun isBeingListed(domain: String?): Boolean {
         if (view.hasTraffic || cycle.now - cycle.state.newTargetAt >= cycle.settings.settlingMilliseconds) return false
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
@@ -31,7 +31,9 @@
         if (view.hasTraffic) reassignUnderTraffic() else reassignBeforeTraffic()
     }
 
+    /** A daemon that takes over may not have heard of the traffic yet, so it leaves the groups as they are. */
     private fun reassignBeforeTraffic() {
+        if (cycle.state.hasPredecessor) return
         if (cycle.now - cycle.state.newTargetAt < cycle.settings.settlingMilliseconds) return
         val forming =
             cycle.state.formations.values
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
@@ -39,6 +39,40 @@
         assertServesAll(fleet, setOf("d0"))
     }
 
+    // Guards against closing groups in the middle of the day after all daemons were restarted.
+    @Test
+    fun `a daemon that takes over and knows of no traffic yet keeps the groups`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 22))
+        val late = fleet.runners.values.drop(12)
+        late.forEach { it.isUnlisted = true }
+        fleet.settle()
+        val before = fleet.serving().map { it.key }
+        fleet.hasTraffic = false
+        fleet.takeOver()
+        late.forEach { it.isUnlisted = false }
+        fleet.run(5_000)
+        assertTrue(fleet.serving().map { it.key }.containsAll(before))
+    }
+
+    // Guards against hosts that wait for the loads of a large group while a small one could serve at once.
+    @Test
+    fun `survivors of small groups serve again at once where only another fabric domain has the large model`() {
+        val fleet = fleetOf(8, 3, mapOf("d0" to 19, "d1" to 19))
+        fleet.settle()
+        val (large, small) =
+            fleet
+                .serving()
+                .filter { fleet.runners.getValue(it.members.first()).fabricDomain == "d0" }
+                .partition { it.model == "large" }
+        val lost = large.flatMap { it.members } + small.map { it.members.last() }
+        lost.forEach(fleet::crash)
+        (large + small).forEach { fleet.process(GroupEvent.GroupSuspected(it.key, fleet.view())) }
+        fleet.run(8_000)
+        val serving = fleet.serving().filter { fleet.runners.getValue(it.members.first()).fabricDomain == "d0" }
+        assertTrue(serving.any { it.model == "small" })
+        assertEquals(emptyList(), fleet.violations)
+    }
+
     @Test
     fun `the last group of the large model comes back under full load`() {
         val fleet = fleetOf(16, 4, mapOf("d0" to 37, "d1" to 37))
