--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionExecutorTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/DecisionExecutorTest.kt
@@ -64,6 +64,17 @@
         assertEquals(expected, counts("vanillalink.groups.dissolving"))
     }
 
+    @Test
+    fun `models without a group are counted until they are served again`() {
+        log("model-unserved", "model" to "large", "elsewhere" to false)
+        log("model-unserved", "model" to "small", "elsewhere" to true)
+        log("model-served-again", "model" to "large", "afterMs" to 20_000L)
+
+        val expected = mapOf(listOf("elsewhere=false") to 1.0, listOf("elsewhere=true") to 1.0)
+        assertEquals(expected, counts("vanillalink.models.unserved"))
+        assertEquals(mapOf(emptyList<String>() to 1.0), counts("vanillalink.models.served.again"))
+    }
+
     @Test
     fun `targets that fall silent and answer again are counted`() {
         log("target-silent", "target" to "m0", "ended" to false)
