Send heartbeats to other failure domains through one daemon

Each daemon sent heartbeats to each daemon of other failure domains: with 94 daemons some 2,700 datagrams a second between failure domains. Now only the representative of a failure domain and daemons with control speak, to the representative of the other one, which passes the message on. The representative lists the daemons that it hears, so that budgets, limits and the choice of a controller know all of them.

Messages omit optional fields without content.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -8,6 +8,7 @@
 import org.vanillalink.gateway.logs.EventLogger
 import org.vanillalink.gateway.logs.GroupControlMetrics
 import org.vanillalink.gateway.logs.LoopDelayMonitor
+import org.vanillalink.gateway.peers.PeerMessageParts
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.gateway.ports.Registry
 import org.vanillalink.gateway.ports.RegistryPart
@@ -17,7 +18,6 @@
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
-import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.control.DomainView
@@ -25,6 +25,7 @@
 import org.vanillalink.serving.control.GroupEvent
 import org.vanillalink.serving.control.ReportResult
 import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.HeartbeatPath
 import org.vanillalink.serving.peers.OwnState
 import org.vanillalink.serving.peers.OwnStatus
 import org.vanillalink.serving.peers.PeerDirectory
@@ -142,34 +143,38 @@
         return isNew
     }
 
-    /** Builds the current message to peers in the own failure domain ([isSameDomain]) or in other ones. */
-    fun buildPeerMessage(
-        isSameDomain: Boolean,
-        includesGroups: Boolean,
-        sequence: Long,
-        startedAt: Long,
-        poison: PoisonReport,
-        includesLimits: Boolean,
+    /** This daemon's status to send now. */
+    internal val ownStatus: OwnStatus
+        get() = OwnStatus(ownState, peerDirectory, controlledDomains, settings.failureDomains.size, clock.steady())
+
+    /** Builds the current message with [status] and the sequence number and parts in [parts] to peers on [path]. */
+    internal fun buildPeerMessage(
+        status: OwnStatus,
+        path: HeartbeatPath,
+        parts: PeerMessageParts,
     ): PeerMessage {
-        val ownStatus =
-            OwnStatus(ownState, peerDirectory, controlledDomains, settings.failureDomains.size, clock.steady())
+        val isSameDomain = path.isWithinDomain
         return PeerMessage(
             daemon = settings.daemon,
             failureDomain = settings.failureDomain,
             endpoint = settings.peerEndpoint,
-            startedAt = startedAt,
-            sequence = sequence,
+            startedAt = parts.startedAt,
+            sequence = parts.sequence,
             storeAge = storeAge(),
             isLeaving = isLeaving,
-            period = ownStatus.period(isSameDomain),
-            inFlight = ownStatus.inFlight(isSameDomain, traffic.inFlight()),
-            demand = ownStatus.demand(isSameDomain, traffic.demand()),
+            period = status.period(path),
+            inFlight = status.inFlight(isSameDomain, traffic.inFlight()),
+            demand = status.demand(isSameDomain, traffic.demand()),
             suspects = traffic.suspects(),
-            poison = poison,
-            leaving = traffic.leavingTargets().take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet(),
-            controlled = ownStatus.controlledDomains(includesGroups),
+            poison = parts.poison,
+            leaving = status.leaving(isSameDomain, traffic.leavingTargets()),
+            controlled = status.controlledDomains(parts.includesGroups),
             configurationVersion = configurationVersion ?: 0,
-            limits = if (includesLimits) ownStatus.limits(isSameDomain, traffic.limits()) else emptyList(),
+            limits = if (parts.includesLimits) status.limits(isSameDomain, traffic.limits()) else emptyList(),
+            canRelay = true,
+            isForDomain = path == HeartbeatPath.TO_REPRESENTATIVE,
+            members = if (parts.includesMembers) status.members() else emptyList(),
+            unheard = if (isSameDomain) emptySet() else parts.unheard,
         )
     }
 
@@ -422,9 +427,6 @@
     private companion object {
         val TICK_INTERVAL: Duration = Duration.ofMillis(50)
 
-        /** Limits the datagram size; peers learn of the remaining targets from the registry. */
-        const val MAX_LEAVING_TARGETS_PER_MESSAGE = 50
-
         /** Longer than a long-poll for changes takes, so a store without a response for this long has had an outage. */
         const val STORE_OUTAGE_THRESHOLD_MILLISECONDS = 1_500L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -12,8 +12,11 @@
 import org.vanillalink.gateway.traffic.TrafficMonitor
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.serving.balancing.PoisonReport
+import org.vanillalink.serving.peers.HeartbeatPath
 import org.vanillalink.serving.peers.HeartbeatSchedule
+import org.vanillalink.serving.peers.OwnStatus
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.store.ConditionalWrite
 import org.vanillalink.store.Row
@@ -43,13 +46,14 @@
     private var endpoints: Map<DaemonId, Endpoint> = emptyMap()
     private var sequence = 0L
 
-    private val sendStates = HashMap<DaemonId, PeerSendState>()
+    private val sendStates = PeerSendStates({ controlLoop.groupsVersion }, traffic)
+    private var unheardDomains: Set<FailureDomainId> = emptySet()
     private var isRegistered = false
     private val trafficMonitor = PeerTrafficMonitor(settings.linkBytesPerSecond, metrics, eventLogger)
 
     fun start() {
-        controlLoop.onUrgentChange = { send(endpoints.keys) }
-        controlLoop.onNewSuspects = ::send
+        controlLoop.onUrgentChange = ::sendUrgent
+        controlLoop.onNewSuspects = ::sendSuspects
         controlThread.execute(::refreshPeers)
         controlThread.scheduleRepeatedly(SEND_CHECK_INTERVAL, ::sendDue)
     }
@@ -58,91 +62,88 @@
 
     private fun sendDue() {
         val now = clock.steady()
-        send(endpoints.keys.filter { now >= (sendStates[it]?.nextSendAt ?: now) })
+        val status = controlLoop.ownStatus
+        val routes = status.routes(traffic.suspects())
+        logUnheard(routes.unheardDomains)
+        val periods = HeartbeatPath.entries.associateWith { status.period(it) }
+        val paths = routes.paths(endpoints.keys)
+        val due = paths.filter { (peer, path) -> sendStates.isDue(peer, periods.getValue(path), now) }
+        send(due, status, routes.unheardDomains)
     }
 
-    private fun send(recipients: Collection<DaemonId>) {
-        val now = clock.steady()
-        recipients
-            .filter { it in endpoints }
-            .groupBy {
-                MessageVariant(
-                    isInSameDomain(it),
-                    needsGroups(it, now),
-                    needsPoisonReport(it, now),
-                    needsLimits(it, now),
-                )
-            }.forEach { (variant, variantRecipients) -> send(variantRecipients, variant) }
-    }
-
-    private fun needsGroups(
-        peer: DaemonId,
-        now: Long,
-    ): Boolean {
-        val sent = sendStates[peer]?.groups ?: return true
-        return sent.version != controlLoop.groupsVersion || now - sent.at >= DETAILS_RESEND_MILLISECONDS
-    }
-
-    private fun needsPoisonReport(
-        peer: DaemonId,
-        now: Long,
-    ): Boolean {
-        val sent = sendStates[peer]?.poison ?: return true
-        val interval =
-            when {
-                sent.version != traffic.poisonVersion -> POISON_CHANGE_MILLISECONDS
-                isInSameDomain(peer) && traffic.poisonReport().losses.isNotEmpty() -> LOSSES_RESEND_MILLISECONDS
-                else -> POISON_RESEND_MILLISECONDS
-            }
-        return now - sent.at >= interval
+    private fun sendUrgent() {
+        val status = controlLoop.ownStatus
+        val routes = status.routes(traffic.suspects())
+        send(routes.paths(endpoints.keys, isUrgent = true), status, routes.unheardDomains)
+    }
+
+    private fun sendSuspects(controllers: Set<DaemonId>) {
+        val status = controlLoop.ownStatus
+        val routes = status.routes(traffic.suspects())
+        val paths = routes.paths(controllers)
+        val direct = controllers.filter { it in endpoints }.associateWith { paths[it] ?: HeartbeatPath.ACROSS_DOMAINS }
+        send(direct, status, routes.unheardDomains)
     }
 
-    private fun needsLimits(
-        peer: DaemonId,
-        now: Long,
-    ): Boolean {
-        val sent = sendStates[peer]?.limits ?: return true
-        return sent.version != traffic.limitsVersion || now - sent.at >= LIMITS_RESEND_MILLISECONDS
+    /** A daemon that has just started needs the state of the others before it decides which one should have control. */
+    private fun greet(peer: DaemonId) {
+        val status = controlLoop.ownStatus
+        val routes = status.routes(traffic.suspects())
+        val path = routes.paths(setOf(peer))[peer] ?: HeartbeatPath.ACROSS_DOMAINS.takeIf { status.isSpeaker } ?: return
+        sendStates.remove(peer)
+        send(mapOf(peer to path), status, routes.unheardDomains)
+    }
+
+    private fun logUnheard(domains: Set<FailureDomainId>) {
+        if (domains == unheardDomains) return
+        unheardDomains = domains
+        eventLogger.record("peer-domains-unheard", "failureDomains" to domains.joinToString(","))
+    }
+
+    private fun send(
+        paths: Map<DaemonId, HeartbeatPath>,
+        status: OwnStatus,
+        unheard: Set<FailureDomainId>,
+    ) {
+        val now = clock.steady()
+        paths.keys.groupBy { sendStates.variant(it, paths.getValue(it), now) }.forEach { (variant, recipients) ->
+            send(recipients, variant, status, unheard)
+        }
     }
 
     private fun send(
         recipients: List<DaemonId>,
         variant: MessageVariant,
+        status: OwnStatus,
+        unheard: Set<FailureDomainId>,
     ) {
         sequence += 1
         val now = clock.steady()
-        val sentGroups = SentDetails(controlLoop.groupsVersion, now)
-        val sentPoison = SentDetails(traffic.poisonVersion, now)
-        val sentLimits = SentDetails(traffic.limitsVersion, now)
-        val poison = if (variant.includesPoison) traffic.poisonReport() else PoisonReport()
-        val message =
-            controlLoop.buildPeerMessage(
-                variant.isSameDomain,
-                variant.includesGroups,
+        val parts =
+            PeerMessageParts(
                 sequence,
                 startedAt,
-                poison,
+                if (variant.includesPoison) traffic.poisonReport() else PoisonReport(),
+                variant.includesGroups,
                 variant.includesLimits,
+                variant.includesMembers,
+                unheard,
             )
-        val content = PeerMessageCodec.encode(message)
+        sendContent(PeerMessageCodec.encode(controlLoop.buildPeerMessage(status, variant.path, parts)), recipients)
+        recipients.forEach { sendStates.recordSent(it, variant, now) }
+    }
+
+    private fun sendContent(
+        content: ByteArray,
+        recipients: Collection<DaemonId>,
+    ) {
+        val now = clock.steady()
         recipients.forEach { daemon ->
-            socket.send(endpoints.getValue(daemon), content)
+            socket.send(endpoints[daemon] ?: return@forEach, content)
             trafficMonitor.recordSent(content.size, now)
-            val previous = sendStates[daemon]
-            sendStates[daemon] =
-                PeerSendState(
-                    now + message.period,
-                    if (variant.includesGroups || previous == null) sentGroups else previous.groups,
-                    if (variant.includesPoison || previous == null) sentPoison else previous.poison,
-                    if (variant.includesLimits || previous == null) sentLimits else previous.limits,
-                )
         }
     }
 
-    /** A peer without a received message may be anywhere; it counts as local, which has the shorter period. */
-    private fun isInSameDomain(peer: DaemonId): Boolean =
-        (controlLoop.peerDirectory.failureDomain(peer) ?: settings.failureDomain) == settings.failureDomain
-
     private fun onDatagram(content: ByteArray) {
         // The message rate grows with the fleet, so messages are decoded here and not on the traffic thread.
         controlThread.execute { onMessageContent(content) }
@@ -159,10 +160,19 @@
     private fun onMessage(message: PeerMessage) {
         traffic.onPeerMessage(message)
         if (endpoints[message.daemon] != message.endpoint) endpoints = endpoints + (message.daemon to message.endpoint)
-        if (!controlLoop.onPeerMessage(message)) return
-        // A daemon that has just started needs the state of the others before it decides which one should have control.
-        sendStates.remove(message.daemon)
-        send(setOf(message.daemon))
+        val isNews = controlLoop.peerDirectory.isNews(message)
+        val isNew = controlLoop.onPeerMessage(message)
+        if (message.relayedBy != null) return
+        if (message.isForDomain && isNews) relay(message)
+        if (isNew) greet(message.daemon)
+    }
+
+    /** Passes [message] on to the daemons in this failure domain. */
+    private fun relay(message: PeerMessage) {
+        if (message.failureDomain == settings.failureDomain) return
+        val directory = controlLoop.peerDirectory
+        val recipients = endpoints.keys.filter { directory.failureDomain(it) == settings.failureDomain }
+        sendContent(PeerMessageCodec.encode(message.copy(relayedBy = settings.daemon)), recipients)
     }
 
     /** Registers this daemon again if the store has lost its row. */
@@ -223,19 +233,6 @@
         /** Peers send their own endpoints; the list in the store is for peers without a received message. */
         val REFRESH_INTERVAL: Duration = Duration.ofSeconds(15)
 
-        /** Limits how long a peer uses outdated groups and evidence after a lost datagram. */
-        const val DETAILS_RESEND_MILLISECONDS = 1_000L
-
-        /** With each lost target there are many changes within some milliseconds. */
-        const val POISON_CHANGE_MILLISECONDS = 150L
-
-        const val LOSSES_RESEND_MILLISECONDS = 2_000L
-
-        /** Blocks change rarely, and losses reach other domains from each daemon that has heard of them. */
-        const val POISON_RESEND_MILLISECONDS = 5_000L
-
-        /** Limits how long a peer doesn't know a limit, or its end, after a lost datagram. */
-        const val LIMITS_RESEND_MILLISECONDS = 3_000L
         val STARTUP_REFRESH_INTERVAL: Duration = Duration.ofMillis(500)
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -15,6 +15,7 @@
 import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.DomainMember
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
@@ -23,7 +24,7 @@
 import org.vanillalink.transport.read
 
 internal object PeerMessageCodec {
-    fun encode(message: PeerMessage): ByteArray = Json.write(message)
+    fun encode(message: PeerMessage): ByteArray = PeerMessageWriter.write(message)
 
     fun decode(content: ByteArray): Either<MalformedJson, PeerMessage> = Json.read<JsonNode>(content).flatMap { node ->
         Either
@@ -48,6 +49,24 @@
         controlled = node.required("controlled").map(::parseControlledDomain),
         limits = node.get("limits")?.map(::parseLimit).orEmpty(),
         configurationVersion = node.path("configurationVersion").asLong(),
+        canRelay = node.path("canRelay").asBoolean(),
+        isForDomain = node.path("isForDomain").asBoolean(),
+        relayedBy = node.get("relayedBy")?.takeUnless { it.isNull }?.let { DaemonId(it.asText()) },
+        members = node.get("members")?.map(::parseMember).orEmpty(),
+        unheard =
+            node
+                .get("unheard")
+                ?.map { FailureDomainId(it.asText()) }
+                ?.toSet()
+                .orEmpty(),
+    )
+
+    private fun parseMember(node: JsonNode) = DomainMember(
+        daemon = DaemonId(node.text("daemon")),
+        endpoint = Endpoint(node.text("address"), node.required("port").asInt()),
+        startedAt = node.number("startedAt"),
+        storeAge = node.number("storeAge"),
+        isLeaving = node.path("isLeaving").asBoolean(),
     )
 
     private fun parseLimit(node: JsonNode) = ReportedLimit(
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -16,9 +16,11 @@
 import org.vanillalink.serving.balancing.TraitKind
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
+import org.vanillalink.serving.peers.DomainMember
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
+import org.vanillalink.transport.Json
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -59,6 +61,15 @@
                     ControlledDomain(FailureDomainId("lekki"), 3, null, emptySet(), isSameAsBefore = true),
                 ),
             configurationVersion = 15,
+            canRelay = true,
+            isForDomain = true,
+            relayedBy = DaemonId("b"),
+            members =
+                listOf(
+                    DomainMember(DaemonId("c"), Endpoint("10.0.0.2", 7_340), 17, 18, isLeaving = true),
+                    DomainMember(DaemonId("d"), Endpoint("10.0.0.3", 7_340), 19, 20, isLeaving = false),
+                ),
+            unheard = setOf(FailureDomainId("lekki")),
             limits =
                 listOf(
                     ReportedLimit(target, 4.8, 13),
@@ -76,20 +87,36 @@
     fun `a message of an earlier version is decoded, and the current one has the fields that it requires`() {
         val content = testSubject.encode(message).decodeToString()
         val earlier =
-            content
-                .replace(
-                    "\"poison\"",
-                    "\"other\"",
-                ).replace("\"limits\"", "\"another\"")
-                .replace("\"configurationVersion\"", "\"third\"")
+            listOf("poison", "limits", "configurationVersion", "canRelay", "isForDomain", "relayedBy", "unheard")
+                .fold(content) { text, field -> text.replace("\"$field\"", "\"other-$field\"") }
+                .replace("\"members\":[{", "\"other-members\":[{")
 
-        assertEquals(
-            message.copy(poison = PoisonReport(), limits = emptyList(), configurationVersion = 0),
-            testSubject.decode(earlier.toByteArray()).getOrNull(),
-        )
+        val expected =
+            message.copy(
+                poison = PoisonReport(),
+                limits = emptyList(),
+                configurationVersion = 0,
+                canRelay = false,
+                isForDomain = false,
+                relayedBy = null,
+                members = emptyList(),
+                unheard = emptySet(),
+            )
+        assertEquals(expected, testSubject.decode(earlier.toByteArray()).getOrNull())
         assertTrue("\"strikes\":[]" in content)
     }
 
+    // Guards against a hand-written encoding that the decoder of the version before doesn't read.
+    @Test
+    fun `the encoding has the fields of the message, except for optional ones without content`() {
+        val written = Json.mapper.readTree(testSubject.encode(message))
+        val plain = Json.mapper.readTree(Json.write(message))
+
+        val required = plain.fieldNames().asSequence().toSet() - "members"
+        assertEquals(required, written.fieldNames().asSequence().toSet() - "members")
+        required.forEach { assertEquals(plain[it], written[it], it) }
+    }
+
     @Test
     fun `a message with a missing field is malformed`() {
         val content = testSubject.encode(message).decodeToString().replace("\"sequence\"", "\"other\"")
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatSchedule.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatSchedule.kt
@@ -31,6 +31,10 @@
         return spacedPeriod.coerceIn(MIN_PERIOD_MILLISECONDS, MAX_PERIOD_MILLISECONDS)
     }
 
+    /** For peers that may be anywhere or may have ended; [peerCount] is how many peers there are. */
+    fun probePeriod(peerCount: Int): Long = (SPACING_WITHIN_DOMAIN_MILLISECONDS * peerCount)
+        .coerceIn(MIN_PERIOD_MILLISECONDS, MAX_PERIOD_MILLISECONDS)
+
     /** How long a peer with the given [period] counts as alive without a message; tolerates two lost datagrams. */
     fun livenessTimeout(period: Long): Long = maxOf(MIN_LIVENESS_TIMEOUT_MILLISECONDS, period * LIVENESS_PERIODS)
 
@@ -42,6 +46,9 @@
     /** Limits how late other failure domains notice that all daemons of a domain have ended. */
     const val MAX_PERIOD_MILLISECONDS = 5_000L
 
+    /** Milliseconds between two lists of the daemons in a failure domain. */
+    const val MEMBERS_PERIOD_MILLISECONDS = 2_000L
+
     /** At this spacing of peers' messages, a daemon receives 25 per second from its own failure domain. */
     private const val SPACING_WITHIN_DOMAIN_MILLISECONDS = 40L
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
@@ -5,6 +5,8 @@
 
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.targets.GroupKey
+import org.vanillalink.serving.targets.TargetInstance
 
 /** The status of the daemon [own], which has control of [controlledDomains]; [peers] holds its peers' messages. */
 class OwnStatus(
@@ -15,17 +17,51 @@
     private val now: Long,
 ) {
     private val hasControlOfOwnDomain = controlledDomains.any { it.failureDomain == own.failureDomain }
-    private val representsDomain = peers.isRepresentative(own, hasControlOfOwnDomain, now)
+
+    /** Whether this daemon represents its failure domain to others. */
+    val representsDomain = peers.isRepresentative(own, hasControlOfOwnDomain, now)
+
+    /** Whether other failure domains need this daemon's messages at the representative's rate. */
+    val isSpeaker = representsDomain || controlledDomains.isNotEmpty()
     private val role =
         HeartbeatRole(
-            isRepresentative = representsDomain || controlledDomains.isNotEmpty(),
+            isRepresentative = isSpeaker,
             daemonsInDomain = peers.peersIn(own.failureDomain, now).size + 1,
             failureDomainCount = failureDomainCount,
         )
 
-    /** Milliseconds between messages to a peer in this daemon's failure domain or in another one. */
-    fun period(isSameDomain: Boolean): Long =
-        if (isSameDomain) HeartbeatSchedule.periodWithinDomain(role) else HeartbeatSchedule.periodAcrossDomains(role)
+    /** Milliseconds between messages on [path]. */
+    fun period(path: HeartbeatPath): Long = when (path) {
+        HeartbeatPath.WITHIN_DOMAIN -> HeartbeatSchedule.periodWithinDomain(role)
+        HeartbeatPath.ACROSS_DOMAINS, HeartbeatPath.TO_REPRESENTATIVE -> HeartbeatSchedule.periodAcrossDomains(role)
+        HeartbeatPath.UNKNOWN_DOMAIN, HeartbeatPath.PROBE -> HeartbeatSchedule.probePeriod(peers.peers.size)
+    }
+
+    /** Which peers to send heartbeats to; [suspects] are the groups that this daemon sees stalled. */
+    fun routes(suspects: Set<GroupKey>): HeartbeatRoutes = HeartbeatRoutes(this, own, suspects.isNotEmpty(), peers, now)
+
+    /** The live peers in this daemon's failure domain, for the others. */
+    fun members(): List<DomainMember> = if (!representsDomain) {
+        emptyList()
+    } else {
+        peers.peersIn(own.failureDomain, now).map {
+            DomainMember(it.daemon, it.endpoint, it.startedAt, it.storeAge, it.isLeaving)
+        }
+    }
+
+    /** The leaving targets to announce to such peers; [targets] are those that told this daemon. */
+    fun leaving(
+        isSameDomain: Boolean,
+        targets: Set<TargetInstance>,
+    ): Set<TargetInstance> {
+        val announced =
+            if (isSameDomain || !representsDomain) {
+                targets
+            } else {
+                targets + peers.peersIn(own.failureDomain, now).flatMap { it.leaving }
+            }
+        return announced.take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet()
+    }
 
     /** The requests in flight by target to announce to such peers; [counts] are this daemon's own requests. */
     fun inFlight(
@@ -73,6 +109,9 @@
         if (withGroups) controlledDomains else controlledDomains.map { it.copy(groups = null, isSameAsBefore = true) }
 
     private companion object {
+        /** Limits the datagram size; peers learn of the remaining targets from the registry. */
+        const val MAX_LEAVING_TARGETS_PER_MESSAGE = 50
+
         /** Limits the datagram size. */
         const val MAX_LIMITS_PER_MESSAGE = 32
     }
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -6,6 +6,7 @@
 
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
 
 /** The latest message of a peer. */
@@ -15,7 +16,14 @@
     /** The limits in the latest message that had any, and when it was received. */
     val limits: List<ReportedLimit> = message.limits,
     val limitsReceivedAt: Long = receivedAt,
-)
+    /** When the peer's own message last arrived, or null if only its failure domain's representative has listed it. */
+    val heardAt: Long? = receivedAt,
+    /** When a message last arrived from the peer itself, and not through another daemon; null if none has. */
+    val heardDirectlyAt: Long? = heardAt,
+) {
+    /** Whether the latest that is known of the peer is that the representative of its failure domain lists it. */
+    val isListed: Boolean get() = heardAt != receivedAt
+}
 
 /** This daemon's own properties that determine which daemon should control a failure domain. */
 data class OwnState(
@@ -29,20 +37,61 @@
 data class PeerDirectory(
     val peers: Map<DaemonId, PeerState> = emptyMap(),
 ) {
+    /** Whether [message] is later than the previous one of its sender. */
+    fun isNews(message: PeerMessage): Boolean {
+        val previous = peers[message.daemon]?.message ?: return true
+        if (message.startedAt != previous.startedAt) return message.startedAt > previous.startedAt
+        return message.sequence > previous.sequence
+    }
+
     /** Returns the directory with [message]; ignores messages of earlier instances or with older sequence numbers. */
     fun withMessage(
         message: PeerMessage,
         now: Long,
     ): PeerDirectory {
+        if (!isNews(message)) return this
         val previous = peers[message.daemon]?.message
-        val isOlder =
-            previous != null && (
-                message.startedAt < previous.startedAt ||
-                    (message.startedAt == previous.startedAt && message.sequence <= previous.sequence)
-            )
-        if (isOlder) return this
         val completed = message.copy(controlled = message.controlled.map { withPreviousGroups(it, previous) })
-        return PeerDirectory(peers + (message.daemon to stateAfter(completed, now)))
+        val changed = HashMap(peers)
+        changed[message.daemon] = stateAfter(completed, now)
+        message.members.forEach { member ->
+            stateOfListed(member, message.failureDomain, now)?.let { changed[member.daemon] = it }
+        }
+        return PeerDirectory(changed)
+    }
+
+    /** The state of a peer that only its representative has reported, or null if its own messages say more. */
+    private fun stateOfListed(
+        member: DomainMember,
+        failureDomain: FailureDomainId,
+        now: Long,
+    ): PeerState? {
+        val previous = peers[member.daemon]
+        if (previous != null) {
+            if (member.startedAt < previous.message.startedAt) return null
+            val isSameInstance = member.startedAt == previous.message.startedAt
+            if (isSameInstance && !previous.isListed && isAlive(previous, now)) return null
+        }
+        val lastSequence = previous?.message?.takeIf { it.startedAt == member.startedAt }?.sequence ?: 0
+        val message =
+            PeerMessage(
+                daemon = member.daemon,
+                failureDomain = failureDomain,
+                endpoint = member.endpoint,
+                startedAt = member.startedAt,
+                sequence = lastSequence,
+                storeAge = member.storeAge,
+                isLeaving = member.isLeaving,
+                period = HeartbeatSchedule.MEMBERS_PERIOD_MILLISECONDS,
+                inFlight = emptyMap(),
+                demand = emptyMap(),
+                suspects = emptySet(),
+                poison = PoisonReport(),
+                leaving = emptySet(),
+                controlled = emptyList(),
+                canRelay = true,
+            )
+        return PeerState(message, now, heardAt = previous?.heardAt, heardDirectlyAt = previous?.heardDirectlyAt)
     }
 
     private fun stateAfter(
@@ -50,8 +99,10 @@
         now: Long,
     ): PeerState {
         val previous = peers[message.daemon]
-        if (previous == null || message.limits.isNotEmpty()) return PeerState(message, now)
-        return PeerState(message, now, previous.limits, previous.limitsReceivedAt)
+        val heardDirectlyAt = if (message.relayedBy == null) now else previous?.heardDirectlyAt
+        val state = PeerState(message, now, heardDirectlyAt = heardDirectlyAt)
+        if (previous == null || message.limits.isNotEmpty()) return state
+        return state.copy(limits = previous.limits, limitsReceivedAt = previous.limitsReceivedAt)
     }
 
     /**
@@ -116,7 +167,8 @@
         return domainPeers.none { rank(own.failureDomain, it.daemon) < rank(own.failureDomain, own.daemon) }
     }
 
-    private fun isAlive(
+    /** Whether [peer]'s latest message is recent enough for its heartbeat period. */
+    fun isAlive(
         peer: PeerState,
         now: Long,
     ): Boolean = now - peer.receivedAt < HeartbeatSchedule.livenessTimeout(peer.message.period)
@@ -173,7 +225,8 @@
         val term: Long,
     )
 
-    private fun termIn(
+    /** The term in which the sender of [message] controls [domain], or 0. */
+    fun termIn(
         message: PeerMessage,
         domain: FailureDomainId,
     ): Long = message.controlled.firstOrNull { it.failureDomain == domain }?.term ?: 0
@@ -195,7 +248,8 @@
         .groupBy { it.failureDomain }
         .mapValues { (_, claims) -> claims.maxBy { it.term } }
 
-    private fun rank(
+    /** Orders the daemons that could control or represent [domain]; the lowest comes first. */
+    fun rank(
         domain: FailureDomainId,
         daemon: DaemonId,
     ): Int = (domain.value + '/' + daemon.value).hashCode()
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -51,12 +51,31 @@
     val limits: List<ReportedLimit> = emptyList(),
     /** The version of the configuration in force at this daemon, or 0 before it knows one. */
     val configurationVersion: Long = 0,
+    /** Whether this daemon passes on messages for its failure domain; daemons of earlier versions don't. */
+    val canRelay: Boolean = false,
+    /** Whether the receiver passes the message on within its failure domain. */
+    val isForDomain: Boolean = false,
+    /** The daemon that passed this message on, or null if the sender sent it here itself. */
+    val relayedBy: DaemonId? = null,
+    /** To other failure domains: the live peers in this daemon's failure domain. Empty unless last sent a while ago. */
+    val members: List<DomainMember> = emptyList(),
+    /** Other failure domains of which no message has reached this daemon for a while. */
+    val unheard: Set<FailureDomainId> = emptySet(),
 ) {
     /** Always empty, but daemons of earlier versions require it. */
     @Suppress("unused")
     val strikes: List<String> get() = emptyList()
 }
 
+/** A live daemon as its failure domain's representative lists it, with the times of [PeerMessage]. */
+data class DomainMember(
+    val daemon: DaemonId,
+    val endpoint: Endpoint,
+    val startedAt: Long,
+    val storeAge: Long,
+    val isLeaving: Boolean,
+)
+
 /** The groups of a failure domain as announced by its controller in [term]. */
 data class ControlledDomain(
     val failureDomain: FailureDomainId,
