Keep listed daemons known without a gap, and send to many peers at once

A daemon that was listed while its own message still counted dropped out until the next list (seen in HeartbeatRoutesTest: a failure domain was to be controlled from outside). The list is now kept beside the messages.

A message to several peers wakes the event loop once, and daemons that have just started are answered together.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -47,6 +47,7 @@
     private var sequence = 0L
 
     private val sendStates = PeerSendStates({ controlLoop.groupsVersion }, traffic)
+    private val startedPeers = HashSet<DaemonId>()
     private var unheardDomains: Set<FailureDomainId> = emptySet()
     private var isRegistered = false
     private val trafficMonitor = PeerTrafficMonitor(settings.linkBytesPerSecond, metrics, eventLogger)
@@ -65,10 +66,7 @@
         val status = controlLoop.ownStatus
         val routes = status.routes(traffic.suspects())
         logUnheard(routes.unheardDomains)
-        val periods = HeartbeatPath.entries.associateWith { status.period(it) }
-        val paths = routes.paths(endpoints.keys)
-        val due = paths.filter { (peer, path) -> sendStates.isDue(peer, periods.getValue(path), now) }
-        send(due, status, routes.unheardDomains)
+        send(duePaths(routes.paths(endpoints.keys), status, now), status, routes.unheardDomains)
     }
 
     private fun sendUrgent() {
@@ -85,13 +83,17 @@
         send(direct, status, routes.unheardDomains)
     }
 
-    /** A daemon that has just started needs the state of the others before it decides which one should have control. */
-    private fun greet(peer: DaemonId) {
-        val status = controlLoop.ownStatus
-        val routes = status.routes(traffic.suspects())
-        val path = routes.paths(setOf(peer))[peer] ?: HeartbeatPath.ACROSS_DOMAINS.takeIf { status.isSpeaker } ?: return
-        sendStates.remove(peer)
-        send(mapOf(peer to path), status, routes.unheardDomains)
+    /** The [paths] on which messages are due, and those to daemons that have just started. */
+    private fun duePaths(
+        paths: Map<DaemonId, HeartbeatPath>,
+        status: OwnStatus,
+        now: Long,
+    ): Map<DaemonId, HeartbeatPath> {
+        val periods = HeartbeatPath.entries.associateWith { status.period(it) }
+        val due = paths.filter { (peer, path) -> sendStates.isDue(peer, periods.getValue(path), now) }
+        val greeted = if (status.isSpeaker) startedPeers.filter { it in endpoints && it !in paths } else emptyList()
+        startedPeers.clear()
+        return due + greeted.associateWith { HeartbeatPath.ACROSS_DOMAINS }
     }
 
     private fun logUnheard(domains: Set<FailureDomainId>) {
@@ -138,10 +140,9 @@
         recipients: Collection<DaemonId>,
     ) {
         val now = clock.steady()
-        recipients.forEach { daemon ->
-            socket.send(endpoints[daemon] ?: return@forEach, content)
-            trafficMonitor.recordSent(content.size, now)
-        }
+        val receivers = recipients.mapNotNull { endpoints[it] }
+        socket.send(receivers, content)
+        repeat(receivers.size) { trafficMonitor.recordSent(content.size, now) }
     }
 
     private fun onDatagram(content: ByteArray) {
@@ -164,7 +165,11 @@
         val isNew = controlLoop.onPeerMessage(message)
         if (message.relayedBy != null) return
         if (message.isForDomain && isNews) relay(message)
-        if (isNew) greet(message.daemon)
+        if (isNew) {
+            // It needs the state of the others before it decides which one should have control.
+            sendStates.remove(message.daemon)
+            startedPeers += message.daemon
+        }
     }
 
     /** Passes [message] on to the daemons in this failure domain. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatRoutes.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/HeartbeatRoutes.kt
@@ -38,7 +38,7 @@
     private val now: Long,
 ) {
     private val peersByDomain by lazy(LazyThreadSafetyMode.NONE) {
-        peers.peers.values.groupBy { it.message.failureDomain }
+        peers.states(now).groupBy { it.message.failureDomain }
     }
 
     /** The other failure domains with daemons, of which no message has arrived for a while. */
@@ -121,8 +121,8 @@
 
     /** A representative needs the messages themselves, since it passes them on. */
     private fun isUnheard(failureDomain: FailureDomainId): Boolean =
-        peersByDomain.getValue(failureDomain).none { peer ->
-            val heardAt = if (status.representsDomain) peer.heardDirectlyAt else peer.heardAt
+        peers.peers.values.filter { it.message.failureDomain == failureDomain }.none { peer ->
+            val heardAt = if (status.representsDomain) peer.heardDirectlyAt else peer.receivedAt
             heardAt != null && now - heardAt < UNHEARD_MILLISECONDS
         }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/OwnStatus.kt
@@ -34,7 +34,7 @@
     fun period(path: HeartbeatPath): Long = when (path) {
         HeartbeatPath.WITHIN_DOMAIN -> HeartbeatSchedule.periodWithinDomain(role)
         HeartbeatPath.ACROSS_DOMAINS, HeartbeatPath.TO_REPRESENTATIVE -> HeartbeatSchedule.periodAcrossDomains(role)
-        HeartbeatPath.UNKNOWN_DOMAIN, HeartbeatPath.PROBE -> HeartbeatSchedule.probePeriod(peers.peers.size)
+        HeartbeatPath.UNKNOWN_DOMAIN, HeartbeatPath.PROBE -> HeartbeatSchedule.probePeriod(peers.states(now).size)
     }
 
     /** Which peers to send heartbeats to; [suspects] are the groups that this daemon sees stalled. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -16,14 +16,11 @@
     /** The limits in the latest message that had any, and when it was received. */
     val limits: List<ReportedLimit> = message.limits,
     val limitsReceivedAt: Long = receivedAt,
-    /** When the peer's own message last arrived, or null if only its failure domain's representative has listed it. */
-    val heardAt: Long? = receivedAt,
     /** When a message last arrived from the peer itself, and not through another daemon; null if none has. */
-    val heardDirectlyAt: Long? = heardAt,
-) {
-    /** Whether the latest that is known of the peer is that the representative of its failure domain lists it. */
-    val isListed: Boolean get() = heardAt != receivedAt
-}
+    val heardDirectlyAt: Long? = receivedAt,
+    /** Whether this isn't the peer's own message, but what the representative of its failure domain says of it. */
+    val isListed: Boolean = false,
+)
 
 /** This daemon's own properties that determine which daemon should control a failure domain. */
 data class OwnState(
@@ -35,8 +32,24 @@
 
 /** Immutable directory of peers; times are milliseconds on the steady clock. */
 data class PeerDirectory(
+    /** The latest messages of the peers themselves. */
     val peers: Map<DaemonId, PeerState> = emptyMap(),
+    private val listed: Map<DaemonId, PeerState> = emptyMap(),
 ) {
+    /** What is known of each peer: its own message, or, if that is too old, the entry in its representative's list. */
+    fun states(now: Long): List<PeerState> =
+        peers.values.map { current(it, now) } + listed.values.filter { it.message.daemon !in peers }
+
+    private fun current(
+        heard: PeerState,
+        now: Long,
+    ): PeerState {
+        if (isAlive(heard, now)) return heard
+        val entry = listed[heard.message.daemon] ?: return heard
+        if (entry.message.startedAt < heard.message.startedAt) return heard
+        return if (isAlive(entry, now) || entry.receivedAt > heard.receivedAt) entry else heard
+    }
+
     /** Whether [message] is later than the previous one of its sender. */
     fun isNews(message: PeerMessage): Boolean {
         val previous = peers[message.daemon]?.message ?: return true
@@ -52,48 +65,38 @@
         if (!isNews(message)) return this
         val previous = peers[message.daemon]?.message
         val completed = message.copy(controlled = message.controlled.map { withPreviousGroups(it, previous) })
-        val changed = HashMap(peers)
-        changed[message.daemon] = stateAfter(completed, now)
-        message.members.forEach { member ->
-            stateOfListed(member, message.failureDomain, now)?.let { changed[member.daemon] = it }
-        }
-        return PeerDirectory(changed)
+        val currentlyListed = if (message.members.isEmpty()) listed else listed + entries(message, now)
+        return PeerDirectory(peers + (message.daemon to stateAfter(completed, now)), currentlyListed)
     }
 
-    /** The state of a peer that only its representative has reported, or null if its own messages say more. */
-    private fun stateOfListed(
-        member: DomainMember,
-        failureDomain: FailureDomainId,
+    private fun entries(
+        message: PeerMessage,
         now: Long,
-    ): PeerState? {
-        val previous = peers[member.daemon]
-        if (previous != null) {
-            if (member.startedAt < previous.message.startedAt) return null
-            val isSameInstance = member.startedAt == previous.message.startedAt
-            if (isSameInstance && !previous.isListed && isAlive(previous, now)) return null
-        }
-        val lastSequence = previous?.message?.takeIf { it.startedAt == member.startedAt }?.sequence ?: 0
-        val message =
-            PeerMessage(
-                daemon = member.daemon,
-                failureDomain = failureDomain,
-                endpoint = member.endpoint,
-                startedAt = member.startedAt,
-                sequence = lastSequence,
-                storeAge = member.storeAge,
-                isLeaving = member.isLeaving,
-                period = HeartbeatSchedule.MEMBERS_PERIOD_MILLISECONDS,
-                inFlight = emptyMap(),
-                demand = emptyMap(),
-                suspects = emptySet(),
-                poison = PoisonReport(),
-                leaving = emptySet(),
-                controlled = emptyList(),
-                canRelay = true,
-            )
-        return PeerState(message, now, heardAt = previous?.heardAt, heardDirectlyAt = previous?.heardDirectlyAt)
+    ): Map<DaemonId, PeerState> = message.members.associate { member ->
+        member.daemon to PeerState(messageOf(member, message.failureDomain), now, isListed = true)
     }
 
+    private fun messageOf(
+        member: DomainMember,
+        failureDomain: FailureDomainId,
+    ) = PeerMessage(
+        daemon = member.daemon,
+        failureDomain = failureDomain,
+        endpoint = member.endpoint,
+        startedAt = member.startedAt,
+        sequence = 0,
+        storeAge = member.storeAge,
+        isLeaving = member.isLeaving,
+        period = HeartbeatSchedule.MEMBERS_PERIOD_MILLISECONDS,
+        inFlight = emptyMap(),
+        demand = emptyMap(),
+        suspects = emptySet(),
+        poison = PoisonReport(),
+        leaving = emptySet(),
+        controlled = emptyList(),
+        canRelay = true,
+    )
+
     private fun stateAfter(
         message: PeerMessage,
         now: Long,
@@ -119,7 +122,7 @@
     }
 
     /** Peers whose latest message is recent enough for their heartbeat period. */
-    fun alivePeers(now: Long): List<PeerState> = peers.values.filter { isAlive(it, now) }
+    fun alivePeers(now: Long): List<PeerState> = states(now).filter { isAlive(it, now) }
 
     /** The slot demand by model: [localDemand] of this daemon's callers plus that of all live peers. */
     fun slotDemand(
@@ -133,8 +136,8 @@
         return total
     }
 
-    /** The failure domain of [peer], or null before its first message. */
-    fun failureDomain(peer: DaemonId): FailureDomainId? = peers[peer]?.message?.failureDomain
+    /** The failure domain of [peer], or null before its first message, or list with it. */
+    fun failureDomain(peer: DaemonId): FailureDomainId? = (peers[peer] ?: listed[peer])?.message?.failureDomain
 
     /** The latest messages of live peers in [failureDomain]. */
     fun peersIn(
@@ -174,10 +177,10 @@
     ): Boolean = now - peer.receivedAt < HeartbeatSchedule.livenessTimeout(peer.message.period)
 
     /** The number of daemons that share budgets: this one and all with a message within the longest budget window. */
-    fun budgetDaemons(now: Long): Int = 1 + peers.values.count { sharesBudgets(it, now) }
+    fun budgetDaemons(now: Long): Int = 1 + states(now).count { sharesBudgets(it, now) }
 
     /** The latest messages of the peers that share limits; one that left and ended has no more requests. */
-    fun sharingMessages(now: Long): List<PeerMessage> = peers.values
+    fun sharingMessages(now: Long): List<PeerMessage> = states(now)
         .filter { sharesBudgets(it, now) && (!it.message.isLeaving || isAlive(it, now)) }
         .map { it.message }
 
--- a/transport/src/main/kotlin/org/vanillalink/transport/UdpSocket.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/UdpSocket.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import org.vanillalink.model.Endpoint
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 
 /** Receives datagrams on [bind] and passes their content to [onReceive] on an event loop thread. */
 class UdpSocket(
@@ -34,13 +35,25 @@
     /** The bound port; the one that the system has assigned where [bind] has port 0. */
     val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
-    /** Sends [content] to [target], without a guarantee of delivery. */
+    private val addresses = ConcurrentHashMap<Endpoint, InetSocketAddress>()
+
+    /** Sends [content] to each of [targets], without a guarantee of delivery. */
     fun send(
-        target: Endpoint,
+        targets: Collection<Endpoint>,
         content: ByteArray,
     ) {
-        val address = InetSocketAddress(target.address, target.port)
-        channel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(content), address))
+        if (targets.isEmpty()) return
+        val receivers = targets.map { address(it) }
+        // One task wakes the event loop once, and not for each datagram.
+        channel.eventLoop().execute {
+            receivers.forEach { channel.write(DatagramPacket(Unpooled.wrappedBuffer(content), it)) }
+            channel.flush()
+        }
+    }
+
+    private fun address(endpoint: Endpoint): InetSocketAddress {
+        if (addresses.size > MAX_ADDRESSES) addresses.clear()
+        return addresses.computeIfAbsent(endpoint) { InetSocketAddress(it.address, it.port) }
     }
 
     override fun close() {
@@ -50,6 +63,9 @@
     private companion object {
         /** The largest payload of UDP over IPv4. Netty's default receive buffer truncates datagrams at 2,048 bytes. */
         const val MAX_DATAGRAM_BYTES = 65_507
+
+        /** Addresses of peers that have ended are kept until there are this many. */
+        const val MAX_ADDRESSES = 2_000
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
