--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -6,6 +6,7 @@
 
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.FailureDomainId
+import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
 
 /** The latest message of a peer. */
@@ -15,6 +16,10 @@
     /** The limits in the latest message that had any, and when it was received. */
     val limits: List<ReportedLimit> = message.limits,
     val limitsReceivedAt: Long = receivedAt,
+    /** When a message last arrived from the peer itself, and not through another daemon; null if none has. */
+    val heardDirectlyAt: Long? = receivedAt,
+    /** Whether this isn't the peer's own message, but what the representative of its failure domain says of it. */
+    val isListed: Boolean = false,
 )
 
 /** This daemon's own properties that determine which daemon should control a failure domain. */
@@ -27,31 +32,80 @@
 
 /** Immutable directory of peers; times are milliseconds on the steady clock. */
 data class PeerDirectory(
+    /** The latest messages of the peers themselves. */
     val peers: Map<DaemonId, PeerState> = emptyMap(),
+    private val listed: Map<DaemonId, PeerState> = emptyMap(),
 ) {
+    /** What is known of each peer: its own message, or, if that is too old, the entry in its representative's list. */
+    fun states(now: Long): List<PeerState> =
+        peers.values.map { current(it, now) } + listed.values.filter { it.message.daemon !in peers }
+
+    private fun current(
+        heard: PeerState,
+        now: Long,
+    ): PeerState {
+        if (isAlive(heard, now)) return heard
+        val entry = listed[heard.message.daemon] ?: return heard
+        if (entry.message.startedAt < heard.message.startedAt) return heard
+        return if (isAlive(entry, now) || entry.receivedAt > heard.receivedAt) entry else heard
+    }
+
+    /** Whether [message] is later than the previous one of its sender. */
+    fun isNews(message: PeerMessage): Boolean {
+        val previous = peers[message.daemon]?.message ?: return true
+        if (message.startedAt != previous.startedAt) return message.startedAt > previous.startedAt
+        return message.sequence > previous.sequence
+    }
+
     /** Returns the directory with [message]; ignores messages of earlier instances or with older sequence numbers. */
     fun withMessage(
         message: PeerMessage,
         now: Long,
     ): PeerDirectory {
+        if (!isNews(message)) return this
         val previous = peers[message.daemon]?.message
-        val isOlder =
-            previous != null && (
-                message.startedAt < previous.startedAt ||
-                    (message.startedAt == previous.startedAt && message.sequence <= previous.sequence)
-            )
-        if (isOlder) return this
         val completed = message.copy(controlled = message.controlled.map { withPreviousGroups(it, previous) })
-        return PeerDirectory(peers + (message.daemon to stateAfter(completed, now)))
+        val currentlyListed = if (message.members.isEmpty()) listed else listed + entries(message, now)
+        return PeerDirectory(peers + (message.daemon to stateAfter(completed, now)), currentlyListed)
     }
 
+    private fun entries(
+        message: PeerMessage,
+        now: Long,
+    ): Map<DaemonId, PeerState> = message.members.associate { member ->
+        member.daemon to PeerState(messageOf(member, message.failureDomain), now, isListed = true)
+    }
+
+    private fun messageOf(
+        member: DomainMember,
+        failureDomain: FailureDomainId,
+    ) = PeerMessage(
+        daemon = member.daemon,
+        failureDomain = failureDomain,
+        endpoint = member.endpoint,
+        startedAt = member.startedAt,
+        sequence = 0,
+        storeAge = member.storeAge,
+        isLeaving = member.isLeaving,
+        period = HeartbeatSchedule.MEMBERS_PERIOD_MILLISECONDS,
+        inFlight = emptyMap(),
+        demand = emptyMap(),
+        suspects = emptySet(),
+        poison = PoisonReport(),
+        leaving = emptySet(),
+        controlled = emptyList(),
+        canRelay = true,
+    )
+
     private fun stateAfter(
         message: PeerMessage,
         now: Long,
     ): PeerState {
         val previous = peers[message.daemon]
-        if (previous == null || message.limits.isNotEmpty()) return PeerState(message, now)
-        return PeerState(message, now, previous.limits, previous.limitsReceivedAt)
+        val heardDirectlyAt = if (message.relayedBy == null) now else previous?.heardDirectlyAt
+        val state = PeerState(message, now, heardDirectlyAt = heardDirectlyAt)
+        if (previous == null || message.limits.isNotEmpty()) return state
+        return state.copy(limits = previous.limits, limitsReceivedAt = previous.limitsReceivedAt)
     }
 
     /**
@@ -68,7 +122,7 @@
     }
 
     /** Peers whose latest message is recent enough for their heartbeat period. */
-    fun alivePeers(now: Long): List<PeerState> = peers.values.filter { isAlive(it, now) }
+    fun alivePeers(now: Long): List<PeerState> = states(now).filter { isAlive(it, now) }
 
     /** The slot demand by model: [localDemand] of this daemon's callers plus that of all live peers. */
     fun slotDemand(
@@ -82,8 +136,8 @@
         return total
     }
 
-    /** The failure domain of [peer], or null before its first message. */
-    fun failureDomain(peer: DaemonId): FailureDomainId? = peers[peer]?.message?.failureDomain
+    /** The failure domain of [peer], or null before its first message, or list with it. */
+    fun failureDomain(peer: DaemonId): FailureDomainId? = (peers[peer] ?: listed[peer])?.message?.failureDomain
 
     /** The latest messages of live peers in [failureDomain]. */
     fun peersIn(
@@ -116,16 +170,17 @@
         return domainPeers.none { rank(own.failureDomain, it.daemon) < rank(own.failureDomain, own.daemon) }
     }
 
-    private fun isAlive(
+    /** Whether [peer]'s latest message is recent enough for its heartbeat period. */
+    fun isAlive(
         peer: PeerState,
         now: Long,
     ): Boolean = now - peer.receivedAt < HeartbeatSchedule.livenessTimeout(peer.message.period)
 
     /** The number of daemons that share budgets: this one and all with a message within the longest budget window. */
-    fun budgetDaemons(now: Long): Int = 1 + peers.values.count { sharesBudgets(it, now) }
+    fun budgetDaemons(now: Long): Int = 1 + states(now).count { sharesBudgets(it, now) }
 
     /** The latest messages of the peers that share limits; one that left and ended has no more requests. */
-    fun sharingMessages(now: Long): List<PeerMessage> = peers.values
+    fun sharingMessages(now: Long): List<PeerMessage> = states(now)
         .filter { sharesBudgets(it, now) && (!it.message.isLeaving || isAlive(it, now)) }
         .map { it.message }
 
@@ -173,7 +228,8 @@
         val term: Long,
     )
 
-    private fun termIn(
+    /** The term in which the sender of [message] controls [domain], or 0. */
+    fun termIn(
         message: PeerMessage,
         domain: FailureDomainId,
     ): Long = message.controlled.firstOrNull { it.failureDomain == domain }?.term ?: 0
@@ -195,7 +251,8 @@
         .groupBy { it.failureDomain }
         .mapValues { (_, claims) -> claims.maxBy { it.term } }
 
-    private fun rank(
+    /** Orders the daemons that could control or represent [domain]; the lowest comes first. */
+    fun rank(
         domain: FailureDomainId,
         daemon: DaemonId,
     ): Int = (domain.value + '/' + daemon.value).hashCode()
