Choose targets by the level that old counts probably lead to

Cause: daemons choose by peers' counts as of the last heartbeat, so the target that was the emptiest is overrun until the next one, the more so the older the counts are.

Change: InFlightCounts estimates what each target has by now, and how many requests are unseen; TargetSelector chooses in proportion to the room below the level that these lead to. Groups of the own failure domain come first. The sample by the number of daemons and the constant spread for moved streams are gone.

TargetSelectorTest, InFlightCountsTest, ModelDemandTest, TrafficStateTest and StreamCallTest pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -386,6 +386,7 @@
                 budgetDaemons = peerDirectory.budgetDaemons(now),
                 daemonDemand =
                     ReportedDemand(settings.daemon, settings.failureDomain, traffic.demand(), peerDirectory, now),
+                failureDomain = settings.failureDomain,
             ),
         )
         recordOwnDomains(ownDomains)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -25,6 +25,7 @@
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
+import kotlin.math.roundToInt
 import kotlin.random.Random
 
 /** A target chosen for an attempt; [group] is null for plain services. */
@@ -81,9 +82,9 @@
         val limit = (service.engine?.slots ?: 1) * limitPerSlot
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
-        val chosenCandidate = chooseCandidate(service, heads, excludedTargets, limit.toInt(), now) ?: return null
+        val chosenCandidate = chooseCandidate(service, model, heads, excludedTargets, limit.toInt(), now) ?: return null
         val group = groups.getValue(chosenCandidate.target)
-        return ChosenTarget(group.head, group, chosenCandidate.inFlight, heads.size)
+        return ChosenTarget(group.head, group, chosenCandidate.inFlight.roundToInt(), heads.size)
     }
 
     private fun choosePlain(
@@ -93,27 +94,34 @@
     ): ChosenTarget? {
         val entries = view.plainTargets[service.name].orEmpty().associateBy { it.id }
         val limit = entries.values.minOfOrNull { it.slots }?.times(PLAIN_LIMIT_PER_SLOT) ?: return null
-        val chosenCandidate = chooseCandidate(service, entries.values, excludedTargets, limit, now) ?: return null
-        return ChosenTarget(entries.getValue(chosenCandidate.target), null, chosenCandidate.inFlight, entries.size)
+        val chosenCandidate = chooseCandidate(service, null, entries.values, excludedTargets, limit, now) ?: return null
+        return ChosenTarget(
+            entries.getValue(chosenCandidate.target),
+            null,
+            chosenCandidate.inFlight.roundToInt(),
+            entries.size,
+        )
     }
 
     private fun chooseCandidate(
         service: ServiceDefinition,
+        model: String?,
         targets: Collection<TargetEntry>,
         excludedTargets: Set<HostId>,
         limit: Int,
         now: Long,
     ): Candidate? {
-        val currentView = view
         val usable = targets.filter { it.id !in excludedTargets && isUsable(it, now) }
         val (healthy, unhealthy) = usable.partition { isHealthy(it, now) }
-        val spread = if (excludedTargets.isEmpty()) 0 else RETRY_SPREAD
+        val occupancy = demand.occupancyMilliseconds(service.capacityName(model), now)
+        val estimate = inFlight.estimate(usable.mapTo(HashSet()) { it.id }, occupancy, now)
+        // All daemons move the streams of a lost group at the same time.
+        val moved = excludedTargets.sumOf { inFlight.total(it, now) }
         val fallback = if (healthy.isEmpty()) unhealthy else unhealthy.filter(::isBrieflyStalled)
         return listOf(healthy, fallback).firstNotNullOfOrNull { tier ->
             targetSelector.select(
-                tier.map { buildCandidate(service, it, limit, now, currentView.budgetDaemons) },
-                spread,
-                currentView.budgetDaemons,
+                tier.map { buildCandidate(service, it, limit, now, estimate.at(it.id)) },
+                estimate.unseenRequests + moved,
             )
         }
     }
@@ -224,12 +232,14 @@
         target: TargetEntry,
         limit: Int,
         now: Long,
-        budgetDaemons: Int,
+        estimatedRequests: Double,
     ): Candidate {
         val coldRate = service.coldRequestsPerSecond
-        val isAdmitted = coldRate <= 0 || coldTargetLimiter.isAllowed(target.id, now, coldRate, budgetDaemons)
+        val isAdmitted = coldRate <= 0 || coldTargetLimiter.isAllowed(target.id, now, coldRate, view.budgetDaemons)
         val isWithinRateLimits = isAdmitted && limitedTargets.delay(target, now) == 0L
-        return Candidate(target.id, inFlight.total(target.id, now), limit, isWithinRateLimits)
+        val isFar = target.failureDomain != (view.failureDomain ?: target.failureDomain)
+        val distance = if (isFar) (service.engine?.slots ?: 0) * FAR_SLOT_SHARE else 0.0
+        return Candidate(target.id, estimatedRequests, limit, isWithinRateLimits, distance = distance)
     }
 
     /** Prefers other targets over [target] for a while, after a failure. */
@@ -310,8 +320,11 @@
         /** A stream that lost its group may queue: the events sent so far would be wasted otherwise. */
         const val RETRY_LIMIT_PER_SLOT = 1.9
 
-        /** All streams of a lost group fail over at once, and all daemons see the same least loaded group. */
-        const val RETRY_SPREAD = 3
+        /**
+         * By which share of its slots a group in another failure domain counts as fuller. Events come on time from
+         * groups that are fuller than others by this much.
+         */
+        const val FAR_SLOT_SHARE = 0.4
 
         /** Plain services queue a few requests behind those being executed. */
         const val PLAIN_LIMIT_PER_SLOT = 3
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
@@ -39,6 +39,8 @@
     val budgetDaemons: Int = 1,
     /** By which the limits that targets name are divided among daemons. */
     val daemonDemand: DaemonDemand = SingleDaemon,
+    /** The failure domain of this daemon, or null if it doesn't matter. */
+    val failureDomain: FailureDomainId? = null,
 ) {
     private val byModel = groups.groupBy { it.head.service to it.model }
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -2,6 +2,7 @@
 
 import org.vanillalink.gateway.ports.GatewayLimits
 import org.vanillalink.gateway.ports.ResponseMetadata
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.serving.catalog.EngineDefinition
@@ -107,6 +108,23 @@
         assertNull(testSubject.chooseTarget(engineService, "m0", emptySet(), now = 2_000))
     }
 
+    // Guards against streams that cross failure domains, and break with either of them, while groups nearby have room.
+    @Test
+    fun `requests go to groups of the own failure domain until these have much more load than others`() {
+        val near = targetEntry("h-1")
+        val far = targetEntry("h-2").copy(failureDomain = FailureDomainId("apapa"))
+        val groups = listOf(near, far).map { RoutableGroup(GroupKey("g-${it.id}", 1), "m0", it) }
+        testSubject.view = TrafficView(groups = groups, failureDomain = near.failureDomain)
+        val chosen =
+            (1..SLOTS).mapNotNull {
+                val choice = testSubject.chooseTarget(engineService, "m0", emptySet(), now = 1_000)
+                choice?.entry?.also { testSubject.recordSent(it, now = 1_000) }?.id
+            }
+
+        assertEquals(List(4) { near.id }, chosen.take(4))
+        assertEquals(setOf(near.id, far.id), chosen.toSet())
+    }
+
     // Guards against second attempts again and again beside streams that go on, until none is left for a real loss.
     @Test
     fun `targets of a failure domain that was silent for a moment count as reachable once one of them goes on`() {
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
@@ -54,6 +54,16 @@
         statistics.occupiedMilliseconds.add(milliseconds.toDouble(), now)
     }
 
+    /** How long a request of [model] has a slot on average, in milliseconds. */
+    fun occupancyMilliseconds(
+        model: String?,
+        now: Long,
+    ): Double {
+        val statistics = models[model]?.takeIf { it.completions.value(now) >= NEGLIGIBLE_COUNT }
+        if (statistics == null) return DEFAULT_OCCUPANCY_MILLISECONDS
+        return statistics.occupiedMilliseconds.value(now) / statistics.completions.value(now)
+    }
+
     /** Estimated slots in demand by model; models without a recent complete answer are left out. */
     fun slotDemand(now: Long): Map<String, Double> {
         models.values.removeIf { it.arrivals.value(now) < NEGLIGIBLE_COUNT }
@@ -70,6 +80,9 @@
     }
 
     private companion object {
+        /** Until complete answers show how long requests take. */
+        const val DEFAULT_OCCUPANCY_MILLISECONDS = 1_000.0
+
         /** A one-second burst changes the estimate by about a fifth; a lasting change shows after a few seconds. */
         const val ARRIVAL_TIME_CONSTANT_MILLISECONDS = 4_000.0
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
@@ -9,61 +9,70 @@
 /** A target that may be able to take the request. */
 data class Candidate(
     val target: HostId,
-    /** Requests in flight at the target, from all daemons. */
-    val inFlight: Int,
+    /** Requests that are probably in flight at the target, from all daemons. */
+    val inFlight: Double,
     /** The target is full with this many requests in flight: one more would not be answered in time. */
     val maxInFlight: Int,
     /** Whether the limits of a cold target, and those that the target has named, allow one more request now. */
     val isWithinRateLimits: Boolean,
     /** How much slower the target works than others; 1 is the usual speed. */
     val slowdownFactor: Double = 1.0,
+    /** By how many requests the load counts as larger, since the target is in another failure domain. */
+    val distance: Double = 0.0,
 )
 
 /**
- * Selects the candidate with the least load; ties are broken at random so that daemons don't act in lockstep.
+ * Selects a candidate at random, by how much its load lies below the level that all candidates reach once the
+ * concurrent requests are distributed evenly.
  *
- * Request counts of peers are up to one heartbeat old. With few daemons it is best to compare all targets. If many
- * daemons did so, all of them would choose the same target until the next heartbeat, so each compares a random sample,
- * drawn anew for each request.
+ * Daemons select targets by counts that are a little old. If each chose the target with the least load, all of them
+ * would choose the same one until the next heartbeat. With the level, the requests that are sent meanwhile fill up the
+ * targets with the least load to the same height (Dahlin: "Interpreting Stale Load Information", 1999). The fewer
+ * requests are unseen, the lower the level: a daemon that knows all requests selects the target with the least load.
+ *
+ * Bytes between failure domains are dear, and streams to another one break when it is cut off. So a target there is
+ * only selected if those nearby have more load by its distance.
  */
 class TargetSelector(
     private val random: Random,
 ) {
     /**
-     * Returns the best of [candidates], or null if none has room. Candidates with up to [loadTolerance] requests more
-     * than the best count as equal, so that requests that are moved at the same time don't all go to one target.
-     * [daemonCount] daemons select targets concurrently.
+     * Returns one of [candidates], or null if none has room. [concurrentRequests] is how many other requests are
+     * probably being sent to the candidates by daemons that know as little of this one as it knows of them.
      */
     fun select(
         candidates: List<Candidate>,
-        loadTolerance: Int = 0,
-        daemonCount: Int = 1,
+        concurrentRequests: Double = 0.0,
     ): Candidate? {
-        val open = sample(candidates.filter { it.isWithinRateLimits && it.inFlight < it.maxInFlight }, daemonCount)
+        val open = candidates.filter { it.isWithinRateLimits && it.inFlight < it.maxInFlight }
         if (open.isEmpty()) return null
-        val maxLoad = open.minOf(::load) + loadTolerance
-        return open.filter { load(it) <= maxLoad }.random(random)
+        val level = fillLevel(open, concurrentRequests + 1)
+        val rooms = open.map { maxOf(0.0, level / it.slowdownFactor - it.inFlight - it.distance) }
+        var remaining = random.nextDouble() * rooms.sum()
+        open.zip(rooms).forEach { (candidate, room) ->
+            remaining -= room
+            if (remaining < 0) return candidate
+        }
+        return open.minBy(::load)
     }
 
-    private fun sample(
+    /** The load of those of [candidates] that [requests] more requests fill up evenly. */
+    private fun fillLevel(
         candidates: List<Candidate>,
-        daemonCount: Int,
-    ): List<Candidate> {
-        val sampleSize =
-            maxOf(
-                MIN_SAMPLE_SIZE,
-                (candidates.size * DAEMONS_SAMPLING_EACH_TARGET + daemonCount - 1) / daemonCount,
-            )
-        return if (sampleSize >= candidates.size) candidates else candidates.shuffled(random).take(sampleSize)
+        requests: Double,
+    ): Double {
+        var speed = 0.0
+        var inFlight = 0.0
+        var level = 0.0
+        candidates.sortedBy(::load).forEach { candidate ->
+            if (speed > 0 && level <= load(candidate)) return level
+            speed += 1 / candidate.slowdownFactor
+            inFlight += candidate.inFlight + candidate.distance
+            level = (inFlight + requests) / speed
+        }
+        return level
     }
 
-    private fun load(candidate: Candidate): Double = (candidate.inFlight + 1) * candidate.slowdownFactor
-
-    private companion object {
-        /** The better of two random candidates already avoids the fullest targets (Mitzenmacher, 1996). */
-        const val MIN_SAMPLE_SIZE = 2
-
-        /** About how many daemons have each target in their sample between two heartbeats. */
-        const val DAEMONS_SAMPLING_EACH_TARGET = 5
-    }
+    private fun load(candidate: Candidate): Double =
+        (candidate.inFlight + candidate.distance) * candidate.slowdownFactor
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/InFlightCountsTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/InFlightCountsTest.kt
@@ -21,6 +21,26 @@
         assertEquals(0, testSubject.total(TARGET, now = 1_001))
     }
 
+    @Test
+    fun `the older the counts of a peer are, the more evenly its requests are estimated to be distributed`() {
+        val targets = setOf(TARGET, HostId("b"))
+        testSubject.recordStart(TARGET)
+        testSubject.recordPeerCounts(DaemonId("peer"), mapOf(TARGET to 8), now = 0, validForMilliseconds = 5_000)
+
+        assertEquals(9.0, testSubject.estimate(targets, 1_000.0, now = 0).at(TARGET))
+        val later = testSubject.estimate(targets, 1_000.0, now = 693)
+        assertEquals(7.0, later.at(TARGET), absoluteTolerance = 0.01)
+        assertEquals(2.0, later.at(HostId("b")), absoluteTolerance = 0.01)
+        assertEquals(4.0, later.unseenRequests, absoluteTolerance = 0.01)
+    }
+
+    @Test
+    fun `a peer's requests at targets that serve something else don't count`() {
+        testSubject.recordPeerCounts(DaemonId("peer"), mapOf(HostId("b") to 8), now = 0, validForMilliseconds = 5_000)
+
+        assertEquals(LoadEstimate(mapOf(TARGET to 0.0), 0.0), testSubject.estimate(setOf(TARGET), 1_000.0, now = 500))
+    }
+
     private companion object {
         val TARGET = HostId("a")
     }
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/ModelDemandTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/ModelDemandTest.kt
@@ -5,6 +5,17 @@
 import kotlin.test.assertTrue
 
 internal class ModelDemandTest {
+    @Test
+    fun `the occupancy is the mean time of recent answers, and a second until there is one`() {
+        val demand = ModelDemand()
+        assertEquals(1_000.0, demand.occupancyMilliseconds("m0", now = 0))
+        demand.recordRequest("m0", now = 0)
+        demand.recordCompletion("m0", 400, now = 0)
+        demand.recordCompletion("m0", 800, now = 0)
+
+        assertEquals(600.0, demand.occupancyMilliseconds("m0", now = 100), absoluteTolerance = 0.01)
+    }
+
     private val testSubject = ModelDemand()
 
     @Test
