Decide whether a target is full by the counts that are known

Change: Candidate keeps both; the estimate only orders the candidates.

Result: TargetSelectorTest, ManyDaemonsSelectionTest and TrafficStateTest pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -25,7 +25,6 @@
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
-import kotlin.math.roundToInt
 import kotlin.random.Random
 
 /** A target chosen for an attempt; [group] is null for plain services. */
@@ -84,7 +83,7 @@
         val heads = groups.values.map { it.head }
         val chosenCandidate = chooseCandidate(service, model, heads, excludedTargets, limit.toInt(), now) ?: return null
         val group = groups.getValue(chosenCandidate.target)
-        return ChosenTarget(group.head, group, chosenCandidate.inFlight.roundToInt(), heads.size)
+        return ChosenTarget(group.head, group, chosenCandidate.inFlight, heads.size)
     }
 
     private fun choosePlain(
@@ -98,7 +97,7 @@
         return ChosenTarget(
             entries.getValue(chosenCandidate.target),
             null,
-            chosenCandidate.inFlight.roundToInt(),
+            chosenCandidate.inFlight,
             entries.size,
         )
     }
@@ -232,14 +231,21 @@
         target: TargetEntry,
         limit: Int,
         now: Long,
-        estimatedRequests: Double,
+        expectedInFlight: Double,
     ): Candidate {
         val coldRate = service.coldRequestsPerSecond
         val isAdmitted = coldRate <= 0 || coldTargetLimiter.isAllowed(target.id, now, coldRate, view.budgetDaemons)
         val isWithinRateLimits = isAdmitted && limitedTargets.delay(target, now) == 0L
         val isFar = target.failureDomain != (view.failureDomain ?: target.failureDomain)
         val distance = if (isFar) (service.engine?.slots ?: 0) * FAR_SLOT_SHARE else 0.0
-        return Candidate(target.id, estimatedRequests, limit, isWithinRateLimits, distance = distance)
+        return Candidate(
+            target = target.id,
+            inFlight = inFlight.total(target.id, now),
+            maxInFlight = limit,
+            isWithinRateLimits = isWithinRateLimits,
+            expectedInFlight = expectedInFlight,
+            distance = distance,
+        )
     }
 
     /** Prefers other targets over [target] for a while, after a failure. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
@@ -9,14 +9,16 @@
 /** A target that may be able to take the request. */
 data class Candidate(
     val target: HostId,
-    /** Requests that are probably in flight at the target, from all daemons. */
-    val inFlight: Double,
+    /** Requests in flight at the target as last announced, from all daemons. */
+    val inFlight: Int,
     /** The target is full with this many requests in flight: one more would not be answered in time. */
     val maxInFlight: Int,
     /** Whether the limits of a cold target, and those that the target has named, allow one more request now. */
     val isWithinRateLimits: Boolean,
     /** How much slower the target works than others; 1 is the usual speed. */
     val slowdownFactor: Double = 1.0,
+    /** Requests that are probably in flight at the target by now. */
+    val expectedInFlight: Double = inFlight.toDouble(),
     /** By how many requests the load counts as larger, since the target is in another failure domain. */
     val distance: Double = 0.0,
 )
@@ -47,7 +49,7 @@
         val open = candidates.filter { it.isWithinRateLimits && it.inFlight < it.maxInFlight }
         if (open.isEmpty()) return null
         val level = fillLevel(open, concurrentRequests + 1)
-        val rooms = open.map { maxOf(0.0, level / it.slowdownFactor - it.inFlight - it.distance) }
+        val rooms = open.map { maxOf(0.0, level / it.slowdownFactor - it.expectedInFlight - it.distance) }
         var remaining = random.nextDouble() * rooms.sum()
         open.zip(rooms).forEach { (candidate, room) ->
             remaining -= room
@@ -62,17 +64,17 @@
         requests: Double,
     ): Double {
         var speed = 0.0
-        var inFlight = 0.0
+        var expected = 0.0
         var level = 0.0
         candidates.sortedBy(::load).forEach { candidate ->
             if (speed > 0 && level <= load(candidate)) return level
             speed += 1 / candidate.slowdownFactor
-            inFlight += candidate.inFlight + candidate.distance
-            level = (inFlight + requests) / speed
+            expected += candidate.expectedInFlight + candidate.distance
+            level = (expected + requests) / speed
         }
         return level
     }
 
     private fun load(candidate: Candidate): Double =
-        (candidate.inFlight + candidate.distance) * candidate.slowdownFactor
+        (candidate.expectedInFlight + candidate.distance) * candidate.slowdownFactor
 }
