--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -330,7 +330,7 @@
          * By which share of its slots a group in another failure domain counts as fuller. Events come on time from
          * groups that are fuller than others by this much.
          */
-        const val FAR_SLOT_SHARE = 0.4
+        const val FAR_SLOT_SHARE = 0.75
 
         /** Plain services queue a few requests behind those being executed. */
         const val PLAIN_LIMIT_PER_SLOT = 3
