Keep first attempts away from groups that stand, and hedge in time

While targets are cut off, each daemon found a standing group by its own streams after 250 to 600 ms, sent there again after a second, and began a second attempt 1.2 s after the request, against a goal of 250 ms.

Predict passes and first events by the engine's published times. A group whose streams miss three passes gets no first attempts; daemons tell each other that it stands, and that it moves again. Otherwise single trials find out, about one per interval of all daemons together; so too for a failure domain that can't be reached, in place of a retry by all after 3 s. A request without an event gets a second attempt while another group can still make its goal, from half of the retry budget.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -68,7 +68,15 @@
     private val trafficLoopDelay = LoopDelayMonitor("traffic", meterRegistry, eventLogger, JvmUsageMeter)
     private val controlLoopDelay = LoopDelayMonitor("control", meterRegistry, eventLogger, JvmUsageMeter)
     private val traffic =
-        TrafficMonitor(settings.limits, eventLoops, random, clock::steady, trafficLoopDelay, eventLogger)
+        TrafficMonitor(
+            settings.limits,
+            eventLoops,
+            random,
+            clock::steady,
+            trafficLoopDelay,
+            eventLogger,
+            settings.failureDomain,
+        )
     private val controlLoop =
         ControlLoop(
             settings,
@@ -135,6 +143,7 @@
             "vanillalink.configuration.version",
             controlLoop,
         ) { (it.configurationVersion ?: 0).toDouble() }
+        meterRegistry.gauge("vanillalink.groups.standing", traffic) { it.standingGroups.toDouble() }
         meterRegistry.gauge("vanillalink.store.restorations", controlLoop) { it.restorations.toDouble() }
         meterRegistry.gauge("vanillalink.poison.blocks", traffic) {
             it.state.poisonDetector.blockCount
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -67,6 +67,7 @@
     private var targetIndex = TargetIndex(registryState.directory)
     private var controlledDomains: List<ControlledDomain> = emptyList()
     private var previousSuspects: Set<GroupKey> = emptySet()
+    private var previousProgressVersion = 0L
     private val brokenGroupsUntil = HashMap<GroupKey, Long>()
 
     private val configurationMonitor = ConfigurationMonitor(settings.limits, eventLogger, clock)
@@ -86,7 +87,7 @@
     /** Called on the control thread when the store has come back from an older copy. */
     var onRestored: () -> Unit = {}
 
-    /** Called on the control thread with the daemons that need to be sent newly stalled groups soon. */
+    /** Called on the control thread with the daemons that need to be sent soon which groups are stalled or stand. */
     var onNewSuspects: (Set<DaemonId>) -> Unit = {}
 
     private val operatorsFollower = createFollower(RegistryPart.OPERATORS, registry)
@@ -165,6 +166,7 @@
             inFlight = ownStatus.inFlight(isSameDomain, traffic.inFlight()),
             demand = ownStatus.demand(isSameDomain, traffic.demand()),
             suspects = traffic.suspects(),
+            progress = traffic.progress(includesHeard = !isSameDomain && hasControl),
             poison = poison,
             leaving = traffic.leavingTargets().take(MAX_LEAVING_TARGETS_PER_MESSAGE).toSet(),
             controlled = ownStatus.controlledDomains(includesGroups),
@@ -330,7 +332,12 @@
         suspects.forEach(::reportSuspect)
         val hasNewSuspects = (suspects - previousSuspects).isNotEmpty()
         previousSuspects = suspects
-        if (hasNewSuspects) onNewSuspects(peerDirectory.controllers(now))
+        val progressVersion = traffic.progressVersion
+        val hasNewProgress = progressVersion != previousProgressVersion
+        previousProgressVersion = progressVersion
+        if (!hasNewSuspects && !hasNewProgress) return
+        val nearbyPeers = if (hasNewProgress) peerDirectory.peersIn(settings.failureDomain, now) else emptyList()
+        onNewSuspects(peerDirectory.controllers(now) + nearbyPeers.map { it.daemon })
     }
 
     private fun reportSuspect(key: GroupKey) {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/TrafficSummary.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.gateway.traffic.TrafficView
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
 
@@ -26,6 +27,12 @@
     /** Groups whose responses are stalled at this daemon. */
     fun suspects(): Set<GroupKey>
 
+    /** Which groups stand or move again, as this daemon sees it; [includesHeard] adds what peers nearby report. */
+    fun progress(includesHeard: Boolean): List<ReportedProgress>
+
+    /** Changes when peers need [progress] at once. */
+    val progressVersion: Long
+
     /** Targets that recently announced to this daemon that they leave. */
     fun leavingTargets(): Set<TargetInstance>
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -96,6 +96,14 @@
         )
     }
 
+    /** Counts the end of a second attempt that was begun for [reason]; it [isNeeded] if the first one is given up. */
+    fun countHedge(
+        reason: String?,
+        isNeeded: Boolean,
+    ) = meterRegistry
+        .counter("vanillalink.hedges", "reason", reason ?: "none", "needed", isNeeded.toString())
+        .increment()
+
     private fun formatParts(request: AdmittedRequest): String? = request.metadata.sharedPromptParts
         .take(MAX_LOGGED_PARTS)
         .joinToString(",")
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.PeerMessage
@@ -48,6 +49,13 @@
         controlled = node.required("controlled").map(::parseControlledDomain),
         limits = node.get("limits")?.map(::parseLimit).orEmpty(),
         configurationVersion = node.path("configurationVersion").asLong(),
+        progress = node.get("progress")?.map(::parseProgress).orEmpty(),
+    )
+
+    private fun parseProgress(node: JsonNode) = ReportedProgress(
+        group = parseGroupKey(node.required("group")),
+        silence = node.number("silence"),
+        isStanding = node.required("isStanding").asBoolean(),
     )
 
     private fun parseLimit(node: JsonNode) = ReportedLimit(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ActiveCalls.kt
@@ -37,6 +37,11 @@
         calls.filter { it.currentTarget in targets && it.currentGroup != null }.forEach { it.hedge(reason) }
     }
 
+    /** Begins second attempts for calls whose first event is late by what is predicted. */
+    fun hedgeLateCalls() = calls.toList().forEach { call ->
+        call.lateReason?.let { call.hedge(it, isPredicted = true) }
+    }
+
     /**
      * Begins second attempts for calls at groups whose heads are among [stalledTargets] and that their controller does
      * not announce any more: it suspects them, too.
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/Attempt.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/Attempt.kt
@@ -12,10 +12,15 @@
     val target: TargetEntry,
     val group: GroupKey?,
     val evidence: AttemptEvidence,
+    /** What was expected when it was sent, or null where nothing is known. */
+    val forecast: AttemptForecast? = null,
 ) {
     /** Null until the request has been passed to the client. */
     var exchange: OutgoingExchange? = null
 
+    /** Why this attempt was begun beside another one, or null. */
+    var hedgeReason: String? = null
+
     /** Whether the target was suspected while no other one could take the request. */
     var isSuspected = false
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -6,6 +6,7 @@
 
 import org.vanillalink.gateway.ports.ForwardingMetadata
 import org.vanillalink.model.HostId
+import org.vanillalink.serving.balancing.SecondAttempts
 import org.vanillalink.transport.ResponseListener
 import org.vanillalink.transport.SendOptions
 import java.time.Duration
@@ -38,15 +39,18 @@
     private val now: Long get() = context.now()
 
     /** The next target that would take the request now, or null. */
-    fun chooseTarget(): ChosenTarget? =
-        context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now)
-
-    /** Whether another attempt would find a target and a retry in the budget. */
-    fun canContinueElsewhere(): Boolean {
-        val retryBudget = context.state.retryBudget(request.service.name)
-        return retryBudget.isAvailable(now, context.state.view.budgetDaemons) && chooseTarget() != null
+    fun chooseTarget(needsFreeSlot: Boolean = false): ChosenTarget? {
+        val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot)
+        return context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now, preferences)
     }
 
+    /** Whether [budgetShare] of the retry budget has a retry left for another attempt. */
+    fun isRetryAvailable(budgetShare: Double): Boolean =
+        context.state.retryBudget(request.service.name).isAvailable(now, context.state.view.budgetDaemons, budgetShare)
+
+    private fun canHedge(): Boolean =
+        request.route.isRepeatable && request.route.maxAttempts > 1 && isRetryAvailable(SecondAttempts.BUDGET_SHARE)
+
     /** Counts an attempt; each one after the first that is sent to a target is taken from the shared retry budget. */
     fun reserve(): Boolean {
         val isFirst = count == 0
@@ -74,13 +78,15 @@
         transmit(attempt, lastEventId, listenerOf(attempt))
     }
 
-    /** Sends the request to [chosen] beside the current attempt. */
+    /** Sends the request to [chosen] beside the current attempt, for [reason]. */
     fun startHedge(
         chosen: ChosenTarget,
         lastEventId: Long?,
+        reason: String,
         listenerOf: (Attempt) -> ResponseListener,
     ) {
         val attempt = create(chosen)
+        attempt.hedgeReason = reason
         hedge = attempt
         transmit(attempt, lastEventId, listenerOf(attempt))
     }
@@ -99,12 +105,19 @@
         val isFirst = !attempt.evidence.hasResponseBegun
         context.state.stallDetector.recordProgress(attempt.target.id, now, isFirst)
         context.state.reachabilityMonitor.recordTargetProgress(attempt.target.failureDomain, now)
+        context.state.groupProgress.recordProgress(attempt, now)
         attempt.evidence.recordRead()
     }
 
+    /** Records the first event of the response to the current attempt. */
+    fun recordFirstEvent() {
+        current?.let { context.state.groupProgress.recordFirstEvent(it, now) }
+    }
+
     /** Makes the hedge the current attempt if there is one, after the current one has ended. */
     fun promoteHedge(): Boolean {
         val next = hedge ?: return false
+        context.requestLogger.countHedge(next.hedgeReason, isNeeded = true)
         makeCurrent(next)
         hedge = null
         return true
@@ -123,7 +136,10 @@
 
     /** Ends the hedge; the current attempt is read again. */
     fun closeHedge() {
-        hedge?.let(::close)
+        hedge?.let {
+            context.requestLogger.countHedge(it.hedgeReason, isNeeded = false)
+            close(it)
+        }
         hedge = null
         current?.exchange?.setReading(true)
     }
@@ -141,10 +157,12 @@
     private fun create(chosen: ChosenTarget): Attempt {
         val entry = chosen.entry
         triedTargets.add(entry.id)
+        val isUnreachable = entry.failureDomain in context.state.unreachableDomains
+        val forecast = context.state.groupProgress.recordSent(request, chosen, isUnreachable, now)
         context.state.recordSent(entry, now)
         val label = chosen.group?.key?.group ?: entry.id.value
         trail.append(if (trail.isEmpty()) "" else ",").append("$label/${chosen.inFlight}of${chosen.candidates}")
-        return Attempt(entry, chosen.group?.key, AttemptEvidence(context, request, now))
+        return Attempt(entry, chosen.group?.key, AttemptEvidence(context, request, now), forecast)
     }
 
     private fun transmit(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -15,6 +15,7 @@
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.SecondAttempts
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.ResponseWriter
@@ -72,6 +73,14 @@
     protected val trail: StringBuilder get() = attempts.trail
     protected val evidence: AttemptEvidence get() = attempts.evidence
 
+    /** Why a second attempt is needed by what is predicted for the first event, or null. */
+    val lateReason: String?
+        get() {
+            val attempt = attempts.current ?: return null
+            if (attempts.hedge != null || !isAwaitingFirstEvent) return null
+            return context.state.groupProgress.findSecondAttemptReason(attempt, request.work.goalAt - now, now)
+        }
+
     /** How long the attempt in progress has taken. */
     protected val attemptMilliseconds: Long get() = now - evidence.startedAt
     protected val now: Long get() = context.now()
@@ -96,19 +105,25 @@
 
     /**
      * Begins a second attempt at another target if there is one, since the attempt in progress is silent. That one goes
-     * on meanwhile: a sound target may be silent for a while.
+     * on meanwhile: a sound target may be silent for a while. If this [isPredicted] only, the other target must have a
+     * free slot, and the budget's part for it must not be used up.
      */
-    fun hedge(reason: String) {
+    fun hedge(
+        reason: String,
+        isPredicted: Boolean = false,
+    ) {
         val attempt = attempts.current ?: return
         if (attempts.hedge != null) return
-        context.state.avoid(attempt.target.id, now)
-        val next = if (canRepeat() && attempts.canContinueElsewhere()) attempts.chooseTarget() else null
+        if (!context.state.groupProgress.isFollowed(attempt)) context.state.avoid(attempt.target.id, now)
+        val budgetShare = if (isPredicted) SecondAttempts.BUDGET_SHARE else 1.0
+        val mayContinue = canRepeat() && attempts.isRetryAvailable(budgetShare)
+        val next = if (mayContinue) attempts.chooseTarget(needsFreeSlot = isPredicted) else null
         if (next == null) {
-            attempts.recordSuspicion(attempt, reason)
+            if (!isPredicted) attempts.recordSuspicion(attempt, reason)
             return
         }
         trail.append("!$reason")
-        if (attempts.reserve()) attempts.startHedge(next, resumeFrom) { AttemptListener(this, it) }
+        if (attempts.reserve()) attempts.startHedge(next, resumeFrom, reason) { AttemptListener(this, it) }
     }
 
     /** Starts an attempt at the next target; [lastEventId] is the last event of a stream that the caller received. */
@@ -282,6 +297,9 @@
     /** The last event that the caller has of a stream, or null. */
     protected open val resumeFrom: Long? get() = null
 
+    /** Whether the caller waits for the first event of a stream. */
+    protected open val isAwaitingFirstEvent: Boolean get() = false
+
     /** The timing of a streamed response so far, or null for a buffered one. */
     protected open val timing: StreamTiming? get() = null
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -68,6 +68,7 @@
         }
         dropHedge()
         firstEventAt?.let(evidence::recordAnswer)
+        if (firstEventAt == null) attempts.recordFirstEvent()
         firstEventAt = firstEventAt ?: now
         lastEventId = events.ids.lastOrNull() ?: lastEventId
         startResponse()
@@ -160,6 +161,8 @@
         }
     }
 
+    override val isAwaitingFirstEvent: Boolean get() = !isResponseStarted && firstEventAt == null
+
     override val resumeFrom: Long? get() = lastEventId
 
     override fun onNoTarget() {
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -8,11 +8,14 @@
 import org.vanillalink.gateway.logs.LoopDelayMonitor
 import org.vanillalink.gateway.peers.PoisonBlocks
 import org.vanillalink.gateway.ports.GatewayLimits
+import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.LimitEvent
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedBlock
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
+import org.vanillalink.serving.balancing.StandingChange
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
@@ -29,6 +32,7 @@
     private val now: () -> Long,
     private val loopDelayMonitor: LoopDelayMonitor,
     private val eventLogger: EventLogger,
+    private val failureDomain: FailureDomainId,
 ) : TrafficSummary,
     PoisonBlocks {
     val state = TrafficState(limits, random)
@@ -43,6 +47,20 @@
     @Volatile
     private var stalledGroups: Set<GroupKey> = emptySet()
 
+    /** For peers in this daemon's failure domain, and for others. */
+    @Volatile
+    private var progressReports: Pair<List<ReportedProgress>, List<ReportedProgress>> =
+        emptyList<ReportedProgress>() to emptyList()
+
+    @Volatile
+    override var progressVersion = 0L
+        private set
+
+    /** How many groups stand as far as this daemon knows. */
+    @Volatile
+    var standingGroups = 0
+        private set
+
     @Volatile
     private var poisonReport = PoisonReport()
 
@@ -82,6 +100,9 @@
 
     override fun suspects(): Set<GroupKey> = stalledGroups
 
+    override fun progress(includesHeard: Boolean): List<ReportedProgress> =
+        if (includesHeard) progressReports.second else progressReports.first
+
     override fun leavingTargets(): Set<TargetInstance> = leavingTargets
 
     override fun limits(): List<ReportedLimit> = limits
@@ -119,6 +140,7 @@
             HeartbeatSchedule.livenessTimeout(message.period),
         )
         state.reachabilityMonitor.recordDaemonMessage(message.failureDomain, time)
+        state.groupProgress.recordReports(message, failureDomain, time)
         state.poisonDetector.recordReport(message.poison, time)
         state.limitedTargets.limits.recordReport(message.limits, time)
     }
@@ -126,9 +148,11 @@
     private fun check() {
         val time = now()
         loopDelayMonitor.recordStart(lastRanAt + CHECK_INTERVAL.toMillis(), time)
+        val isLate = time - lastRanAt > MAX_INTERVAL_MILLISECONDS
         if (time - lastRanAt > PROCESS_PAUSE_MILLISECONDS) state.stallDetector.resetAfterPause(time)
         lastRanAt = time
         val stalledTargets = state.detectStalls(time)
+        updateProgress(isLate, time)
         stalledGroups = activeCalls.groupsWithCallsAt(stalledTargets.keys)
         // A call that found no other target before may find one now.
         activeCalls.failOverFromGroups(state.view.broken)
@@ -150,6 +174,30 @@
         eventLoops.schedule(CHECK_INTERVAL, ::check)
     }
 
+    /** A thread that [isLate] has not read the bytes that came meanwhile. */
+    private fun updateProgress(
+        isLate: Boolean,
+        time: Long,
+    ) {
+        val standing = state.groupProgress.standing
+        if (!isLate) {
+            state.groupProgress.detectStanding(time)
+            activeCalls.hedgeLateCalls()
+        }
+        standing.takeChanges().forEach(::logStanding)
+        standingGroups = standing.count
+        progressReports = standing.report(false, time) to standing.report(true, time)
+        progressVersion = standing.version
+    }
+
+    private fun logStanding(change: StandingChange) = eventLogger.record(
+        if (change.standingMilliseconds == null) "group-standing" else "group-moving",
+        "group" to change.group.group,
+        "source" to if (change.isReportedByPeer) "peer" else "streams",
+        "afterMs" to change.standingMilliseconds,
+        "trials" to change.trials.takeIf { change.standingMilliseconds != null },
+    )
+
     private fun updateLimits(time: Long) {
         state.limitedTargets.updateUsage(time)
         state.limitedTargets.limits.takeEvents().forEach { event ->
@@ -224,6 +272,9 @@
     private companion object {
         val CHECK_INTERVAL: Duration = Duration.ofMillis(50)
 
+        /** Twice the interval between two checks. */
+        const val MAX_INTERVAL_MILLISECONDS = 100L
+
         /** A process paused for this long has not read the responses received in the meantime. */
         const val PROCESS_PAUSE_MILLISECONDS = 250L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -22,6 +22,7 @@
 import org.vanillalink.serving.balancing.TargetAvailability
 import org.vanillalink.serving.balancing.TargetRateLimiter
 import org.vanillalink.serving.balancing.TargetSelector
+import org.vanillalink.serving.balancing.TrialSchedule
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
@@ -35,6 +36,14 @@
     val candidates: Int,
 )
 
+/** What kind of target an attempt asks for. */
+internal data class TargetPreferences(
+    /** Whether the request may have a second attempt, so that it can be sent to a target as a trial. */
+    val isHedgeable: Boolean = false,
+    /** Whether only a target that works and has a free slot is of use. */
+    val needsFreeSlot: Boolean = false,
+)
+
 /** In-flight counts, retry budgets, and the state of targets. */
 internal class TrafficState(
     private val limits: GatewayLimits,
@@ -56,8 +65,13 @@
     private val avoidedUntil = HashMap<HostId, Long>()
     private val failureDomainByTarget = HashMap<HostId, FailureDomainId>()
     private var stalledTargets: Map<HostId, Long> = emptyMap()
-    private var unreachableDomains: Set<FailureDomainId> = emptySet()
-    val reachabilityMonitor = ReachabilityMonitor()
+
+    /** The failure domains that can't be reached from here. */
+    var unreachableDomains: Set<FailureDomainId> = emptySet()
+        private set
+    private val trialSchedule = TrialSchedule(random)
+    val reachabilityMonitor = ReachabilityMonitor(trialSchedule)
+    val groupProgress = GroupProgress(trialSchedule, reachabilityMonitor, stallDetector, inFlight) { view }
 
     /** The best target for a call to [service], of [model] where it has an engine; null if none has capacity. */
     fun chooseTarget(
@@ -65,9 +79,10 @@
         model: String?,
         excludedTargets: Set<HostId>,
         now: Long,
+        preferences: TargetPreferences = TargetPreferences(),
     ): ChosenTarget? {
-        if (service.engine == null || model == null) return choosePlain(service, excludedTargets, now)
-        return chooseGroup(service, model, excludedTargets, now)
+        if (service.engine == null || model == null) return choosePlain(service, excludedTargets, now, preferences)
+        return chooseGroup(service, model, excludedTargets, now, preferences)
     }
 
     private fun chooseGroup(
@@ -75,13 +90,16 @@
         model: String,
         excludedTargets: Set<HostId>,
         now: Long,
+        preferences: TargetPreferences,
     ): ChosenTarget? {
         val currentView = view
-        val limitPerSlot = if (excludedTargets.isEmpty()) FIRST_ATTEMPT_LIMIT_PER_SLOT else RETRY_LIMIT_PER_SLOT
+        val needsSlot = excludedTargets.isEmpty() || preferences.needsFreeSlot
+        val limitPerSlot = if (needsSlot) FIRST_ATTEMPT_LIMIT_PER_SLOT else RETRY_LIMIT_PER_SLOT
         val limit = (service.engine?.slots ?: 1) * limitPerSlot
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
-        val chosenCandidate = chooseCandidate(service, heads, excludedTargets, limit.toInt(), now) ?: return null
+        val chosenCandidate =
+            chooseCandidate(service, heads, excludedTargets, limit.toInt(), now, preferences) ?: return null
         val group = groups.getValue(chosenCandidate.target)
         return ChosenTarget(group.head, group, chosenCandidate.inFlight, heads.size)
     }
@@ -90,10 +108,12 @@
         service: ServiceDefinition,
         excludedTargets: Set<HostId>,
         now: Long,
+        preferences: TargetPreferences,
     ): ChosenTarget? {
         val entries = view.plainTargets[service.name].orEmpty().associateBy { it.id }
         val limit = entries.values.minOfOrNull { it.slots }?.times(PLAIN_LIMIT_PER_SLOT) ?: return null
-        val chosenCandidate = chooseCandidate(service, entries.values, excludedTargets, limit, now) ?: return null
+        val chosenCandidate =
+            chooseCandidate(service, entries.values, excludedTargets, limit, now, preferences) ?: return null
         return ChosenTarget(entries.getValue(chosenCandidate.target), null, chosenCandidate.inFlight, entries.size)
     }
 
@@ -103,13 +123,25 @@
         excludedTargets: Set<HostId>,
         limit: Int,
         now: Long,
+        preferences: TargetPreferences,
     ): Candidate? {
         val currentView = view
         val usable = targets.filter { it.id !in excludedTargets && isUsable(it, now) }
         val (healthy, unhealthy) = usable.partition { isHealthy(it, now) }
         val spread = if (excludedTargets.isEmpty()) 0 else RETRY_SPREAD
-        val fallback = if (healthy.isEmpty()) unhealthy else unhealthy.filter(::isBrieflyStalled)
-        return listOf(healthy, fallback).firstNotNullOfOrNull { tier ->
+        val mayBeTrial = excludedTargets.isEmpty()
+        val trials =
+            unhealthy.filter {
+                mayBeTrial &&
+                    groupProgress.isTrialDue(it, unreachableDomains, preferences.isHedgeable, now)
+            }
+        val fallback =
+            when {
+                preferences.needsFreeSlot -> emptyList()
+                healthy.isEmpty() -> unhealthy
+                else -> unhealthy.filter(::isBrieflyStalled)
+            }
+        return listOf(trials, healthy, fallback).firstNotNullOfOrNull { tier ->
             targetSelector.select(
                 tier.map { buildCandidate(service, it, limit, now, currentView.budgetDaemons) },
                 spread,
@@ -194,7 +226,8 @@
         now: Long,
     ): Boolean = (avoidedUntil[target.id] ?: 0) <= now &&
         target.id !in stalledTargets &&
-        target.failureDomain !in unreachableDomains
+        target.failureDomain !in unreachableDomains &&
+        view.groupAt(target.id)?.let { groupProgress.standing.isStanding(it.key) } != true
 
     /** Detects stalled targets and unreachable failure domains; returns the targets and for how long they stall. */
     fun detectStalls(now: Long): Map<HostId, Long> {
@@ -205,13 +238,16 @@
                 .mapNotNull { id ->
                     failureDomainByTarget[id]?.let { it to id }
                 }.groupBy({ it.first }, { it.second })
+        val previouslyUnreachable = unreachableDomains
         unreachableDomains =
             reachabilityMonitor.findUnreachable(
                 outstandingByDomain.mapValues { (_, ids) ->
                     DomainProgress(ids.size, ids.count { it in stalledDurations })
                 },
                 now,
+                view.budgetDaemons,
             )
+        groupProgress.onReachable(previouslyUnreachable - unreachableDomains, now)
         stalledTargets = stalledDurations
         return stalledDurations
     }
@@ -250,6 +286,7 @@
         coldTargetLimiter.recordSent(entry.id, now)
         limitedTargets.recordSent(entry.id)
         failureDomainByTarget[entry.id] = entry.failureDomain
+        reachabilityMonitor.recordSent(entry.failureDomain, now, view.budgetDaemons)
     }
 
     /** Records the end of a request at [target]; [hasResponseBegun] is whether bytes of its response were received. */
@@ -296,6 +333,7 @@
         coldTargetLimiter.retainTargets(knownTargets)
         limitedTargets.removeExpired(knownTargets, now)
         targetAvailability.removeExpired(now)
+        groupProgress.removeExpired()
     }
 
     /** This daemon's share of the retry budget of [service]. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficView.kt
@@ -40,6 +40,7 @@
     /** By which the limits that targets name are divided among daemons. */
     val daemonDemand: DaemonDemand = SingleDaemon,
 ) {
+    private val groupByHead by lazy(LazyThreadSafetyMode.PUBLICATION) { groups.associateBy { it.head.id } }
     private val byModel = groups.groupBy { it.head.service to it.model }
 
     private val capacityByTarget by lazy(LazyThreadSafetyMode.PUBLICATION) {
@@ -50,6 +51,9 @@
     /** All targets that requests are sent to: the heads of groups and those of plain services. */
     fun targets(): List<TargetEntry> = groups.map { it.head } + plainTargets.values.flatten()
 
+    /** The group that takes requests at [head], or null. */
+    fun groupAt(head: HostId): RoutableGroup? = groupByHead[head]
+
     /** The model or plain service that [target] serves, or null if it gets no requests. */
     fun capacityOf(target: HostId): String? = capacityByTarget[target]
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
@@ -19,6 +19,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.HeartbeatSchedule
 import org.vanillalink.serving.peers.PeerMessage
@@ -117,6 +118,9 @@
         var ranAt: () -> Long = SystemClock::steady
         override val lastRanAt: Long get() = ranAt()
         override val limitsVersion = 0L
+        override val progressVersion = 0L
+
+        override fun progress(includesHeard: Boolean): List<ReportedProgress> = emptyList()
 
         override fun recentDelay() = 0L
 
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.serving.balancing.ReportedBlock
 import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.balancing.ReportedLoss
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.balancing.ReportedSurvival
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
@@ -64,6 +65,7 @@
                     ReportedLimit(target, 4.8, 13),
                     ReportedLimit(TargetInstance(HostId("i-5"), null), null, 14),
                 ),
+            progress = listOf(ReportedProgress(key, 180, true)),
         )
 
     @Test
@@ -82,9 +84,15 @@
                     "\"other\"",
                 ).replace("\"limits\"", "\"another\"")
                 .replace("\"configurationVersion\"", "\"third\"")
+                .replace("\"progress\"", "\"fourth\"")
 
         assertEquals(
-            message.copy(poison = PoisonReport(), limits = emptyList(), configurationVersion = 0),
+            message.copy(
+                poison = PoisonReport(),
+                limits = emptyList(),
+                configurationVersion = 0,
+                progress = emptyList(),
+            ),
             testSubject.decode(earlier.toByteArray()).getOrNull(),
         )
         assertTrue("\"strikes\":[]" in content)
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitor.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitor.kt
@@ -4,7 +4,7 @@
  *
  * A network partition looks like stalled groups, but no controller inside the failure domain will report them as
  * broken, and new requests to it would only lose time. A message from a daemon inside ends the suspicion, and so does a
- * byte from a target: sound ones may have been silent for a moment.
+ * byte from a target: sound ones may have been silent for a moment. Until then, single requests are sent as trials.
  */
 package org.vanillalink.serving.balancing
 
@@ -17,10 +17,18 @@
 )
 
 /** Times are milliseconds on the steady clock. Not thread safe. */
-class ReachabilityMonitor {
+class ReachabilityMonitor(
+    private val trialSchedule: TrialSchedule,
+) {
+    private class Trials(
+        val since: Long,
+        var nextAt: Long,
+    )
+
     private val lastReceivedAt = HashMap<FailureDomainId, Long>()
     private val lastProgressAt = HashMap<FailureDomainId, Long>()
     private val unreachableSince = HashMap<FailureDomainId, Long>()
+    private val trials = HashMap<FailureDomainId, Trials>()
 
     /** Records that a message from a daemon in [failureDomain] has arrived. */
     fun recordDaemonMessage(
@@ -38,19 +46,41 @@
         lastProgressAt[failureDomain] = now
     }
 
-    /** Evaluates the [progress] in each failure domain and returns the unreachable ones. */
+    /** Evaluates the [progress] in each failure domain and returns those that [daemonCount] daemons can't reach. */
     fun findUnreachable(
         progress: Map<FailureDomainId, DomainProgress>,
         now: Long,
+        daemonCount: Int = 1,
     ): Set<FailureDomainId> {
         progress.filter { (domain, domainProgress) -> isSuspected(domain, domainProgress, now) }.keys.forEach {
-            unreachableSince[it] =
-                now
+            unreachableSince[it] = now
+            trials.getOrPut(it) { Trials(now, trialSchedule.next(now, now, daemonCount)) }
         }
-        unreachableSince.entries.removeIf { (domain, since) -> isExpired(domain, since, now) }
+        unreachableSince.entries.removeIf { (domain, since) -> isReachableAgain(domain, since) }
+        trials.keys.retainAll(unreachableSince.keys)
         return unreachableSince.keys.toSet()
     }
 
+    /** Whether it is this daemon's turn to send one request to [failureDomain], which is unreachable. */
+    fun isTrialDue(
+        failureDomain: FailureDomainId,
+        isHedgeable: Boolean,
+        now: Long,
+    ): Boolean {
+        val dueAt = trials[failureDomain]?.nextAt ?: return false
+        return now >= dueAt + if (isHedgeable) 0 else TrialSchedule.HEDGEABLE_WAIT_MILLISECONDS
+    }
+
+    /** Records that a request is sent to [failureDomain]. */
+    fun recordSent(
+        failureDomain: FailureDomainId,
+        now: Long,
+        daemonCount: Int,
+    ) {
+        val current = trials[failureDomain] ?: return
+        current.nextAt = trialSchedule.next(current.since, now, daemonCount)
+    }
+
     private fun isSuspected(
         failureDomain: FailureDomainId,
         progress: DomainProgress,
@@ -63,14 +93,10 @@
         return silence < LONG_SILENCE_MILLISECONDS || progress.stalledTargets >= MIN_STALLED_TARGETS
     }
 
-    private fun isExpired(
+    private fun isReachableAgain(
         failureDomain: FailureDomainId,
         since: Long,
-        now: Long,
-    ): Boolean {
-        val lastReceived = maxOf(lastReceivedAt[failureDomain] ?: 0, lastProgressAt[failureDomain] ?: 0)
-        return lastReceived > since || now - since > RETENTION_MILLISECONDS
-    }
+    ): Boolean = maxOf(lastReceivedAt[failureDomain] ?: 0, lastProgressAt[failureDomain] ?: 0) > since
 
     private companion object {
         /** Several heartbeat periods. */
@@ -79,8 +105,5 @@
 
         /** Beyond this silence, the domain's daemons count as gone, and only its targets are considered. */
         const val LONG_SILENCE_MILLISECONDS = 5_000L
-
-        /** After this time without a message or a byte from inside, requests are sent there again. */
-        const val RETENTION_MILLISECONDS = 3_000L
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/RetryBudget.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/RetryBudget.kt
@@ -36,16 +36,17 @@
         return isAvailable
     }
 
-    /** Whether a retry is left in the budget that [daemonCount] daemons share. */
+    /** Whether a retry is left in [share] of the budget that [daemonCount] daemons share. */
     fun isAvailable(
         now: Long,
         daemonCount: Int,
+        share: Double = 1.0,
     ): Boolean {
         removeExpired(now)
         val maxRetries =
             settings.retryRatio * requests.size * USABLE_FRACTION +
                 settings.fixedRetries * USABLE_FRACTION / maxOf(daemonCount, 1)
-        return retries.size < maxRetries
+        return retries.size < maxRetries * share
     }
 
     private fun removeExpired(now: Long) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/StallDetector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/StallDetector.kt
@@ -9,6 +9,12 @@
 
 import org.vanillalink.model.HostId
 
+/** Nothing has arrived for [milliseconds]; [hasStartedAnswer] is whether any of the answers had begun. */
+data class TargetSilence(
+    val milliseconds: Long,
+    val hasStartedAnswer: Boolean,
+)
+
 /** Tracks progress by target; times are milliseconds on the steady clock. Not thread safe. */
 class StallDetector(
     private val stallMilliseconds: Long = STALL_MILLISECONDS,
@@ -66,6 +72,12 @@
         .filterValues { now - it.lastByteAt >= stallThreshold(it) }
         .mapValues { now - it.value.lastByteAt }
 
+    /** What the requests at [target] show, or null if there are none. */
+    fun silence(
+        target: HostId,
+        now: Long,
+    ): TargetSilence? = progress[target]?.let { TargetSilence(now - it.lastByteAt, it.startedAnswers > 0) }
+
     private fun stallThreshold(progress: Progress): Long =
         if (progress.startedAnswers > 0) stallMilliseconds else firstByteMilliseconds
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerMessages.kt
@@ -10,6 +10,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetInstance
@@ -51,6 +52,11 @@
     val limits: List<ReportedLimit> = emptyList(),
     /** The version of the configuration in force at this daemon, or 0 before it knows one. */
     val configurationVersion: Long = 0,
+    /**
+     * Groups that stand still or move again, as seen by this daemon; to other failure domains, those of which it has
+     * heard, too, if it controls any.
+     */
+    val progress: List<ReportedProgress> = emptyList(),
 ) {
     /** Always empty, but daemons of earlier versions require it. */
     @Suppress("unused")
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
@@ -1,11 +1,13 @@
 package org.vanillalink.serving.balancing
 
 import org.vanillalink.serving.IKEJA
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 internal class ReachabilityMonitorTest {
-    private val testSubject = ReachabilityMonitor()
+    private val testSubject = ReachabilityMonitor(TrialSchedule(Random(1)))
 
     @Test
     fun `a failure domain where all targets are stalled and no daemon sends messages is unreachable`() {
@@ -49,6 +51,25 @@
         assertEquals(emptySet(), testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(3, 2)), now = 1_150))
     }
 
+    // Guards against the requests of all daemons to a failure domain that has been cut off for seconds.
+    @Test
+    fun `a failure domain that stays silent is unreachable for as long, and gets about a trial per interval of all`() {
+        val daemons = List(DAEMONS) { ReachabilityMonitor(TrialSchedule(Random(it))) }
+        daemons.forEach { it.recordDaemonMessage(IKEJA, now = 0) }
+        var trials = 0
+        for (now in 500L..6_500L step 50) {
+            daemons.forEach {
+                assertEquals(setOf(IKEJA), it.findUnreachable(mapOf(IKEJA to DomainProgress(3, 3)), now, DAEMONS))
+                if (it.isTrialDue(IKEJA, isHedgeable = true, now)) {
+                    trials += 1
+                    it.recordSent(IKEJA, now, DAEMONS)
+                }
+            }
+        }
+
+        assertTrue(trials in 3..20, "$trials")
+    }
+
     @Test
     fun `a new request alone does not show that a failure domain is reachable again`() {
         testSubject.recordDaemonMessage(IKEJA, now = 0)
@@ -56,4 +77,8 @@
         testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(3, 3)), now = 500)
         assertEquals(setOf(IKEJA), testSubject.findUnreachable(mapOf(IKEJA to DomainProgress(4, 3)), now = 1_150))
     }
+
+    private companion object {
+        const val DAEMONS = 31
+    }
 }
