--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -6,6 +6,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import com.fasterxml.jackson.annotation.JsonInclude
 import com.fasterxml.jackson.databind.JsonNode
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.Endpoint
@@ -24,7 +25,19 @@
 import org.vanillalink.transport.read
 
 internal object PeerMessageCodec {
-    fun encode(message: PeerMessage): ByteArray = Json.write(message)
+    /** Leaves out what is empty in nearly all messages, and what daemons of earlier versions don't require. */
+    private interface OptionalFields {
+        @get:JsonInclude(JsonInclude.Include.NON_EMPTY)
+        val progress: List<ReportedProgress>
+    }
+
+    private val mapper =
+        Json.mapper
+            .rebuild()
+            .addMixIn(PeerMessage::class.java, OptionalFields::class.java)
+            .build()
+
+    fun encode(message: PeerMessage): ByteArray = mapper.writeValueAsBytes(message)
 
     fun decode(content: ByteArray): Either<MalformedJson, PeerMessage> = Json.read<JsonNode>(content).flatMap { node ->
         Either
