--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageCodec.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.balancing.PoisonReport
 import org.vanillalink.serving.balancing.ReportedLimit
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.control.AnnouncedGroup
 import org.vanillalink.serving.peers.ControlledDomain
 import org.vanillalink.serving.peers.DomainMember
@@ -59,6 +60,7 @@
                 ?.map { FailureDomainId(it.asText()) }
                 ?.toSet()
                 .orEmpty(),
+        progress = node.get("progress")?.map(::parseProgress).orEmpty(),
     )
 
     private fun parseMember(node: JsonNode) = DomainMember(
@@ -69,6 +71,12 @@
         isLeaving = node.path("isLeaving").asBoolean(),
     )
 
+    private fun parseProgress(node: JsonNode) = ReportedProgress(
+        group = parseGroupKey(node.required("group")),
+        silence = node.number("silence"),
+        isStanding = node.required("isStanding").asBoolean(),
+    )
+
     private fun parseLimit(node: JsonNode) = ReportedLimit(
         target = PoisonReportParser.parseInstance(node.required("target")),
         requestsPerSecond = node.required("requestsPerSecond").takeIf { it.isNumber }?.asDouble(),
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageWriter.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerMessageWriter.kt
@@ -60,6 +60,7 @@
         message.relayedBy?.let { writeStringField("relayedBy", it.value) }
         writeOptionalList("members", message.members) { writeMember(it) }
         writeOptionalList("unheard", message.unheard) { writeString(it.value) }
+        writeOptionalList("progress", message.progress) { writePOJO(it) }
     }
 
     private fun JsonGenerator.writeEndpoint(endpoint: Endpoint) {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/peers/PeerMessageCodecTest.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.serving.balancing.ReportedBlock
 import org.vanillalink.serving.balancing.ReportedLimit
 import org.vanillalink.serving.balancing.ReportedLoss
+import org.vanillalink.serving.balancing.ReportedProgress
 import org.vanillalink.serving.balancing.ReportedSurvival
 import org.vanillalink.serving.balancing.RequestFingerprint
 import org.vanillalink.serving.balancing.RequestSignature
@@ -75,6 +76,7 @@
                     ReportedLimit(target, 4.8, 13),
                     ReportedLimit(TargetInstance(HostId("i-5"), null), null, 14),
                 ),
+            progress = listOf(ReportedProgress(key, 180, true)),
         )
 
     @Test
@@ -87,7 +89,7 @@
     fun `a message of an earlier version is decoded, and the current one has the fields that it requires`() {
         val content = testSubject.encode(message).decodeToString()
         val earlier =
-            listOf("poison", "limits", "configurationVersion", "canRelay", "isForDomain", "relayedBy", "unheard")
+            OPTIONAL_FIELDS
                 .fold(content) { text, field -> text.replace("\"$field\"", "\"other-$field\"") }
                 .replace("\"members\":[{", "\"other-members\":[{")
 
@@ -101,6 +103,7 @@
                 relayedBy = null,
                 members = emptyList(),
                 unheard = emptySet(),
+                progress = emptyList(),
             )
         assertEquals(expected, testSubject.decode(earlier.toByteArray()).getOrNull())
         assertTrue("\"strikes\":[]" in content)
@@ -129,4 +132,19 @@
         assertTrue(testSubject.decode("[1".toByteArray()).isLeft())
         assertTrue(testSubject.decode("7".toByteArray()).isLeft())
     }
+
+    private companion object {
+        /** Those that daemons of the first version neither send nor read, except for the list of members. */
+        val OPTIONAL_FIELDS =
+            listOf(
+                "poison",
+                "limits",
+                "configurationVersion",
+                "canRelay",
+                "isForDomain",
+                "relayedBy",
+                "unheard",
+                "progress",
+            )
+    }
 }
