--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/ReachabilityMonitorTest.kt
@@ -58,8 +58,10 @@
         daemons.forEach { it.recordDaemonMessage(IKEJA, now = 0) }
         var trials = 0
         for (now in 500L..6_500L step 50) {
+            // The requests there get second attempts elsewhere, and none are left.
+            val progress = if (now < 700) mapOf(IKEJA to DomainProgress(3, 3)) else emptyMap()
             daemons.forEach {
-                assertEquals(setOf(IKEJA), it.findUnreachable(mapOf(IKEJA to DomainProgress(3, 3)), now, DAEMONS))
+                assertEquals(setOf(IKEJA), it.findUnreachable(progress, now, DAEMONS))
                 if (it.isTrialDue(IKEJA, isHedgeable = true, now)) {
                     trials += 1
                     it.recordSent(IKEJA, now, DAEMONS)
