Let requests wait by priority where callers compete for a model

Cause: whoever came first got the slot, all others were refused alike with a constant Retry-After, so a burst of a lesser priority shut out urgent callers.

Change: where the routes of a service, or workspaces, differ in priority, a request waits at the daemon as long as it is likely to start in time, in the order of priority, goal and shares of workspaces. FairQueue moves to a module of its own, generic, and serves both protocols. The least urgent only fill a group's slots, more urgent ones may queue at the target, which takes them first. Retry-After follows the queue and is spread; who comes back sooner doesn't overtake. Routes, keys and blocks are checked again before a request that waited is sent; a daemon that stops refuses those that wait as not run.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -112,6 +112,7 @@
                 clock::steady,
                 eventLoops::schedule,
                 ports.memory,
+                traffic.waitingCalls,
             ),
             { controlLoop.isConfigurationFresh },
             random,
@@ -127,6 +128,7 @@
 
     init {
         meterRegistry.gauge("vanillalink.requests.in.progress", traffic) { it.activeCalls.count.toDouble() }
+        meterRegistry.gauge("vanillalink.requests.waiting", traffic) { it.waitingCalls.count.toDouble() }
         meterRegistry.gauge("vanillalink.groups.routable", traffic) {
             it.state.view.groups.size
                 .toDouble()
@@ -182,6 +184,7 @@
         val schedule = StopSchedule(settings.limits)
         sleepUntil(startedAt + schedule.drainsAt) { false }
         isDraining = true
+        eventLoops.execute(traffic.waitingCalls::refuseAll)
         callerServer.drain()
         // What a caller has not received yet is lost if it sends more to a process that has ended.
         sleepUntil(startedAt + schedule.endsAt) { callerServer.openConnections == 0 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -35,6 +35,7 @@
     private val failureLimiter = LogRateLimiter(FAILURE_LINES_PER_SECOND, FAILURE_LINES_PER_SECOND * 2)
     private val successLimiter = LogRateLimiter(SUCCESS_LINES_PER_SECOND, SUCCESS_LINES_PER_SECOND)
     private val timers = HashMap<String, Timer>()
+    private val priorityMetrics = PriorityMetrics(meterRegistry)
 
     /** Logs and counts the end of an admitted request. */
     fun logCompleted(
@@ -45,6 +46,7 @@
         val durationMilliseconds = endedAt - request.arrivedAt
         timer(request.route.kind.name, result.outcome).record(Duration.ofMillis(durationMilliseconds))
         val isFailure = result.status >= FIRST_ERROR_STATUS || !result.outcome.startsWith("answered")
+        request.work.priority?.let { priorityMetrics.record(it, request.workspace?.id, result, isFailure) }
         write(
             isFailure,
             "event" to "request",
@@ -56,6 +58,8 @@
             "outcome" to result.outcome,
             "status" to result.status,
             "tookMs" to durationMilliseconds,
+            "priority" to request.work.priority,
+            "waitedMs" to result.waitedMilliseconds,
             "firstEventMs" to result.timing?.firstEventMilliseconds,
             "longestPauseMs" to result.timing?.longestPauseMilliseconds,
             "attempts" to result.attempts,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AdmittedRequest.kt
@@ -37,10 +37,13 @@
     ): Duration {
         if (targetRetryAfterMilliseconds != null) return Duration.ofMillis(targetRetryAfterMilliseconds)
         val defaultRetryAfter = if (service.engine == null) PLAIN_RETRY_AFTER else ENGINE_RETRY_AFTER
-        val remaining = Duration.ofMillis(maxOf(0, callerDeadline - now))
-        return minOf(defaultRetryAfter, remaining.dividedBy(RETRY_AFTER_DIVISOR))
+        return minOf(defaultRetryAfter, retryAfterLimit(now))
     }
 
+    /** How long the caller is willing to wait before it comes back. */
+    fun retryAfterLimit(now: Long): Duration =
+        Duration.ofMillis(maxOf(0, callerDeadline - now)).dividedBy(RETRY_AFTER_DIVISOR)
+
     companion object {
         /** Short, since another daemon may serve the request at once. */
         val OTHER_DAEMON_RETRY_AFTER: Duration = Duration.ofMillis(300)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -78,7 +78,8 @@
             onBrokenOff("ended-before-body")
             return
         }
-        context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+        recordCompletion()
+        context.waitingCalls.recordFirstAnswer(request, attemptMilliseconds)
         attempts.releaseCurrent()
         mayHaveRun = true
         if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -38,8 +38,13 @@
     private val now: Long get() = context.now()
 
     /** The next target that would take the request now, or null. */
-    fun chooseTarget(): ChosenTarget? =
-        context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now)
+    fun chooseTarget(): ChosenTarget? = context.state.chooseTarget(
+        request.service,
+        request.metadata.model,
+        triedTargets,
+        now,
+        context.waitingCalls.limitPerSlot(request),
+    )
 
     /** Whether another attempt would find a target and a retry in the budget. */
     fun canContinueElsewhere(): Boolean {
@@ -167,8 +172,10 @@
     }
 
     /** Ends [attempt] in the counts of its target. */
-    private fun countEnd(attempt: Attempt) =
+    private fun countEnd(attempt: Attempt) {
         context.state.recordEnded(attempt.target.id, attempt.evidence.hasResponseBegun)
+        context.waitingCalls.requestDispatch()
+    }
 
     private companion object {
         /** Added so that the call's own timeout ends the attempt first. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallContext.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallContext.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.transport.MemoryBudget
 import org.vanillalink.transport.ScheduledAction
 import java.time.Duration
+import kotlin.random.Random
 
 internal class CallContext(
     val state: TrafficState,
@@ -21,4 +22,5 @@
     val schedule: (Duration, () -> Unit) -> ScheduledAction,
     /** Limits what is held of all responses together. */
     val memory: MemoryBudget = MemoryBudget.unlimited(),
+    val waitingCalls: WaitingCalls = WaitingCalls(state, Random(0), now, schedule),
 )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallResult.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallResult.kt
@@ -12,4 +12,6 @@
     val timing: StreamTiming?,
     /** How long an attempt still in progress at the end had taken, or null where there was none. */
     val lastAttemptMilliseconds: Long?,
+    /** How long the request waited at this daemon for room, or null if it was not queued. */
+    val waitedMilliseconds: Long? = null,
 )
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -15,6 +15,7 @@
 import org.vanillalink.model.RefusalOutcome
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestSignature
+import org.vanillalink.serving.balancing.WaitingRequest
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.ResponseWriter
@@ -48,7 +49,7 @@
 /** Drives [request] to its final response. */
 internal abstract class ProxiedCall(
     protected val context: CallContext,
-    protected val request: AdmittedRequest,
+    val request: AdmittedRequest,
     protected val response: ResponseWriter,
 ) {
     /** The attempts in progress, and the trail of all of them. */
@@ -69,6 +70,10 @@
     var isEnded = false
         private set
     private var timeout: ScheduledAction? = null
+
+    /** The place in the queue while the call waits for room, or null. */
+    var waiting: WaitingRequest<ProxiedCall>? = null
+    private var waitedMilliseconds: Long? = null
     protected val trail: StringBuilder get() = attempts.trail
     protected val evidence: AttemptEvidence get() = attempts.evidence
 
@@ -82,9 +87,45 @@
         if (isEnded) return
         val remaining = Duration.ofMillis(maxOf(0, request.responseDeadline - now))
         timeout = context.schedule(remaining, ::onTimeout)
-        startAttempt(null)
+        context.waitingCalls.start(this)
+    }
+
+    /** Starts the first attempt, if any target takes it now. */
+    fun startAtOnce() = startAttempt(null)
+
+    /** Starts the first attempt at [target]. */
+    fun startAt(target: ChosenTarget) {
+        if (waitedMilliseconds != null) waitedMilliseconds = now - request.arrivedAt
+        startAttempt(null, target)
+    }
+
+    /** Notes that the call waits, as one of [size]. */
+    fun recordWaiting(size: Int) {
+        waitedMilliseconds = 0
+        trail.append("queued($size)")
     }
 
+    /** Returns why the call may not start any more, although it was admitted; or null. */
+    fun findWithdrawal(): Withdrawal? {
+        if (waitedMilliseconds == null) return null
+        val block = context.state.poisonDetector.findBlock(signature, now)
+        if (block != null && block.since > request.arrivedAt) {
+            return Withdrawal(RefusalReason.POISON_SUSPECTED, "targets failed with requests like this one meanwhile")
+        }
+        return context.state.view.catalog
+            ?.let { findWithdrawal(it, request) }
+    }
+
+    /** Refuses the call, for which no target has room in time. */
+    fun refuseForRoom() {
+        if (isEnded) return
+        trail.append('!').append(context.state.describe(request.service, request.metadata.model, now))
+        onNoTarget()
+    }
+
+    /** Refuses the call, which has not been sent, because of [withdrawal]. */
+    fun refuseWaiting(withdrawal: Withdrawal) = refuse(withdrawal.reason, withdrawal.detail)
+
     /**
      * Continues at another target if there is one, since the group of the attempt in progress is broken. That attempt
      * is not read meanwhile, so that none of its events precede those of the other one, and goes on if that one ends.
@@ -112,8 +153,10 @@
     }
 
     /** Starts an attempt at the next target; [lastEventId] is the last event of a stream that the caller received. */
-    protected fun startAttempt(lastEventId: Long?) {
-        val next = attempts.chooseTarget()
+    protected fun startAttempt(
+        lastEventId: Long?,
+        next: ChosenTarget? = attempts.chooseTarget(),
+    ) {
         if (next == null) trail.append('!').append(context.state.describe(request.service, request.metadata.model, now))
         if (next == null || !attempts.reserve()) {
             onNoTarget()
@@ -301,8 +344,7 @@
     ) {
         if (isEnded) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryMilliseconds = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) request.retryAfter(now, retryMilliseconds) else null
+        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) retryAfter() else null
         finish(reason.problemType, reason.status)
         response.refuse(
             Refusal(reason, outcome, detail, retryAfter),
@@ -311,12 +353,25 @@
         )
     }
 
+    private fun retryAfter(): Duration {
+        val targetDelay = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
+        return request.retryAfter(now, targetDelay ?: context.waitingCalls.retryAfter(request))
+    }
+
+    /** Records that the current attempt's response is whole. */
+    protected fun recordCompletion() {
+        context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+        context.waitingCalls.recordAnswer(request, attemptMilliseconds)
+    }
+
     /** Ends the call and logs it with [outcome]. */
     protected fun finish(
         outcome: String,
         status: Int,
     ) {
         if (isEnded) return
+        if (waiting != null && waitedMilliseconds != null) waitedMilliseconds = now - request.arrivedAt
+        context.waitingCalls.remove(this)
         val lastAttemptMilliseconds = currentTarget?.let { attemptMilliseconds }
         attempts.closeCurrent()
         attempts.closeHedge()
@@ -326,7 +381,15 @@
         context.activeCalls.remove(this)
         context.requestLogger.logCompleted(
             request,
-            CallResult(outcome, status, trail.toString(), attempts.count, timing, lastAttemptMilliseconds),
+            CallResult(
+                outcome,
+                status,
+                trail.toString(),
+                attempts.count,
+                timing,
+                lastAttemptMilliseconds,
+                waitedMilliseconds,
+            ),
             now,
         )
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -68,6 +68,7 @@
         }
         dropHedge()
         firstEventAt?.let(evidence::recordAnswer)
+        if (firstEventAt == null) context.waitingCalls.recordFirstAnswer(request, attemptMilliseconds)
         firstEventAt = firstEventAt ?: now
         lastEventId = events.ids.lastOrNull() ?: lastEventId
         startResponse()
@@ -133,7 +134,7 @@
             else -> {
                 if (!endsWithConnection) evidence.recordAnswer(firstEventAt ?: now)
                 startResponse()
-                context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+                recordCompletion()
                 finish(if (resumptions == 0) "answered" else "answered-resumed", status)
                 response.finish()
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -33,6 +33,7 @@
     PoisonBlocks {
     val state = TrafficState(limits, random)
     val activeCalls = ActiveCalls()
+    val waitingCalls = WaitingCalls(state, random, now, eventLoops::schedule)
 
     @Volatile
     private var inFlightCounts: Map<HostId, Int> = emptyMap()
@@ -106,7 +107,10 @@
         val previousView = state.view
         state.view = view
         val newlyBrokenGroups = view.broken - previousView.broken
-        if (newlyBrokenGroups.isNotEmpty()) eventLoops.execute { activeCalls.failOverFromGroups(newlyBrokenGroups) }
+        eventLoops.execute {
+            activeCalls.failOverFromGroups(newlyBrokenGroups)
+            waitingCalls.requestDispatch()
+        }
     }
 
     /** Applies a peer's requests in progress and its evidence about poison requests. */
@@ -121,6 +125,7 @@
         state.reachabilityMonitor.recordDaemonMessage(message.failureDomain, time)
         state.poisonDetector.recordReport(message.poison, time)
         state.limitedTargets.limits.recordReport(message.limits, time)
+        waitingCalls.requestDispatch()
     }
 
     private fun check() {
@@ -138,6 +143,7 @@
             stalledTargets.filterValues { it > STALL_LIMIT_MILLISECONDS }.keys,
             "group-stalled",
         )
+        waitingCalls.update()
         inFlightCounts = state.inFlight.localCounts()
         demand = state.demand.slotDemand(time)
         updatePoisonBlocks(time)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -22,6 +22,7 @@
 import org.vanillalink.serving.balancing.TargetAvailability
 import org.vanillalink.serving.balancing.TargetRateLimiter
 import org.vanillalink.serving.balancing.TargetSelector
+import org.vanillalink.serving.balancing.WaitingRequests
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
@@ -59,25 +60,37 @@
     private var unreachableDomains: Set<FailureDomainId> = emptySet()
     val reachabilityMonitor = ReachabilityMonitor()
 
-    /** The best target for a call to [service], of [model] where it has an engine; null if none has capacity. */
+    /**
+     * The best target for a call to [service], of [model] where it has an engine; null if none has capacity. A first
+     * attempt may use [limitPerSlot] of a group, or the usual limit if that is null.
+     */
     fun chooseTarget(
         service: ServiceDefinition,
         model: String?,
         excludedTargets: Set<HostId>,
         now: Long,
+        limitPerSlot: Double? = null,
     ): ChosenTarget? {
         if (service.engine == null || model == null) return choosePlain(service, excludedTargets, now)
-        return chooseGroup(service, model, excludedTargets, now)
+        return chooseGroup(service, model, excludedTargets, now, limitPerSlot ?: WaitingRequests.USUAL_PER_SLOT)
     }
 
+    /** Whether any target may take calls of [model] to [service] once it has room. */
+    fun hasTargets(
+        service: ServiceDefinition,
+        model: String?,
+        now: Long,
+    ): Boolean = targets(service, model).any { isUsable(it, now) }
+
     private fun chooseGroup(
         service: ServiceDefinition,
         model: String,
         excludedTargets: Set<HostId>,
         now: Long,
+        firstLimitPerSlot: Double,
     ): ChosenTarget? {
         val currentView = view
-        val limitPerSlot = if (excludedTargets.isEmpty()) FIRST_ATTEMPT_LIMIT_PER_SLOT else RETRY_LIMIT_PER_SLOT
+        val limitPerSlot = if (excludedTargets.isEmpty()) firstLimitPerSlot else RETRY_LIMIT_PER_SLOT
         val limit = (service.engine?.slots ?: 1) * limitPerSlot
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
@@ -304,9 +317,6 @@
     }
 
     private companion object {
-        /** Requests beyond the batch wait in the engine's queue, and their first events are late. */
-        const val FIRST_ATTEMPT_LIMIT_PER_SLOT = 1.06
-
         /** A stream that lost its group may queue: the events sent so far would be wasted otherwise. */
         const val RETRY_LIMIT_PER_SLOT = 1.9
 
--- a/routing/src/main/kotlin/org/vanillalink/routing/FairQueue.kt
+++ b/queueing/src/main/kotlin/org/vanillalink/queueing/FairQueue.kt
@@ -1,59 +1,85 @@
 /*
- * The queue of one service: by priority class, then by weighted fair shares of workspaces, then by order of arrival.
+ * The queue of one service or model: by priority class, then by weighted fair shares of workspaces, then by order of
+ * arrival.
  *
  * Within a class each workspace has a queue with a virtual time, which advances by cost over weight whenever one of its
  * requests starts. The queue with the lowest virtual time is served next. A queue that was idle resumes at the class's
  * virtual time, so that other workspaces use an idle share and it does not accumulate.
  */
-package org.vanillalink.routing
+package org.vanillalink.queueing
 
 import org.vanillalink.model.WorkspaceId
 import java.util.TreeMap
 
+/** A request as the queue sees it; a higher [weight] gives its workspace a larger share. */
+interface QueuedRequest {
+    /** Requests with a higher value are served first. */
+    val urgency: Int
+    val workspace: WorkspaceId
+    val weight: Int
+
+    /** In tokens. */
+    val cost: Double
+}
+
 /** Requests that wait for a slot. */
-internal class FairQueue {
-    private val classes = TreeMap<Int, PriorityClass>(reverseOrder())
+class FairQueue<R : QueuedRequest> {
+    private val classes = TreeMap<Int, PriorityClass<R>>(reverseOrder())
 
     var size = 0
         private set
 
     fun add(
-        request: RoutedRequest,
+        request: R,
         atFront: Boolean = false,
     ) {
-        classes.getOrPut(request.arrival.priority) { PriorityClass() }.add(request, atFront)
+        classes.getOrPut(request.urgency) { PriorityClass() }.add(request, atFront)
         size += 1
     }
 
     /** Returns the next request that satisfies [predicate], without removing it. */
-    fun peek(predicate: (RoutedRequest) -> Boolean = { true }): RoutedRequest? =
-        classes.values.firstNotNullOfOrNull { it.peek(predicate) }
+    fun peek(predicate: (R) -> Boolean = { true }): R? = classes.values.firstNotNullOfOrNull { it.peek(predicate) }
+
+    /**
+     * Returns the next request of the most urgent class, or of the class of [urgency], without removing it: by shares
+     * among those that satisfy [preference], or among all if there are none.
+     */
+    fun peekPreferred(
+        urgency: Int? = null,
+        preference: (R) -> Boolean,
+    ): R? {
+        val priorityClass = if (urgency == null) classes.firstEntry()?.value else classes[urgency]
+        return priorityClass?.let { it.peek(preference) ?: it.peek { true } }
+    }
+
+    /** The classes that have requests, the most urgent first. */
+    val urgencies: Set<Int> get() = classes.keys
 
     /** Removes [request] because it starts, and charges its cost to its workspace. */
-    fun removeToStart(request: RoutedRequest) = removeRequest(request, charge = true)
+    fun removeToStart(request: R) = removeRequest(request, charge = true)
 
     /** Removes [request] without charging its workspace. */
-    fun remove(request: RoutedRequest) = removeRequest(request, charge = false)
+    fun remove(request: R) = removeRequest(request, charge = false)
 
     private fun removeRequest(
-        request: RoutedRequest,
+        request: R,
         charge: Boolean,
     ) {
-        val priorityClass = classes[request.arrival.priority] ?: return
+        val priorityClass = classes[request.urgency] ?: return
         if (!priorityClass.removeRequest(request, charge)) return
         size -= 1
-        if (priorityClass.isEmpty()) classes.remove(request.arrival.priority)
+        if (priorityClass.isEmpty()) classes.remove(request.urgency)
     }
 
     /** Returns the tokens that would be served before a request that is added now. */
     fun costAhead(
-        priority: Int,
+        urgency: Int,
         workspace: WorkspaceId,
         weight: Int,
-    ): Double {
-        val costAbove = classes.headMap(priority, false).values.sumOf { it.cost }
-        return costAbove + (classes[priority]?.costAhead(workspace, weight) ?: 0.0)
-    }
+    ): Double = costAbove(urgency) + (classes[urgency]?.costAhead(workspace, weight) ?: 0.0)
+
+    /** Returns the tokens of requests more urgent than [urgency]. */
+    fun costAbove(urgency: Int): Double = classes.headMap(urgency, false).values.sumOf { it.cost }
 
     /** Returns the fraction (0.0 to 1.0) of the slots that [workspace] gets beside the workspaces that wait. */
     fun shareFraction(
@@ -62,22 +88,22 @@
     ): Double = weight.toDouble() / (weight + (classes.values.maxOfOrNull { it.otherWeights(workspace) } ?: 0))
 
     /** Returns the request to drop first: the newest one of the workspace most over its share in the lowest class. */
-    fun lowestRanked(): RoutedRequest? = classes.lastEntry()?.value?.lowestRanked()
+    fun lowestRanked(): R? = classes.lastEntry()?.value?.lowestRanked()
 
     /**
      * Returns the requests for which [isTooLate] holds, given the tokens served before each. Requests that are
      * themselves too late do not count as served.
      */
-    fun findTooLate(isTooLate: (RoutedRequest, Double) -> Boolean): List<RoutedRequest> {
-        val late = ArrayList<RoutedRequest>()
+    fun findTooLate(isTooLate: (R, Double) -> Boolean): List<R> {
+        val late = ArrayList<R>()
         var costAbove = 0.0
         for (priorityClass in classes.values) costAbove += priorityClass.collectTooLate(costAbove, late, isTooLate)
         return late
     }
 }
 
-private class PriorityClass {
-    private val queues = LinkedHashMap<WorkspaceId, WorkspaceQueue>()
+private class PriorityClass<R : QueuedRequest> {
+    private val queues = LinkedHashMap<WorkspaceId, WorkspaceQueue<R>>()
     private var virtualTime = 0.0
     var cost = 0.0
         private set
@@ -85,10 +111,10 @@
     fun isEmpty(): Boolean = queues.values.all { it.requests.isEmpty() }
 
     fun add(
-        request: RoutedRequest,
+        request: R,
         atFront: Boolean,
     ) {
-        val queue = queues.getOrPut(request.arrival.workspace) { WorkspaceQueue() }
+        val queue = queues.getOrPut(request.workspace) { WorkspaceQueue() }
         if (queue.requests.isEmpty()) queue.virtualTime = maxOf(queue.virtualTime, virtualTime)
         queue.weight = request.weight
         if (atFront) queue.requests.addFirst(request) else queue.requests.addLast(request)
@@ -96,16 +122,16 @@
         cost += request.cost
     }
 
-    fun peek(predicate: (RoutedRequest) -> Boolean): RoutedRequest? {
+    fun peek(predicate: (R) -> Boolean): R? {
         val next = waitingQueues().filter { it.requests.any(predicate) }.minByOrNull { it.virtualTime }
         return next?.requests?.first(predicate)
     }
 
     fun removeRequest(
-        request: RoutedRequest,
+        request: R,
         charge: Boolean,
     ): Boolean {
-        val queue = queues[request.arrival.workspace] ?: return false
+        val queue = queues[request.workspace] ?: return false
         if (!queue.requests.remove(request)) return false
         queue.cost -= request.cost
         cost -= request.cost
@@ -126,12 +152,12 @@
     fun otherWeights(workspace: WorkspaceId): Int =
         queues.entries.filter { it.key != workspace && it.value.requests.isNotEmpty() }.sumOf { it.value.weight }
 
-    fun lowestRanked(): RoutedRequest? = waitingQueues().maxByOrNull { it.cost / it.weight }?.requests?.last()
+    fun lowestRanked(): R? = waitingQueues().maxByOrNull { it.cost / it.weight }?.requests?.last()
 
     fun collectTooLate(
         costAbove: Double,
-        late: MutableList<RoutedRequest>,
-        isTooLate: (RoutedRequest, Double) -> Boolean,
+        late: MutableList<R>,
+        isTooLate: (R, Double) -> Boolean,
     ): Double {
         val weights = waitingQueues().sumOf { it.weight }
         var classCost = cost
@@ -161,8 +187,8 @@
     ): Double = minOf(total, ownCost * (weight + otherWeights) / weight)
 }
 
-private class WorkspaceQueue {
-    val requests = ArrayDeque<RoutedRequest>()
+private class WorkspaceQueue<R : QueuedRequest> {
+    val requests = ArrayDeque<R>()
     var weight = 1
     var cost = 0.0
     var virtualTime = 0.0
--- a/routing/src/main/kotlin/org/vanillalink/routing/RoutedRequest.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/RoutedRequest.kt
@@ -5,15 +5,19 @@
 
 import org.vanillalink.model.HostId
 import org.vanillalink.model.RequestId
+import org.vanillalink.model.WorkspaceId
+import org.vanillalink.queueing.QueuedRequest
 import java.time.Instant
 
 /** The router's state of one request; a higher [weight] gives its workspace a larger share. */
 internal class RoutedRequest(
     val arrival: RouterEvent.RequestArrived,
-    val weight: Int,
-) {
+    override val weight: Int,
+) : QueuedRequest {
     val id: RequestId get() = arrival.request
-    val cost: Double get() = arrival.estimatedTokens.toDouble()
+    override val urgency: Int get() = arrival.priority
+    override val workspace: WorkspaceId get() = arrival.workspace
+    override val cost: Double get() = arrival.estimatedTokens.toDouble()
     var attemptCount = 0
     var forwardCount = 0
     var mayHaveRun = false
--- a/routing/src/main/kotlin/org/vanillalink/routing/RouterState.kt
+++ b/routing/src/main/kotlin/org/vanillalink/routing/RouterState.kt
@@ -10,6 +10,7 @@
 import org.vanillalink.model.RequestId
 import org.vanillalink.model.ServiceName
 import org.vanillalink.model.WorkspaceId
+import org.vanillalink.queueing.FairQueue
 import java.time.Instant
 
 /** One daemon's routing state, confined to the thread that calls [Router.handle]. */
@@ -54,7 +55,7 @@
 ) {
     val entries = ArrayList<CandidateEntry>()
     val remotes = LinkedHashMap<DaemonId, RemoteDaemonEntry>()
-    val queue = FairQueue()
+    val queue = FairQueue<RoutedRequest>()
     val serviceTimes = ServiceTimeEstimator()
     var expectedCapacity: RouterEvent.CapacityExpected? = null
     var forwardedCount = 0
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/ModelDemand.kt
@@ -7,27 +7,8 @@
  */
 package org.vanillalink.serving.balancing
 
-import kotlin.math.exp
-
 /** Exponentially decaying estimates per model or plain service; times are in milliseconds. Not thread safe. */
 class ModelDemand {
-    private class DecayingSum(
-        private val timeConstantMilliseconds: Double,
-    ) {
-        private var sum = 0.0
-        private var updatedAt = 0L
-
-        fun add(
-            amount: Double,
-            now: Long,
-        ) {
-            sum = value(now) + amount
-            updatedAt = now
-        }
-
-        fun value(now: Long): Double = sum * exp(-(now - updatedAt) / timeConstantMilliseconds)
-    }
-
     private class ModelStatistics {
         val arrivals = DecayingSum(ARRIVAL_TIME_CONSTANT_MILLISECONDS)
         val completions = DecayingSum(COMPLETION_TIME_CONSTANT_MILLISECONDS)
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/RequestWork.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/RequestWork.kt
@@ -13,4 +13,7 @@
     val priority: Int? = null,
     /** Until when the first event, or the whole answer of a plain service, is on time. */
     val goalAt: Long = Long.MAX_VALUE,
-)
+) {
+    /** In tokens; a request that names none counts as one. */
+    val cost: Double get() = maxOf(1, promptTokens + (answerTokens ?: 0)).toDouble()
+}
