Keep what calls wait for with the waiting calls

Change: WaitingCalls refuses calls and checks withdrawn routes itself; no change of behaviour. The tests of gateway/traffic pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -78,7 +78,8 @@
             onBrokenOff("ended-before-body")
             return
         }
-        recordCompletion()
+        context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+        context.waitingCalls.recordAnswer(request, attemptMilliseconds)
         context.waitingCalls.recordFirstAnswer(request, attemptMilliseconds)
         attempts.releaseCurrent()
         mayHaveRun = true
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -73,7 +73,9 @@
 
     /** The place in the queue while the call waits for room, or null. */
     var waiting: WaitingRequest<ProxiedCall>? = null
-    private var waitedMilliseconds: Long? = null
+
+    /** How long the call waited, or null if it was not queued. */
+    var waitedMilliseconds: Long? = null
     protected val trail: StringBuilder get() = attempts.trail
     protected val evidence: AttemptEvidence get() = attempts.evidence
 
@@ -90,42 +92,6 @@
         context.waitingCalls.start(this)
     }
 
-    /** Starts the first attempt, if any target takes it now. */
-    fun startAtOnce() = startAttempt(null)
-
-    /** Starts the first attempt at [target]. */
-    fun startAt(target: ChosenTarget) {
-        if (waitedMilliseconds != null) waitedMilliseconds = now - request.arrivedAt
-        startAttempt(null, target)
-    }
-
-    /** Notes that the call waits, as one of [size]. */
-    fun recordWaiting(size: Int) {
-        waitedMilliseconds = 0
-        trail.append("queued($size)")
-    }
-
-    /** Returns why the call may not start any more, although it was admitted; or null. */
-    fun findWithdrawal(): Withdrawal? {
-        if (waitedMilliseconds == null) return null
-        val block = context.state.poisonDetector.findBlock(signature, now)
-        if (block != null && block.since > request.arrivedAt) {
-            return Withdrawal(RefusalReason.POISON_SUSPECTED, "targets failed with requests like this one meanwhile")
-        }
-        return context.state.view.catalog
-            ?.let { findWithdrawal(it, request) }
-    }
-
-    /** Refuses the call, for which no target has room in time. */
-    fun refuseForRoom() {
-        if (isEnded) return
-        trail.append('!').append(context.state.describe(request.service, request.metadata.model, now))
-        onNoTarget()
-    }
-
-    /** Refuses the call, which has not been sent, because of [withdrawal]. */
-    fun refuseWaiting(withdrawal: Withdrawal) = refuse(withdrawal.reason, withdrawal.detail)
-
     /**
      * Continues at another target if there is one, since the group of the attempt in progress is broken. That attempt
      * is not read meanwhile, so that none of its events precede those of the other one, and goes on if that one ends.
@@ -153,7 +119,7 @@
     }
 
     /** Starts an attempt at the next target; [lastEventId] is the last event of a stream that the caller received. */
-    protected fun startAttempt(
+    fun startAttempt(
         lastEventId: Long?,
         next: ChosenTarget? = attempts.chooseTarget(),
     ) {
@@ -329,7 +295,7 @@
     protected open val timing: StreamTiming? get() = null
 
     /** Called when no target can take the request now. */
-    protected open fun onNoTarget() {
+    open fun onNoTarget() {
         if (mayHaveRun) {
             refuse(RefusalReason.TARGET_FAILED, "no other target could be tried")
         } else {
@@ -338,13 +304,19 @@
     }
 
     /** Sends a refusal by this daemon as the final response. */
-    protected fun refuse(
+    fun refuse(
         reason: RefusalReason,
         detail: String,
     ) {
         if (isEnded) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) retryAfter() else null
+        val targetDelay = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
+        val retryAfter =
+            if (outcome == RefusalOutcome.NOT_RUN) {
+                request.retryAfter(now, targetDelay ?: context.waitingCalls.retryAfter(request))
+            } else {
+                null
+            }
         finish(reason.problemType, reason.status)
         response.refuse(
             Refusal(reason, outcome, detail, retryAfter),
@@ -353,24 +325,12 @@
         )
     }
 
-    private fun retryAfter(): Duration {
-        val targetDelay = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
-        return request.retryAfter(now, targetDelay ?: context.waitingCalls.retryAfter(request))
-    }
-
-    /** Records that the current attempt's response is whole. */
-    protected fun recordCompletion() {
-        context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
-        context.waitingCalls.recordAnswer(request, attemptMilliseconds)
-    }
-
     /** Ends the call and logs it with [outcome]. */
     protected fun finish(
         outcome: String,
         status: Int,
     ) {
         if (isEnded) return
-        if (waiting != null && waitedMilliseconds != null) waitedMilliseconds = now - request.arrivedAt
         context.waitingCalls.remove(this)
         val lastAttemptMilliseconds = currentTarget?.let { attemptMilliseconds }
         attempts.closeCurrent()
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -134,7 +134,8 @@
             else -> {
                 if (!endsWithConnection) evidence.recordAnswer(firstEventAt ?: now)
                 startResponse()
-                recordCompletion()
+                context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+                context.waitingCalls.recordAnswer(request, attemptMilliseconds)
                 finish(if (resumptions == 0) "answered" else "answered-resumed", status)
                 response.finish()
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -75,13 +75,6 @@
         return chooseGroup(service, model, excludedTargets, now, limitPerSlot ?: WaitingRequests.USUAL_PER_SLOT)
     }
 
-    /** Whether any target may take calls of [model] to [service] once it has room. */
-    fun hasTargets(
-        service: ServiceDefinition,
-        model: String?,
-        now: Long,
-    ): Boolean = targets(service, model).any { isUsable(it, now) }
-
     private fun chooseGroup(
         service: ServiceDefinition,
         model: String,
@@ -167,7 +160,8 @@
         return known.filter { it > 0 && it != TargetRateLimiter.NEVER }.minOrNull()
     }
 
-    private fun targets(
+    /** The targets of [service], of [model] where it has an engine, whether or not they are usable. */
+    fun targets(
         service: ServiceDefinition,
         model: String?,
     ): List<TargetEntry> {
@@ -175,7 +169,8 @@
         return view.groups(service.name, model.orEmpty()).map { it.head }
     }
 
-    private fun isUsable(
+    /** Whether [target] takes requests now, unless it is full. */
+    fun isUsable(
         target: TargetEntry,
         now: Long,
     ): Boolean = acceptsRequests(target) && targetAvailability.remainingBackOff(target.instance, now) == 0L
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
@@ -56,7 +56,7 @@
 
     /** Sends [call], which has just arrived, or has it wait, or refuses it. */
     fun start(call: ProxiedCall) {
-        val queue = findOrCreate(call.request) ?: return call.startAtOnce()
+        val queue = findOrCreate(call.request) ?: return call.startAttempt(null)
         val request = call.request
         val waiting = WaitingRequest(call, request.work, workspaceOf(request), request.responseDeadline)
         call.waiting = waiting
@@ -66,14 +66,19 @@
         if (!isOvertaking) dispatch(queue)
         if (call.waiting == null) return
         val mayWait = !comesTooSoon && hasTargets(request) && queue.mayWait(waiting, now())
-        if (mayWait) call.recordWaiting(queue.size) else call.refuseForRoom()
-        queue.findSurplus()?.call?.refuseForRoom()
+        if (mayWait) {
+            call.waitedMilliseconds = 0
+            call.attempts.trail.append("queued(${queue.size})")
+        } else {
+            refuse(call)
+        }
+        queue.findSurplus()?.let { refuse(it.call) }
     }
 
     /** Removes [call], which has ended. */
     fun remove(call: ProxiedCall) {
         val waiting = call.waiting ?: return
-        call.waiting = null
+        endWait(call)
         find(call.request)?.remove(waiting)
     }
 
@@ -120,33 +125,58 @@
 
     /** Refuses calls that can't start in time any more, and sends those for which there is room. */
     fun update() = queues.values.filter { it.size > 0 }.forEach { queue ->
-        queue.findHopeless(now()).forEach { it.call.refuseForRoom() }
+        queue.findHopeless(now()).forEach { refuse(it.call) }
         dispatch(queue)
     }
 
     /** Refuses all calls that wait, since this daemon stops. */
     fun refuseAll() = queues.values.flatMap { it.removeAll() }.forEach {
-        it.call.refuseWaiting(Withdrawal(RefusalReason.NOT_READY, "this daemon is stopping"))
+        it.call.refuse(RefusalReason.NOT_READY, "this daemon is stopping")
     }
 
     private fun dispatch(queue: WaitingRequests<ProxiedCall>) {
         while (true) {
             val next = queue.next(now()) ?: return
             val call = next.call
-            val withdrawal = call.findWithdrawal()
+            val withdrawal = findWithdrawal(call)
             if (withdrawal != null) {
-                call.refuseWaiting(withdrawal)
+                call.refuse(withdrawal.reason, withdrawal.detail)
                 continue
             }
             val target = call.attempts.chooseTarget() ?: return
             queue.removeToStart(next, now())
-            call.waiting = null
-            call.startAt(target)
+            endWait(call)
+            call.startAttempt(null, target)
+        }
+    }
+
+    private fun endWait(call: ProxiedCall) {
+        call.waiting = null
+        if (call.waitedMilliseconds != null) call.waitedMilliseconds = now() - call.request.arrivedAt
+    }
+
+    /** Refuses [call], for which no target has room in time. */
+    private fun refuse(call: ProxiedCall) {
+        val request = call.request
+        val reason = state.describe(request.service, request.metadata.model, now())
+        call.attempts.trail
+            .append('!')
+            .append(reason)
+        call.onNoTarget()
+    }
+
+    /** Returns why [call], which has waited, may not start any more, or null. */
+    private fun findWithdrawal(call: ProxiedCall): Withdrawal? {
+        if (call.waitedMilliseconds == null) return null
+        val block = state.poisonDetector.findBlock(call.signature, now())
+        if (block != null && block.since > call.request.arrivedAt) {
+            return Withdrawal(RefusalReason.POISON_SUSPECTED, "targets failed with requests like this one meanwhile")
         }
+        return state.view.catalog?.let { findWithdrawal(it, call.request) }
     }
 
     private fun hasTargets(request: AdmittedRequest): Boolean =
-        state.hasTargets(request.service, request.metadata.model, now())
+        state.targets(request.service, request.metadata.model).any { state.isUsable(it, now()) }
 
     private fun find(request: AdmittedRequest): WaitingRequests<ProxiedCall>? = capacityOf(request)?.let(queues::get)
 
