--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -79,6 +79,8 @@
             return
         }
         context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+        context.waitingCalls.recordAnswer(request, attemptMilliseconds)
+        context.waitingCalls.recordFirstAnswer(request, attemptMilliseconds)
         attempts.releaseCurrent()
         mayHaveRun = true
         if (status < FIRST_SERVER_ERROR_STATUS) evidence.recordAnswer(now)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -40,7 +40,8 @@
 
     /** The next target that would take the request now, or null. */
     fun chooseTarget(needsFreeSlot: Boolean = false): ChosenTarget? {
-        val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot)
+        val limitPerSlot = context.waitingCalls.limitPerSlot(request)
+        val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot, limitPerSlot)
         return context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now, preferences)
     }
 
@@ -185,8 +186,10 @@
     }
 
     /** Ends [attempt] in the counts of its target. */
-    private fun countEnd(attempt: Attempt) =
+    private fun countEnd(attempt: Attempt) {
         context.state.recordEnded(attempt.target.id, attempt.evidence.hasResponseBegun)
+        context.waitingCalls.requestDispatch()
+    }
 
     private companion object {
         /** Added so that the call's own timeout ends the attempt first. */
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -16,6 +16,7 @@
 import org.vanillalink.model.RefusalReason
 import org.vanillalink.serving.balancing.RequestSignature
 import org.vanillalink.serving.balancing.SecondAttempts
+import org.vanillalink.serving.balancing.WaitingRequest
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.transport.HeaderFields
 import org.vanillalink.transport.ResponseWriter
@@ -49,7 +50,7 @@
 /** Drives [request] to its final response. */
 internal abstract class ProxiedCall(
     protected val context: CallContext,
-    protected val request: AdmittedRequest,
+    val request: AdmittedRequest,
     protected val response: ResponseWriter,
 ) {
     /** The attempts in progress, and the trail of all of them. */
@@ -70,6 +71,12 @@
     var isEnded = false
         private set
     private var timeout: ScheduledAction? = null
+
+    /** The place in the queue while the call waits for room, or null. */
+    var waiting: WaitingRequest<ProxiedCall>? = null
+
+    /** How long the call waited, or null if it was not queued. */
+    var waitedMilliseconds: Long? = null
     protected val trail: StringBuilder get() = attempts.trail
     protected val evidence: AttemptEvidence get() = attempts.evidence
 
@@ -91,7 +98,7 @@
         if (isEnded) return
         val remaining = Duration.ofMillis(maxOf(0, request.responseDeadline - now))
         timeout = context.schedule(remaining, ::onTimeout)
-        startAttempt(null)
+        context.waitingCalls.start(this)
     }
 
     /**
@@ -127,8 +134,10 @@
     }
 
     /** Starts an attempt at the next target; [lastEventId] is the last event of a stream that the caller received. */
-    protected fun startAttempt(lastEventId: Long?) {
-        val next = attempts.chooseTarget()
+    fun startAttempt(
+        lastEventId: Long?,
+        next: ChosenTarget? = attempts.chooseTarget(),
+    ) {
         if (next == null) trail.append('!').append(context.state.describe(request.service, request.metadata.model, now))
         if (next == null || !attempts.reserve()) {
             onNoTarget()
@@ -304,7 +313,7 @@
     protected open val timing: StreamTiming? get() = null
 
     /** Called when no target can take the request now. */
-    protected open fun onNoTarget() {
+    open fun onNoTarget() {
         if (mayHaveRun) {
             refuse(RefusalReason.TARGET_FAILED, "no other target could be tried")
         } else {
@@ -313,14 +322,19 @@
     }
 
     /** Sends a refusal by this daemon as the final response. */
-    protected fun refuse(
+    fun refuse(
         reason: RefusalReason,
         detail: String,
     ) {
         if (isEnded) return
         val outcome = if (mayHaveRun) RefusalOutcome.UNKNOWN else RefusalOutcome.NOT_RUN
-        val retryMilliseconds = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
-        val retryAfter = if (outcome == RefusalOutcome.NOT_RUN) request.retryAfter(now, retryMilliseconds) else null
+        val targetDelay = context.state.retryAfterMilliseconds(request.service, request.metadata.model, now)
+        val retryAfter =
+            if (outcome == RefusalOutcome.NOT_RUN) {
+                request.retryAfter(now, targetDelay ?: context.waitingCalls.retryAfter(request))
+            } else {
+                null
+            }
         finish(reason.problemType, reason.status)
         response.refuse(
             Refusal(reason, outcome, detail, retryAfter),
@@ -335,6 +349,7 @@
         status: Int,
     ) {
         if (isEnded) return
+        context.waitingCalls.remove(this)
         val lastAttemptMilliseconds = currentTarget?.let { attemptMilliseconds }
         attempts.closeCurrent()
         attempts.closeHedge()
@@ -344,7 +359,15 @@
         context.activeCalls.remove(this)
         context.requestLogger.logCompleted(
             request,
-            CallResult(outcome, status, trail.toString(), attempts.count, timing, lastAttemptMilliseconds),
+            CallResult(
+                outcome,
+                status,
+                trail.toString(),
+                attempts.count,
+                timing,
+                lastAttemptMilliseconds,
+                waitedMilliseconds,
+            ),
             now,
         )
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -68,7 +68,10 @@
         }
         dropHedge()
         firstEventAt?.let(evidence::recordAnswer)
-        if (firstEventAt == null) attempts.recordFirstEvent()
+        if (firstEventAt == null) {
+            attempts.recordFirstEvent()
+            context.waitingCalls.recordFirstAnswer(request, attemptMilliseconds)
+        }
         firstEventAt = firstEventAt ?: now
         lastEventId = events.ids.lastOrNull() ?: lastEventId
         startResponse()
@@ -135,6 +138,7 @@
                 if (!endsWithConnection) evidence.recordAnswer(firstEventAt ?: now)
                 startResponse()
                 context.state.recordCompletion(request.service, request.metadata.model, attemptMilliseconds, now)
+                context.waitingCalls.recordAnswer(request, attemptMilliseconds)
                 finish(if (resumptions == 0) "answered" else "answered-resumed", status)
                 response.finish()
             }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -37,6 +37,7 @@
     PoisonBlocks {
     val state = TrafficState(limits, random)
     val activeCalls = ActiveCalls()
+    val waitingCalls = WaitingCalls(state, random, now, eventLoops::schedule)
 
     @Volatile
     private var inFlightCounts: Map<HostId, Int> = emptyMap()
@@ -143,6 +144,7 @@
         state.groupProgress.recordReports(message, failureDomain, time)
         state.poisonDetector.recordReport(message.poison, time)
         state.limitedTargets.limits.recordReport(message.limits, time)
+        waitingCalls.requestDispatch()
     }
 
     private fun check() {
@@ -162,6 +164,7 @@
             stalledTargets.filterValues { it > STALL_LIMIT_MILLISECONDS }.keys,
             "group-stalled",
         )
+        waitingCalls.update()
         inFlightCounts = state.inFlight.localCounts()
         demand = state.demand.slotDemand(time)
         updatePoisonBlocks(time)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -23,6 +23,7 @@
 import org.vanillalink.serving.balancing.TargetRateLimiter
 import org.vanillalink.serving.balancing.TargetSelector
 import org.vanillalink.serving.balancing.TrialSchedule
+import org.vanillalink.serving.balancing.WaitingRequests
 import org.vanillalink.serving.catalog.ServiceDefinition
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.serving.targets.TargetInstance
@@ -42,6 +43,8 @@
     val isHedgeable: Boolean = false,
     /** Whether only a target that works and has a free slot is of use. */
     val needsFreeSlot: Boolean = false,
+    /** How many requests for each slot a group may have for a first attempt, or null for the usual limit. */
+    val limitPerSlot: Double? = null,
 )
 
 /** In-flight counts, retry budgets, and the state of targets. */
@@ -94,7 +97,8 @@
     ): ChosenTarget? {
         val currentView = view
         val needsSlot = excludedTargets.isEmpty() || preferences.needsFreeSlot
-        val limitPerSlot = if (needsSlot) FIRST_ATTEMPT_LIMIT_PER_SLOT else RETRY_LIMIT_PER_SLOT
+        val firstLimitPerSlot = preferences.limitPerSlot ?: WaitingRequests.USUAL_PER_SLOT
+        val limitPerSlot = if (needsSlot) firstLimitPerSlot else RETRY_LIMIT_PER_SLOT
         val limit = (service.engine?.slots ?: 1) * limitPerSlot
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
@@ -188,7 +192,8 @@
         return known.filter { it > 0 && it != TargetRateLimiter.NEVER }.minOrNull()
     }
 
-    private fun targets(
+    /** The targets of [service], of [model] where it has an engine, whether or not they are usable. */
+    fun targets(
         service: ServiceDefinition,
         model: String?,
     ): List<TargetEntry> {
@@ -196,7 +201,8 @@
         return view.groups(service.name, model.orEmpty()).map { it.head }
     }
 
-    private fun isUsable(
+    /** Whether [target] takes requests now, unless it is full. */
+    fun isUsable(
         target: TargetEntry,
         now: Long,
     ): Boolean = acceptsRequests(target) && targetAvailability.remainingBackOff(target.instance, now) == 0L
@@ -353,9 +359,6 @@
     }
 
     private companion object {
-        /** Requests beyond the batch wait in the engine's queue, and their first events are late. */
-        const val FIRST_ATTEMPT_LIMIT_PER_SLOT = 1.06
-
         /** A stream that lost its group may queue: the events sent so far would be wasted otherwise. */
         const val RETRY_LIMIT_PER_SLOT = 1.9
 
