Follow the store through a peer of the own failure domain

Change: with four daemons or more in a failure domain, two of them and those with control follow the store; the others ask one of these for changes, and the store at once if it fails. Answers carry the age of the confirmation, measured at the request's arrival. The list of daemons is read each 60 s by the others.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -6,12 +6,14 @@
 import org.vanillalink.daemon.logs.CountingAsyncAppender
 import org.vanillalink.gateway.GatewayDaemon
 import org.vanillalink.gateway.GatewayPorts
+import org.vanillalink.gateway.control.SystemClock
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.platform.InvalidNodeFile
 import org.vanillalink.platform.NodeFile
 import org.vanillalink.platform.PlatformCallProtocol
 import org.vanillalink.platform.RunnerControl
 import org.vanillalink.platform.StoreClient
+import org.vanillalink.platform.StoreRelay
 import org.vanillalink.platform.StoredRegistry
 import org.vanillalink.transport.ConnectionCounters
 import org.vanillalink.transport.MemoryBudget
@@ -71,18 +73,22 @@
         val memory = MemoryBudget.ofHeap(maxHeapBytes)
         // Answers of targets must not cost those of the store, of which one may be larger than any of theirs.
         val http = NettyHttpClient(loops, CONNECT_TIMEOUT, connections, MemoryBudget.ofHeap(maxHeapBytes))
-        val store = StoreClient(http, settings.storeEndpoint, decoding())
+        val decoding = decoding()
+        val store = StoreClient(http, settings.storeEndpoint, decoding)
+        val relay = StoreRelay(http, decoding, SystemClock) { delay, action -> loops.schedule(delay, action) }
         val dropped = CountingAsyncAppender::droppedLines
         val ports =
             GatewayPorts(
                 http,
-                StoredRegistry(store),
+                StoredRegistry(store, relay),
                 store,
                 RunnerControl(http),
                 PlatformCallProtocol(),
                 dropped,
                 connections,
                 memory,
+                relay,
+                store::callCount,
             )
         return GatewayDaemon(settings, loops, ports)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -22,6 +22,7 @@
 import org.vanillalink.gateway.ports.CallProtocol
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.gateway.ports.Registry
+import org.vanillalink.gateway.ports.RegistryRelay
 import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.gateway.traffic.CallContext
 import org.vanillalink.gateway.traffic.CallHandler
@@ -52,6 +53,10 @@
     val connections: ConnectionCounters = ConnectionCounters(),
     /** What is held of responses to callers' requests. */
     val memory: MemoryBudget = MemoryBudget.unlimited(),
+    /** Passes the registry on between daemons, or null where each daemon follows the store. */
+    val relay: RegistryRelay? = null,
+    /** How many calls were sent to the store. */
+    val storeCalls: () -> Long = { 0 },
 )
 
 /** Serves from construction until [stop] or [close]. */
@@ -81,7 +86,10 @@
             clock,
             controlLoopDelay,
             GroupControlMetrics(meterRegistry),
+            ports.relay,
         )
+    private val relayServer =
+        ports.relay?.let { NettyHttpServer(eventLoops, settings.peerEndpoint, ServerLimits(), it) }
     private val peerExchange =
         PeerExchange(
             settings,
@@ -136,6 +144,7 @@
             controlLoop,
         ) { (it.configurationVersion ?: 0).toDouble() }
         meterRegistry.gauge("vanillalink.store.restorations", controlLoop) { it.restorations.toDouble() }
+        registerStoreMetrics()
         meterRegistry.gauge("vanillalink.poison.blocks", traffic) {
             it.state.poisonDetector.blockCount
                 .toDouble()
@@ -197,7 +206,21 @@
     override fun close() {
         controlThread.close()
         peerExchange.close()
-        listOf(callerServer, readinessServer, metricsServer).forEach { it.close() }
+        listOfNotNull(callerServer, readinessServer, metricsServer, relayServer).forEach { it.close() }
+    }
+
+    private fun registerStoreMetrics() {
+        meterRegistry.gauge("vanillalink.store.calls", ports) { it.storeCalls().toDouble() }
+        meterRegistry.gauge(
+            "vanillalink.registry.peer.answers",
+            controlLoop.registrySource,
+        ) { it.answersOfPeers.toDouble() }
+        meterRegistry.gauge(
+            "vanillalink.registry.peer.failures",
+            controlLoop.registrySource,
+        ) { it.failuresOfPeers.toDouble() }
+        meterRegistry.gauge("vanillalink.registry.relay.answers", ports) { it.relay?.answered?.toDouble() ?: 0.0 }
+        meterRegistry.gauge("vanillalink.registry.relay.refusals", ports) { it.relay?.refused?.toDouble() ?: 0.0 }
     }
 
     private fun sleepUntil(
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/ControlLoop.kt
@@ -12,6 +12,8 @@
 import org.vanillalink.gateway.ports.Registry
 import org.vanillalink.gateway.ports.RegistryPart
 import org.vanillalink.gateway.ports.RegistryRecord
+import org.vanillalink.gateway.ports.RegistryRelay
+import org.vanillalink.gateway.ports.RelayedAge
 import org.vanillalink.gateway.ports.TargetControl
 import org.vanillalink.gateway.traffic.RoutableGroup
 import org.vanillalink.gateway.traffic.TrafficView
@@ -49,6 +51,7 @@
     private val clock: GatewayClock,
     private val loopDelayMonitor: LoopDelayMonitor,
     groupControlMetrics: GroupControlMetrics,
+    relay: RegistryRelay? = null,
 ) {
     private val registryState = RegistryState(eventLogger, clock, settings.limits.relistMilliseconds)
 
@@ -89,8 +92,11 @@
     /** Called on the control thread with the daemons that need to be sent newly stalled groups soon. */
     var onNewSuspects: (Set<DaemonId>) -> Unit = {}
 
-    private val operatorsFollower = createFollower(RegistryPart.OPERATORS, registry)
-    private val targetsFollower = createFollower(RegistryPart.TARGETS, registry)
+    /** Where this daemon reads the registry. */
+    internal val registrySource =
+        RegistrySource(settings, registry, relay, RegistryInputs(), controlThread, eventLogger, clock)
+    private val operatorsFollower = createFollower(RegistryPart.OPERATORS)
+    private val targetsFollower = createFollower(RegistryPart.TARGETS)
     private val domainControls =
         settings.failureDomains.associateWith {
             DomainControl(it, settings.daemon, table, controlThread, eventLogger, clock, targetsFollower::refresh)
@@ -180,22 +186,16 @@
     private val ownState: OwnState
         get() = OwnState(settings.daemon, settings.failureDomain, storeAge(), isLeaving)
 
-    private val targetPollInterval: Duration
-        get() {
-            val drainPeriod = Duration.ofMillis(settings.limits.drainMilliseconds)
-            return RegistryPollInterval.compute(
-                domainControls.values.any { it.isHeld },
-                peerDirectory.budgetDaemons(clock.steady()),
-                drainPeriod,
-            )
-        }
+    private inner class RegistryInputs : RegistrySourceInputs {
+        override val peerDirectory get() = this@ControlLoop.peerDirectory
+        override val ownState get() = this@ControlLoop.ownState
+        override val hasControl get() = this@ControlLoop.hasControl
+        override val ownTerm get() = domainControls[settings.failureDomain]?.term ?: 0
+    }
 
-    private fun createFollower(
-        part: RegistryPart,
-        registry: Registry,
-    ) = RegistryFollower(
+    private fun createFollower(part: RegistryPart) = RegistryFollower(
         part,
-        registry,
+        registrySource.registry,
         controlThread,
         clock,
         eventLogger,
@@ -203,7 +203,9 @@
         { records, readKind -> applyRecords(part, records, readKind) },
         ::onStoreResponse,
         ::onStoreRestored,
-    ) { if (part == RegistryPart.TARGETS) targetPollInterval else RegistryPollInterval.MIN_INTERVAL }
+        { registrySource.pollInterval(part) },
+        { registrySource.maxChangeWait(part) },
+    )
 
     /** Both parts notice the same restoration, one after the other. */
     private fun onStoreRestored(restoration: StoreRestoration) {
@@ -253,18 +255,20 @@
 
     private fun onStoreResponse(
         part: RegistryPart,
-        requestedAt: ClockReading,
+        confirmedAt: ClockReading,
+        relayed: RelayedAge?,
     ) {
         val now = clock.steady()
         if (storeAge() > STORE_OUTAGE_THRESHOLD_MILLISECONDS) decisionHoldOff.onStoreRegained(now)
-        lastStoreResponseAt = now
-        if (part == RegistryPart.TARGETS) {
+        // A peer that answers isn't the store: what counts is when the store has answered it.
+        lastStoreResponseAt = maxOf(lastStoreResponseAt, now - (relayed?.answer ?: 0))
+        if (part == RegistryPart.TARGETS && relayed == null) {
             registryFreshness =
                 registryFreshness.copy(
-                    currentAsOf = maxOf(registryFreshness.currentAsOf, requestedAt.steadyMilliseconds),
+                    currentAsOf = maxOf(registryFreshness.currentAsOf, confirmedAt.steadyMilliseconds),
                 )
         }
-        if (part == RegistryPart.OPERATORS) configurationMonitor.recordConfirmed(configurationVersion, requestedAt)
+        if (part == RegistryPart.OPERATORS) configurationMonitor.recordConfirmed(configurationVersion, confirmedAt)
     }
 
     private fun recentLoopDelay(): Long = maxOf(traffic.recentDelay(), loopDelayMonitor.recentMaxMilliseconds)
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryFollower.kt
@@ -12,6 +12,7 @@
 import org.vanillalink.gateway.ports.RegistryPart
 import org.vanillalink.gateway.ports.RegistryRecord
 import org.vanillalink.gateway.ports.RegistryRecords
+import org.vanillalink.gateway.ports.RelayedAge
 import org.vanillalink.serving.catalog.ClockReading
 import org.vanillalink.store.StoreFailure
 import java.time.Duration
@@ -27,10 +28,11 @@
     /** Whether the store may have had an outage since the last response. */
     private var mayHaveMissedChanges: Boolean,
     private val onRecords: (records: List<RegistryRecord>, readKind: RegistryReadKind) -> Unit,
-    private val onResponse: (part: RegistryPart, requestedAt: ClockReading) -> Unit,
+    private val onResponse: (part: RegistryPart, confirmedAt: ClockReading, relayed: RelayedAge?) -> Unit,
     /** Called before the first records of a new era are applied. */
     private val onRestored: (StoreRestoration) -> Unit = {},
     private val pollInterval: () -> Duration = { RegistryPollInterval.MIN_INTERVAL },
+    private val maxChangeWait: () -> Duration = { RegistryPollInterval.MAX_CHANGE_WAIT },
 ) {
     private var version: Long? = null
     private var era = StoreEra()
@@ -56,7 +58,7 @@
                 result.onRight { fullRead ->
                     if (!followEra(fullRead, requestedAt)) return@onRight
                     applyFullRead(fullRead, fullReadKind())
-                    onResponse(part, requestedAt)
+                    onResponse(part, requestedAt, fullRead.relayed)
                 }
             }
         }
@@ -69,7 +71,7 @@
         if (knownVersion == null) {
             registry.readAll(part).applyOnControlThread { onFullRead(requestedAt, it) }
         } else {
-            registry.readChanges(part, knownVersion, MAX_CHANGE_WAIT).applyOnControlThread {
+            registry.readChanges(part, knownVersion, requestedEra, maxChangeWait()).applyOnControlThread {
                 onChanges(requestedAt, requestedEra, it)
             }
         }
@@ -106,7 +108,7 @@
     ) = result.fold(::onFailure) { fullRead ->
         if (!followEra(fullRead, requestedAt)) return onFailure(RESPONSE_OF_EARLIER_ERA)
         applyFullRead(fullRead, fullReadKind())
-        onSuccess(requestedAt)
+        onSuccess(requestedAt, fullRead.relayed)
         schedulePoll(pollInterval())
     }
 
@@ -128,13 +130,14 @@
         requestedEra: Long?,
         result: Either<RegistryFailure, RegistryRecords>,
     ) = result.fold(::onFailure) { changes ->
-        if (!followEra(changes, requestedAt)) return onFailure(RESPONSE_OF_EARLIER_ERA)
+        val confirmedAt = requestedAt.minus(changes.relayed?.confirmation ?: 0)
+        if (!followEra(changes, confirmedAt)) return onFailure(RESPONSE_OF_EARLIER_ERA)
         // Changes since a version of an earlier era are not all that changed.
         if (requestedEra != null && era.current != requestedEra) return poll()
         val isOutdated = changes.version < (version ?: 0)
         version = maxOf(version ?: 0, changes.version)
         if (changes.records.isNotEmpty() && !isOutdated) onRecords(changes.records, RegistryReadKind.CHANGES)
-        onSuccess(requestedAt)
+        onSuccess(confirmedAt, changes.relayed)
         schedulePoll(pollInterval())
     }
 
@@ -155,12 +158,15 @@
         return observation.isUsable
     }
 
-    private fun onSuccess(requestedAt: ClockReading) {
+    private fun onSuccess(
+        confirmedAt: ClockReading,
+        relayed: RelayedAge?,
+    ) {
         failingSince?.let { eventLogger.record("registry-regained", "part" to part, "afterMs" to clock.steady() - it) }
         failingSince = null
         mayHaveMissedChanges = false
         failures = 0
-        onResponse(part, requestedAt)
+        onResponse(part, confirmedAt, relayed)
     }
 
     private fun onFailure(failure: RegistryFailure) {
@@ -185,8 +191,6 @@
     private companion object {
         val RESPONSE_OF_EARLIER_ERA = RegistryFailure.Unavailable(StoreFailure.AnswerLost)
 
-        /** Limits the age of the confirmed state while nothing changes. */
-        val MAX_CHANGE_WAIT: Duration = Duration.ofMillis(1_000)
         const val MAX_BACKOFF_FACTOR = 4
     }
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPollInterval.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/control/RegistryPollInterval.kt
@@ -23,6 +23,33 @@
             .coerceIn(MIN_INTERVAL, maxOf(MIN_INTERVAL, drainPeriod.dividedBy(2)))
     }
 
+    /**
+     * The pause of a daemon that peers follow, and of one that follows such a daemon. Both pauses, the wait for changes
+     * and the time-out of a peer that doesn't answer are together shorter than [drainPeriod].
+     */
+    fun computeRelayed(
+        isFollower: Boolean,
+        drainPeriod: Duration,
+    ): Duration {
+        val interval = drainPeriod.dividedBy(if (isFollower) FOLLOWER_INTERVALS else PEER_INTERVALS)
+        return maxOf(MIN_INTERVAL, interval)
+    }
+
+    /** Intervals in a drain period. */
+    private const val FOLLOWER_INTERVALS = 4L
+    private const val PEER_INTERVALS = 5L
+
+    /** Whether a change still reaches a daemon within [drainPeriod] if the peer that it follows fails just before. */
+    fun allowsRelaying(drainPeriod: Duration): Boolean = drainPeriod >= MIN_RELAYED_DRAIN_PERIOD
+
+    private val MIN_RELAYED_DRAIN_PERIOD: Duration = Duration.ofMillis(2_000)
+
+    /** How long the store waits for the first change; limits the age of the confirmed state while nothing changes. */
+    val MAX_CHANGE_WAIT: Duration = Duration.ofMillis(1_000)
+
+    /** As [MAX_CHANGE_WAIT], for the targets where peers follow: a target that leaves is known to them later. */
+    val MAX_RELAYED_TARGET_WAIT: Duration = Duration.ofMillis(500)
+
     /** Limits the request rate of one daemon. */
     val MIN_INTERVAL: Duration = Duration.ofMillis(200)
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -174,12 +174,18 @@
     private fun refreshPeers() {
         readPeers {
             controlThread.scheduleOnce(
-                if (isRegistered && endpoints.isNotEmpty()) REFRESH_INTERVAL else STARTUP_REFRESH_INTERVAL,
+                refreshInterval(),
                 ::refreshPeers,
             )
         }
     }
 
+    private fun refreshInterval(): Duration = when {
+        !isRegistered || endpoints.isEmpty() -> STARTUP_REFRESH_INTERVAL
+        controlLoop.registrySource.followsPeer -> RELAYED_REFRESH_INTERVAL
+        else -> REFRESH_INTERVAL
+    }
+
     private fun readPeers(onRead: () -> Unit) {
         table.scan("daemons/").thenAccept { result ->
             controlThread.execute {
@@ -223,6 +229,9 @@
         /** Peers send their own endpoints; the list in the store is for peers without a received message. */
         val REFRESH_INTERVAL: Duration = Duration.ofSeconds(15)
 
+        /** Where other daemons of the failure domain read the list at the interval above. */
+        val RELAYED_REFRESH_INTERVAL: Duration = Duration.ofSeconds(60)
+
         /** Limits how long a peer uses outdated groups and evidence after a lost datagram. */
         const val DETAILS_RESEND_MILLISECONDS = 1_000L
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/Registry.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/Registry.kt
@@ -4,11 +4,13 @@
 package org.vanillalink.gateway.ports
 
 import arrow.core.Either
+import org.vanillalink.model.Endpoint
 import org.vanillalink.model.FailureDomainId
 import org.vanillalink.model.HostId
 import org.vanillalink.serving.catalog.ServingConfiguration
 import org.vanillalink.serving.targets.TargetEntry
 import org.vanillalink.store.StoreFailure
+import org.vanillalink.transport.HttpRequestHandler
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
 
@@ -60,6 +62,16 @@
     val version: Long,
     /** How often the store has come back from a copy, or null if it doesn't say. */
     val era: Long? = null,
+    /** How old the state is, or null if the store itself has answered. */
+    val relayed: RelayedAge? = null,
+)
+
+/** The ages, in milliseconds, of an answer of the store that a peer has passed on. */
+data class RelayedAge(
+    /** How much earlier than the request to the peer the state was current at the latest. */
+    val confirmation: Long,
+    /** How long before the peer's answer the store had answered the peer. */
+    val answer: Long,
 )
 
 /** Why a read failed. */
@@ -78,10 +90,21 @@
     /** Reads all records of [part]. */
     fun readAll(part: RegistryPart): CompletableFuture<Either<RegistryFailure, RegistryRecords>>
 
-    /** Reads changes of [part] after [version]; waits up to [maxWait] for the first one. */
+    /** Reads changes of [part] after [version] of [era]; waits up to [maxWait] for the first one. */
     fun readChanges(
         part: RegistryPart,
         version: Long,
+        era: Long?,
         maxWait: Duration,
     ): CompletableFuture<Either<RegistryFailure, RegistryRecords>>
 }
+
+/** The registry as peers pass it on. */
+interface RegistryRelay : HttpRequestHandler {
+    /** Reads changes through the peer at [endpoint]; full reads fail. */
+    fun peer(endpoint: Endpoint): Registry
+
+    /** How many requests of peers were answered, and how many were sent to the store. */
+    val answered: Long
+    val refused: Long
+}
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/ControlLoopTest.kt
@@ -141,6 +141,7 @@
         override fun readChanges(
             part: RegistryPart,
             version: Long,
+            era: Long?,
             maxWait: Duration,
         ) = CompletableFuture<Either<RegistryFailure, RegistryRecords>>()
     }
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/control/RegistryFollowerTest.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.gateway.ports.RegistryPart
 import org.vanillalink.gateway.ports.RegistryRecord
 import org.vanillalink.gateway.ports.RegistryRecords
+import org.vanillalink.gateway.ports.RelayedAge
 import org.vanillalink.model.DaemonId
 import org.vanillalink.model.HostId
 import org.vanillalink.store.StoreFailure
@@ -25,6 +26,7 @@
     private val thread = ControlThread()
     private val registry = FakeRegistry()
     private val received = mutableListOf<String>()
+    private val confirmations = mutableListOf<Long>()
     private var failingRecords = 0
     private val testSubject =
         RegistryFollower(
@@ -41,7 +43,10 @@
                 }
                 received += "$readKind"
             },
-            onResponse = { _, _ -> received += "answered" },
+            onResponse = { _, confirmedAt, _ ->
+                received += "answered"
+                confirmations += confirmedAt.steadyMilliseconds
+            },
             onRestored = { received += "restored to ${it.era}" },
         )
 
@@ -120,6 +125,18 @@
         assertEquals(listOf("CHANGES", "answered"), received.take(2))
     }
 
+    // Guards against keys that are accepted for as long as a peer repeats what it once read.
+    @Test
+    fun `an answer through a peer confirms the state of as long before the request as it says`() {
+        testSubject.start()
+        registry.completeFullRead(9)
+        awaitControlThread()
+        registry.completeChanges(RegistryRecords(emptyList(), 9, relayed = RelayedAge(3_000, 0)))
+        awaitControlThread()
+
+        assertTrue(confirmations.last() <= SystemClock.steady() - 3_000)
+    }
+
     @Test
     fun `a full read of an earlier era that completes late is dropped`() {
         testSubject.start()
@@ -174,6 +191,7 @@
         override fun readChanges(
             part: RegistryPart,
             version: Long,
+            era: Long?,
             maxWait: Duration,
         ) = changes.also { changesRequested.countDown() }
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/catalog/CredentialFreshness.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/catalog/CredentialFreshness.kt
@@ -13,7 +13,10 @@
 data class ClockReading(
     val steadyMilliseconds: Long,
     val wallMilliseconds: Long,
-)
+) {
+    /** The readings [milliseconds] earlier. */
+    fun minus(milliseconds: Long) = ClockReading(steadyMilliseconds - milliseconds, wallMilliseconds - milliseconds)
+}
 
 /** Holds the time at which the keys were last confirmed to be current. */
 data class CredentialFreshness(
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -173,7 +173,7 @@
         val term: Long,
     )
 
-    private fun termIn(
+    internal fun termIn(
         message: PeerMessage,
         domain: FailureDomainId,
     ): Long = message.controlled.firstOrNull { it.failureDomain == domain }?.term ?: 0
@@ -195,12 +195,12 @@
         .groupBy { it.failureDomain }
         .mapValues { (_, claims) -> claims.maxBy { it.term } }
 
-    private fun rank(
+    internal fun rank(
         domain: FailureDomainId,
         daemon: DaemonId,
     ): Int = (domain.value + '/' + daemon.value).hashCode()
 
-    private companion object {
+    internal companion object {
         /** Longer than the window of any budget that daemons share. */
         const val BUDGET_SHARING_MILLISECONDS = 12_000L
 
