--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -257,7 +257,7 @@
         daemon: DaemonId,
     ): Int = (domain.value + '/' + daemon.value).hashCode()
 
-    private companion object {
+    internal companion object {
         /** Longer than the window of any budget that daemons share. */
         const val BUDGET_SHARING_MILLISECONDS = 12_000L
 
