Tell callers the usual time to come back where no target is left

Cause: without targets the rate of answers fades, and the time derived from it grew up to what callers honour, while groups are formed again sooner. Change: the queue's time is used only while a target may have room. Test: 'calls that find no target are told the usual time to come back'. The whole of queueing, routing, control, serving and gateway passes.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
@@ -88,9 +88,12 @@
         return find(request)?.limitPerSlot(request.work, slots, now())
     }
 
-    /** The milliseconds until the caller of [request] may come back, or null if this is not known. */
+    /**
+     * The milliseconds until the caller of [request] may come back, or null if this is not known: without targets the
+     * rate of answers says nothing about the next ones.
+     */
     fun retryAfter(request: AdmittedRequest): Long? {
-        val queue = find(request) ?: return null
+        val queue = find(request)?.takeIf { hasTargets(request) } ?: return null
         val limit = request.retryAfterLimit(now()).toMillis()
         val delay = queue.retryAfter(request.work, workspaceOf(request), limit, now()) ?: return null
         queue.recordRefusal(request.signature.fingerprint, delay, now())
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/WaitingCallsTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/WaitingCallsTest.kt
@@ -119,6 +119,16 @@
         assertEquals(0, waitingCalls.count)
     }
 
+    // Guards against times that grow as the answers of lost targets stay away.
+    @Test
+    fun `calls that find no target are told the usual time to come back`() {
+        state.view = TrafficView(catalog = state.view.catalog)
+        now += 10_000
+        val refused = call("/urgent")
+
+        assertEquals("0.2", refused.headers["retry-after"])
+    }
+
     @Test
     fun `calls of a service whose callers don't differ in priority don't wait`() {
         configure(setOf("/other"))
