--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -223,15 +223,15 @@
     }
 
     private companion object {
+        /** How often the list of peers is read where other daemons of the failure domain read it more often. */
+        val RELAYED_REFRESH_INTERVAL: Duration = Duration.ofSeconds(60)
+
         /** Half of the shortest heartbeat period, so that each heartbeat is sent about when it is due. */
         val SEND_CHECK_INTERVAL: Duration = Duration.ofMillis(HeartbeatSchedule.MIN_PERIOD_MILLISECONDS / 2)
 
         /** Peers send their own endpoints; the list in the store is for peers without a received message. */
         val REFRESH_INTERVAL: Duration = Duration.ofSeconds(15)
 
-        /** Where other daemons of the failure domain read the list at the interval above. */
-        val RELAYED_REFRESH_INTERVAL: Duration = Duration.ofSeconds(60)
-
         /** Limits how long a peer uses outdated groups and evidence after a lost datagram. */
         const val DETAILS_RESEND_MILLISECONDS = 1_000L
 
--- a/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/peers/PeerDirectory.kt
@@ -173,7 +173,8 @@
         val term: Long,
     )
 
-    internal fun termIn(
+    /** The term in which the sender of [message] controls [domain], or 0. */
+    fun termIn(
         message: PeerMessage,
         domain: FailureDomainId,
     ): Long = message.controlled.firstOrNull { it.failureDomain == domain }?.term ?: 0
@@ -195,7 +196,8 @@
         .groupBy { it.failureDomain }
         .mapValues { (_, claims) -> claims.maxBy { it.term } }
 
-    internal fun rank(
+    /** Orders the daemons that could control or represent [domain]; the lowest comes first. */
+    fun rank(
         domain: FailureDomainId,
         daemon: DaemonId,
     ): Int = (domain.value + '/' + daemon.value).hashCode()
