Take groups for standing later, and begin no second attempt on a late first event alone

Change: four missed passes, 200 ms at least, and three times the predicted first event; a request of whose group nothing is known gets no second attempt by prediction.

Result: the tests of serving/balancing, StandingGroupTest, SuspectedGroupTest, TrafficStateTest and StreamCallTest pass.

--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/SecondAttempts.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/SecondAttempts.kt
@@ -2,8 +2,8 @@
  * Decides when a request that waits for its first event gets a second attempt on a prediction's word, while it can
  * still make its goal.
  *
- * A second attempt takes a slot that another request may need. It begins only where the group gives no sign of life:
- * if other streams of the group go on, the request merely queues, and would do so elsewhere.
+ * A second attempt takes a slot that another request may need. It begins only where the group is known to stand, or
+ * stood when the request was sent: otherwise the request merely queues, and would do so elsewhere.
  */
 package org.vanillalink.serving.balancing
 
@@ -12,7 +12,7 @@
     /** Other streams have gone on since the request was sent. */
     MOVES,
 
-    /** Nothing is known but the request's own wait. */
+    /** Nothing is known but the request's own wait, which may be in the group's queue. */
     NONE,
 
     STANDS,
@@ -34,8 +34,6 @@
     /** The part of the retry budget for second attempts by prediction; the rest is for streams of lost groups. */
     const val BUDGET_SHARE = 0.5
 
-    private const val LATE_MARGIN = 2
-
     /** Second attempts are considered a few times in this time. */
     private const val LAST_MOMENT_MILLISECONDS = 100L
 
@@ -44,10 +42,9 @@
         val spare = event.timeToGoal - event.prediction.byEngine
         if (spare < 0) return null
         return when (event.sign) {
-            GroupSign.MOVES -> null
+            GroupSign.MOVES, GroupSign.NONE -> null
             GroupSign.STANDS -> "group-standing"
             GroupSign.ON_TRIAL -> "trial-silent".takeIf { spare < LAST_MOMENT_MILLISECONDS }
-            GroupSign.NONE -> "first-event-late".takeIf { event.waited >= LATE_MARGIN * event.prediction.usual }
         }
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/StandingGroups.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/StandingGroups.kt
@@ -238,15 +238,15 @@
 
     companion object {
         /** A writer shows an event with each pass; single passes are longer, where much is read. */
-        private const val MISSED_PASSES = 3
+        private const val MISSED_PASSES = 4
 
         /** Less is within what a daemon and a network delay bytes by. */
-        private const val MIN_SILENCE_MILLISECONDS = 150L
-        private const val MIN_FIRST_EVENT_MILLISECONDS = 250L
+        private const val MIN_SILENCE_MILLISECONDS = 200L
+        private const val MIN_FIRST_EVENT_MILLISECONDS = 400L
 
         /** Beyond this, waiting has nothing to do with the length of a pass. */
         private const val MAX_FIRST_EVENT_MILLISECONDS = 600L
-        private const val FIRST_EVENT_MARGIN = 2
+        private const val FIRST_EVENT_MARGIN = 3
 
         /** Longer than two heartbeats to peers in the failure domain usually are apart. */
         private const val REPORT_MILLISECONDS = 1_000L
