Keep groups below the load at which first events miss the goal

Cause: in a burst each group took as many requests as it has slots, so all first events came just after the goal.

Change: where callers compete by priority, a first attempt goes to a group only while the prediction keeps the goal for nine in ten; half of the slots are used in any case. A target is also full by the estimate where its known requests are half of the limit. A group in another failure domain counts as fuller by 0.4 of its slots again.

Result: the tests of serving/balancing, ModelCoverageScenarios and gateway/traffic pass.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -41,7 +41,9 @@
     /** The next target that would take the request now, or null. */
     fun chooseTarget(needsFreeSlot: Boolean = false): ChosenTarget? {
         val limitPerSlot = context.waitingCalls.limitPerSlot(request)
-        val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot, limitPerSlot)
+        // Only requests that can wait here are kept from groups that would serve them late.
+        val goal = request.route.latencyGoalMilliseconds.takeIf { request.work.priority != null && it > 0 }
+        val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot, limitPerSlot, goal)
         return context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now, preferences)
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/GroupProgress.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/GroupProgress.kt
@@ -18,6 +18,7 @@
 import org.vanillalink.serving.balancing.StallDetector
 import org.vanillalink.serving.balancing.StandingGroups
 import org.vanillalink.serving.balancing.TrialSchedule
+import org.vanillalink.serving.catalog.EngineDefinition
 import org.vanillalink.serving.peers.PeerMessage
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.TargetEntry
@@ -63,6 +64,16 @@
         return AttemptForecast(group.model, prediction, isTrial || isUnreachable)
     }
 
+    /**
+     * How many requests each group of [model] may have, so that first events come within [milliseconds]; null where
+     * [engine] publishes no times.
+     */
+    fun maxRequests(
+        engine: EngineDefinition,
+        model: String,
+        milliseconds: Long,
+    ): Int? = EngineTimes.of(engine, model)?.let { predictor.maxRequests(model, it, engine.slots, milliseconds) }
+
     /** Whether a request should be sent to [target] as a trial, though it stands or can't be reached. */
     fun isTrialDue(
         target: TargetEntry,
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -45,6 +45,8 @@
     val needsFreeSlot: Boolean = false,
     /** How many requests for each slot a group may have for a first attempt, or null for the usual limit. */
     val limitPerSlot: Double? = null,
+    /** Within how many milliseconds the first event of a first attempt is on time, or null if that doesn't matter. */
+    val goalMilliseconds: Long? = null,
 )
 
 /** In-flight counts, retry budgets, and the state of targets. */
@@ -99,11 +101,14 @@
         val needsSlot = excludedTargets.isEmpty() || preferences.needsFreeSlot
         val firstLimitPerSlot = preferences.limitPerSlot ?: WaitingRequests.USUAL_PER_SLOT
         val limitPerSlot = if (needsSlot) firstLimitPerSlot else RETRY_LIMIT_PER_SLOT
-        val limit = (service.engine?.slots ?: 1) * limitPerSlot
+        val engine = service.engine ?: return null
+        val goal = preferences.goalMilliseconds?.takeIf { excludedTargets.isEmpty() }
+        val limitByGoal = goal?.let { groupProgress.maxRequests(engine, model, it) } ?: Int.MAX_VALUE
+        val limit = minOf((engine.slots * limitPerSlot).toInt(), limitByGoal)
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
         val heads = groups.values.map { it.head }
         val chosenCandidate =
-            chooseCandidate(service, model, heads, excludedTargets, limit.toInt(), now, preferences) ?: return null
+            chooseCandidate(service, model, heads, excludedTargets, limit, now, preferences) ?: return null
         val group = groups.getValue(chosenCandidate.target)
         return ChosenTarget(group.head, group, chosenCandidate.inFlight, heads.size)
     }
@@ -366,7 +371,7 @@
          * By which share of its slots a group in another failure domain counts as fuller. Events come on time from
          * groups that are fuller than others by this much.
          */
-        const val FAR_SLOT_SHARE = 0.75
+        const val FAR_SLOT_SHARE = 0.4
 
         /** Plain services queue a few requests behind those being executed. */
         const val PLAIN_LIMIT_PER_SLOT = 3
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/EngineTimes.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/EngineTimes.kt
@@ -16,6 +16,8 @@
     private val engine: EngineDefinition,
     private val timeFactor: Double,
 ) {
+    val usualPromptTokens: Int get() = engine.usualPromptTokens
+
     /** A pass of a group with [writers] requests that write, in which [promptTokens] tokens of a prompt are read. */
     fun pass(
         writers: Int,
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/FirstEventPredictor.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/FirstEventPredictor.kt
@@ -15,7 +15,12 @@
 
 /** Not thread safe. */
 class FirstEventPredictor {
-    private val delayFactors = HashMap<String, Double>()
+    private class Delay(
+        var milliseconds: Double = 0.0,
+        var samples: Int = 0,
+    )
+
+    private val delays = HashMap<String, Delay>()
 
     /** Predicts the first event of one more request of [model] with [promptTokens] at a group with [requests]. */
     fun predict(
@@ -25,7 +30,24 @@
         promptTokens: Int,
     ): FirstEventPrediction {
         val byEngine = maxOf(1.0, times.firstEvent(requests, promptTokens))
-        return FirstEventPrediction(byEngine.toLong(), (byEngine * delayFactor(model)).toLong())
+        return FirstEventPrediction(byEngine.toLong(), (byEngine + usualDelay(model)).toLong())
+    }
+
+    /**
+     * How many requests a group of [model] with [slots] may have, so that the first event of each still comes within
+     * [milliseconds] in nine of ten cases. At least half of the slots are used, however late first events are.
+     */
+    fun maxRequests(
+        model: String,
+        times: EngineTimes,
+        slots: Int,
+        milliseconds: Long,
+    ): Int {
+        val requests =
+            (slots downTo slots / 2).firstOrNull {
+                predict(model, times, it, times.usualPromptTokens).usual * NINE_IN_TEN_FACTOR <= milliseconds
+            }
+        return (requests ?: (slots / 2)) + 1
     }
 
     /** Records that the first event that [prediction] was made for took [milliseconds]. */
@@ -34,17 +56,25 @@
         prediction: FirstEventPrediction,
         milliseconds: Long,
     ) {
-        val observed = (milliseconds.toDouble() / maxOf(1, prediction.byEngine)).coerceIn(1.0, MAX_FACTOR)
-        delayFactors[model] = delayFactor(model) + (observed - delayFactor(model)) * WEIGHT
+        val observed = (milliseconds - prediction.byEngine).coerceIn(0, MAX_DELAY_MILLISECONDS).toDouble()
+        val delay = delays.getOrPut(model) { Delay() }
+        delay.samples += 1
+        val step = maxOf(MIN_STEP_MILLISECONDS, FIRST_STEP_MILLISECONDS / delay.samples)
+        delay.milliseconds += (observed - delay.milliseconds).coerceIn(-step, step)
     }
 
-    private fun delayFactor(model: String): Double = delayFactors[model] ?: 1.0
+    private fun usualDelay(model: String): Double = delays[model]?.milliseconds ?: 0.0
 
     private companion object {
-        /** Some tens of first events: less than a second of a busy daemon. */
-        const val WEIGHT = 0.05
+        const val FIRST_STEP_MILLISECONDS = 50.0
+
+        /** Limited, so that the few requests at groups that stand still don't count for more than others. */
+        const val MIN_STEP_MILLISECONDS = 5.0
 
         /** A single first event that is later than this says no more about the others. */
-        const val MAX_FACTOR = 10.0
+        const val MAX_DELAY_MILLISECONDS = 1_000L
+
+        /** First events of equally loaded groups differ by where in a pass requests arrive. */
+        const val NINE_IN_TEN_FACTOR = 1.2
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
@@ -21,7 +21,11 @@
     val expectedInFlight: Double = inFlight.toDouble(),
     /** By how many requests the load counts as larger, since the target is in another failure domain. */
     val distance: Double = 0.0,
-)
+) {
+    /** Whether the target has room for one more request by what is known, and probably has it by now. */
+    val hasRoom: Boolean
+        get() = inFlight < maxInFlight && (expectedInFlight < maxInFlight || inFlight * 2 < maxInFlight)
+}
 
 /**
  * Selects a candidate at random, by how much its load lies below the level that all candidates reach once the
@@ -46,7 +50,7 @@
         candidates: List<Candidate>,
         concurrentRequests: Double = 0.0,
     ): Candidate? {
-        val open = candidates.filter { it.isWithinRateLimits && it.inFlight < it.maxInFlight }
+        val open = candidates.filter { it.isWithinRateLimits && it.hasRoom }
         if (open.isEmpty()) return null
         val level = fillLevel(open, concurrentRequests + 1)
         val rooms = open.map { maxOf(0.0, level / it.slowdownFactor - it.expectedInFlight - it.distance) }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -80,6 +80,11 @@
      * with a spare in memory takes to be formed again.
      */
     val unservedAlarmMilliseconds: Long = 3_000,
+    /**
+     * For how many groups of each model the failure domain keeps targets, in different fabric domains: with two, the
+     * model is still served when one loses a member.
+     */
+    val reservedGroups: Int = 2,
     /** Free targets that must remain in a fabric domain when it forms a second group of a model. */
     val reservePerFabricDomain: Int = 2,
 )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -89,7 +89,7 @@
     ): List<ModelDefinition> {
         val missing =
             view.engine.models
-                .filter { groups.count(domain, it.name) == 0 }
+                .filter { groups.count(domain, it.name) == 0 && groups.count(it.name) < cycle.settings.reservedGroups }
                 .sortedWith(compareBy({ groups.count(it.name) > 0 }, { -memberShortfall(it) }))
         val reservations = ModelReservations(missing, free + survivors(domain).size)
         val awaited = reservations.largestUnattainable?.takeIf { isBeingListed(domain) }
@@ -98,7 +98,7 @@
                 .filter { it !in reservations.reserved }
                 .sortedByDescending(::memberShortfall)
         return (reservations.reserved + others).filter { model ->
-            val needsReserve = model !in missing && !isUnderCapacity(model)
+            val needsReserve = groups.count(domain, model.name) > 0 && !isUnderCapacity(model)
             val needed = if (needsReserve) model.size + cycle.settings.reservePerFabricDomain else model.size
             val available = minOf(free, reservations.availableFor(model) { yields(domain, it, model) })
             available >= needed && (awaited == null || model.size > awaited.size)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
@@ -40,7 +40,10 @@
                 .map { it.head.fabricDomain }
                 .toSet()
         fabricDomains().filter { it !in forming }.forEach { domain ->
-            val missing = view.engine.models.filter { groups.count(domain, it.name) == 0 }
+            val missing =
+                view.engine.models
+                    .filter { groups.count(it.name) < cycle.settings.reservedGroups }
+                    .filter { groups.count(domain, it.name) == 0 }
             missing.sortedByDescending { it.size }.firstNotNullOfOrNull { donation(domain, it) }?.let(::close)
         }
     }
