Reassign members to the model that lasting demand needs

Cause: the configured shares decide how many groups each model gets, and under traffic only a model without any group got members of another. With models of 16 and 4 and most requests for the model of 4, that one refused in bursts while the other was idle.

Change: a model whose demand has exceeded 0.7 of its slots for 20 s (until below 0.6) gets the members of a group of another model that keeps at least one group with at most half of its slots in demand. The hosts load the model while the group serves; then it is closed and drained. One at a time in the failure domain, 10 s of pause after it, nothing where groups are formed or dissolved, and the model that left keeps no targets or spares there until it is short again. Choosing donors moved to GroupDonors, used by both rules.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/GroupControlMetrics.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/GroupControlMetrics.kt
@@ -19,6 +19,7 @@
         "target-answers-again" -> count("vanillalink.targets.answered.again")
         "model-unserved" -> countUnserved(fields["elsewhere"] == true)
         "model-served-again" -> count("vanillalink.models.served.again")
+        "reassignment-ended" -> countReassignment(fields["result"])
         else -> Unit
     }
 
@@ -33,6 +34,11 @@
     private fun countUnserved(isServedElsewhere: Boolean) =
         count("vanillalink.models.unserved", "elsewhere", isServedElsewhere.toString())
 
+    private fun countReassignment(result: Any?) {
+        val resultTag = if (result is String && result in REASSIGNMENT_RESULTS) result else OTHER_REASON
+        count("vanillalink.reassignments", "result", resultTag)
+    }
+
     private fun count(
         name: String,
         vararg tags: String,
@@ -40,6 +46,7 @@
 
     private companion object {
         const val OTHER_REASON = "other"
+        val REASSIGNMENT_RESULTS = setOf("done", "donor-lost", "demand-changed")
         val DISSOLUTION_REASONS =
             setOf(
                 "formed-by-an-earlier-controller",
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/DemandShares.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/DemandShares.kt
@@ -28,6 +28,18 @@
         groups: Int,
     ): Boolean = (demand[model.name] ?: 0.0) > groups * engine.slots * MAX_SLOT_UTILIZATION
 
+    /** Whether [groups] groups of a model that was short serve its demand, and not just barely. */
+    fun hasRecovered(
+        model: ModelDefinition,
+        groups: Int,
+    ): Boolean = (demand[model.name] ?: 0.0) < groups * engine.slots * RECOVERED_SLOT_UTILIZATION
+
+    /** Whether [groups] groups of [model] have far more slots than callers need. */
+    fun hasAmpleRoom(
+        model: String,
+        groups: Int,
+    ): Boolean = (demand[model] ?: 0.0) <= groups * engine.slots * AMPLE_SLOT_UTILIZATION
+
     /** The slots of [groups] groups of [model] that callers don't need; negative if they need more. */
     fun idleSlots(
         model: String,
@@ -54,5 +66,11 @@
 
         /** With a higher utilization, groups refuse requests during fluctuations of a second. */
         const val MAX_SLOT_UTILIZATION = 0.7
+
+        /** Less than [MAX_SLOT_UTILIZATION] by what the estimate of a steady demand fluctuates. */
+        const val RECOVERED_SLOT_UTILIZATION = 0.6
+
+        /** So far below [MAX_SLOT_UTILIZATION] that a group that was given up isn't needed back soon. */
+        const val AMPLE_SLOT_UTILIZATION = 0.5
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -80,6 +80,13 @@
      * with a spare in memory takes to be formed again.
      */
     val unservedAlarmMilliseconds: Long = 3_000,
+    /**
+     * How long the groups of a model can't serve its demand until another model's group gives its members up; longer
+     * than the loads of a change and than demand that swings within seconds.
+     */
+    val lastingDemandMilliseconds: Long = 20_000,
+    /** How long after a change demand isn't judged: until it shows what the change has brought. */
+    val reassignmentPauseMilliseconds: Long = 10_000,
     /** Free targets that must remain in a fabric domain when it forms a second group of a model. */
     val reservePerFabricDomain: Int = 2,
 )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlState.kt
@@ -162,6 +162,8 @@
     val firstListedAt: Map<String?, Long> = emptyMap(),
     /** Models without an open group while there is traffic. */
     val unservedModels: Map<String, UnservedModel> = emptyMap(),
+    /** Members that are reassigned to a model with more demand. */
+    val demandReassignment: DemandReassignmentState = DemandReassignmentState(),
     /** Hosts that were ordered to hold a model in memory without an open group. */
     val standby: Map<HostId, Staging> = emptyMap(),
     /** Token bucket for loads from the weight store. */
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -19,17 +19,20 @@
     private val groups = ActiveGroups(cycle, view)
     private val shares = DemandShares(view.engine, view.demand)
     private val staging = HostStaging(cycle, view)
+    private val donors = GroupDonors(cycle, view, groups, shares, staging)
     private val freeByDomain: Map<String?, List<TargetEntry>> = freeTargets().groupBy { it.fabricDomain }
 
     fun apply() {
         staging.refillPermits()
         UnservedModels(cycle, view, groups).update()
-        GroupReassignment(cycle, view, groups, shares, staging, ::availableTargets).apply()
+        GroupReassignment(cycle, view, groups, shares, staging, donors, ::availableTargets).apply()
         // All groups come before any spare, as both need permits to load.
         freeByDomain
             .toSortedMap(compareBy { it.orEmpty() })
             .map { (domain, targets) -> domain to formGroups(domain, targets) }
             .forEach { (domain, free) -> keepSpares(domain, free) }
+        // Repairs and their spares come first, as they need the permits more.
+        DemandReassignment(cycle, view, groups, shares, staging, donors, ::availableTargets).apply()
     }
 
     private fun keepSpares(
@@ -89,7 +92,7 @@
     ): List<ModelDefinition> {
         val missing =
             view.engine.models
-                .filter { groups.count(domain, it.name) == 0 }
+                .filter { groups.count(domain, it.name) == 0 && !isGivenUp(domain, it) }
                 .sortedWith(compareBy({ groups.count(it.name) > 0 }, { -memberShortfall(it) }))
         val reservations = ModelReservations(missing, free + survivors(domain).size)
         val awaited = reservations.largestUnattainable?.takeIf { isBeingListed(domain) }
@@ -119,6 +122,11 @@
         return isUnderCapacity(model) || (view.hasTraffic && loaded * 2 < reserved.size)
     }
 
+    private fun isGivenUp(
+        domain: String?,
+        model: ModelDefinition,
+    ): Boolean = GivenUpModel(domain, model.name) in cycle.state.demandReassignment.givenUp
+
     private fun isBeingListed(domain: String?): Boolean {
         if (view.hasTraffic || cycle.now - cycle.state.newTargetAt >= cycle.settings.settlingMilliseconds) return false
         val firstListedAt = cycle.state.firstListedAt[domain] ?: return false
@@ -217,7 +225,7 @@
         val targets = view.entries.values.count { it.fabricDomain == domain && !it.isLeaving }
         val models =
             view.engine.models
-                .filter { groups.count(domain, it.name) > 0 || it.size <= targets }
+                .filter { groups.count(domain, it.name) > 0 || (it.size <= targets && !isGivenUp(domain, it)) }
                 .map { it.copy(share = shares.memberShare(it)) }
         val underCapacity = models.filter(::isUnderCapacity).map { it.name }.toSet()
         val spares =
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupReassignment.kt
@@ -3,8 +3,9 @@
  *
  * Before the first request that costs nothing, so each fabric domain gets a group of each model that its targets
  * suffice for, in whatever order they were listed. Under traffic it is done only for a model without any group in the
- * failure domain, and its donors keep enough groups for their own demand. The donors' hosts load the model while their
- * groups still serve; the groups are closed when all of them have it.
+ * failure domain, and its donors keep enough groups for their own demand; for the other models see
+ * [DemandReassignment]. The donors' hosts load the model while their groups still serve; the groups are closed when all
+ * of them have it.
  */
 package org.vanillalink.serving.control
 
@@ -19,6 +20,7 @@
     private val groups: ActiveGroups,
     private val shares: DemandShares,
     private val staging: HostStaging,
+    private val donors: GroupDonors,
     private val availableTargets: (domain: String?) -> List<TargetEntry>,
 ) {
     private class Donation(
@@ -39,9 +41,10 @@
             cycle.state.formations.values
                 .map { it.head.fabricDomain }
                 .toSet()
-        fabricDomains().filter { it !in forming }.forEach { domain ->
+        donors.fabricDomains().filter { it !in forming }.forEach { domain ->
             val missing = view.engine.models.filter { groups.count(domain, it.name) == 0 }
-            missing.sortedByDescending { it.size }.firstNotNullOfOrNull { donation(domain, it) }?.let(::close)
+            val donation = missing.sortedByDescending { it.size }.firstNotNullOfOrNull { donation(domain, it) }
+            donation?.let { donors.close(it.donors) }
         }
     }
 
@@ -50,15 +53,16 @@
             view.engine.models
                 .filter(::isDue)
                 .maxByOrNull { it.size } ?: return
-        val isFormable = fabricDomains().any { availableTargets(it).size >= model.size }
+        val isFormable = donors.fabricDomains().any { availableTargets(it).size >= model.size }
         if (isFormable) return
         val donation =
-            fabricDomains()
+            donors
+                .fabricDomains()
                 .mapNotNull { donation(it, model) }
                 .minByOrNull { it.donors.sumOf(ActiveGroup::size) - loadedCount(it) } ?: return
-        val members = members(donation)
+        val members = donors.membersFor(model, targets(donation), model.size)
         staging.stageAll(members, model)
-        if (members.all { staging.readinessRank(it, model.name) <= HostStaging.STAGED }) close(donation)
+        if (members.all { staging.readinessRank(it, model.name) <= HostStaging.STAGED }) donors.close(donation.donors)
     }
 
     /** A group that isn't known entirely, such as one whose head isn't listed yet, may serve the model. */
@@ -83,27 +87,11 @@
     ): Donation? {
         val free = availableTargets(domain)
         if (free.size >= model.size) return null
-        val donors = mutableListOf<ActiveGroup>()
-        for (group in candidates(domain, model)) {
-            if (free.size + donors.sumOf { it.size } >= model.size) break
-            if (canSpare(group, donors, model)) donors += group
-        }
-        return Donation(model, free, donors).takeIf { free.size + donors.sumOf { it.size } >= model.size }
+        val chosen =
+            donors.choose(domain, model, free.size) { group, chosen -> canSpare(group, chosen, model) } ?: return null
+        return Donation(model, free, chosen)
     }
 
-    /** The groups that have most of the model already come first, so that the choice lasts; then those with room. */
-    private fun candidates(
-        domain: String?,
-        model: ModelDefinition,
-    ): List<ActiveGroup> = groups.all
-        .filter { it.fabricDomain == domain && it.model != model.name && it.isEstablished }
-        .filter { cycle.members(it.key).size == it.size }
-        .sortedWith(
-            compareByDescending<ActiveGroup> { loadedCount(cycle.members(it.key), model.name) }
-                .thenByDescending { shares.idleSlots(it.model, groups.count(it.model)) }
-                .thenBy { it.key.epoch },
-        )
-
     private fun canSpare(
         group: ActiveGroup,
         donors: List<ActiveGroup>,
@@ -125,34 +113,11 @@
         }
     }
 
-    private fun members(donation: Donation): List<TargetEntry> {
-        val donated = donation.donors.flatMap { cycle.members(it.key) }.map { view.entries[it.id] ?: it }
-        return (donation.free + donated)
-            .sortedWith(compareBy({ staging.readinessRank(it, donation.model.name) }, { it.id }))
-            .take(donation.model.size)
-    }
-
-    private fun close(donation: Donation) = donation.donors.forEach { group ->
-        val head = cycle.state.rosters[group.key]?.head ?: return@forEach
-        cycle.dissolve(group.key, view.entries[head.id] ?: head, REASON, isGraceful = true)
-    }
-
-    private fun loadedCount(donation: Donation): Int =
-        loadedCount(donation.free + donation.donors.flatMap { cycle.members(it.key) }, donation.model.name)
+    private fun loadedCount(donation: Donation): Int = donors.loadedCount(targets(donation), donation.model.name)
 
-    private fun loadedCount(
-        targets: List<TargetEntry>,
-        model: String,
-    ): Int = targets.count { staging.readinessRank(view.entries[it.id] ?: it, model) <= HostStaging.STAGING }
-
-    private fun fabricDomains(): List<String?> = view.entries.values
-        .map { it.fabricDomain }
-        .distinct()
-        .sortedBy { it.orEmpty() }
+    private fun targets(donation: Donation): List<TargetEntry> = donation.free + donors.members(donation.donors)
 
     private companion object {
-        const val REASON = "members-reassigned"
-
         /** Where a model is served nowhere, the others share the shortage, but none is left with less than this. */
         const val MIN_SERVED_FRACTION = 0.5
     }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/FakeFleet.kt
@@ -13,6 +13,7 @@
 import org.vanillalink.serving.targets.GroupMembership
 import org.vanillalink.serving.targets.MemberState
 import org.vanillalink.serving.targets.TargetEntry
+import kotlin.test.assertTrue
 
 internal class FakeRunner(
     val id: HostId,
@@ -469,3 +470,10 @@
     run(300)
     group?.let { process(GroupEvent.GroupSuspected(it.key, view())) }
 }
+
+/** Asserts the published limit on loads that begin, for this failure domain's share of them. */
+internal fun assertLoadsWithinLimit(fleet: FakeFleet) {
+    val loads = fleet.notes.filter { "model-staging" in it }.map { it.substringBefore(' ').toLong() }
+    val most = loads.maxOf { start -> loads.count { it in start until start + 5_000 } }
+    assertTrue(most <= fleet.engine.loadsPerSecond / 3 * 5 * 1.1 + 3, "$most loads in five seconds")
+}
