Keep survivors that have a model before hosts that still load it

Cause: where members are lost one after the other, hosts that still loaded the large model counted as its spares, so that survivors of the lost group, which had it, were loaded with the small model; the group then waited for loads.

Change: whether a free target keeps its model is decided by those that have loaded it.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -235,6 +235,7 @@
                 groups.countByModel(domain),
                 groups.countByModel(),
                 underCapacity,
+                loading = free.mapNotNull { cycle.state.staging[it.id]?.model },
             )
         free.filter { it.id !in cycle.state.staging }.forEach { target ->
             val current = staging.stagedModel(target)
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/SpareModelSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/SpareModelSelector.kt
@@ -12,7 +12,8 @@
 import org.vanillalink.serving.catalog.ModelDefinition
 
 /**
- * Selector for one fabric domain. [staged] holds the model of each free target, or null if it has none;
+ * Selector for one fabric domain. [staged] holds the model of each free target, or null if it has none; [loading] holds
+ * the models among them whose loads haven't completed. A target whose load has completed is kept before those;
  * [groupsInFabricDomain] and [groupsInFailureDomain] hold the number of active groups by model; [underCapacity] names
  * models whose groups can't serve the demand.
  */
@@ -22,6 +23,7 @@
     private val groupsInFabricDomain: Map<String, Int>,
     private val groupsInFailureDomain: Map<String, Int>,
     private val underCapacity: Set<String> = emptySet(),
+    loading: List<String> = emptyList(),
 ) {
     private val spares: MutableMap<String, Int> =
         staged
@@ -30,12 +32,14 @@
             .eachCount()
             .toMutableMap()
 
+    private val loadingCounts: MutableMap<String, Int> = loading.groupingBy { it }.eachCount().toMutableMap()
+
     /** Returns the model that a target with [current] staged should load, or null if it should keep [current]. */
     fun nextModel(current: String?): ModelDefinition? {
         val best = models.maxByOrNull { marginalValue(it, spareCount(it.name)) } ?: return null
         val held = models.firstOrNull { it.name == current } ?: return best
         if (best == held || isAwaitingMembers(held)) return null
-        val currentValue = marginalValue(held, spareCount(held.name) - 1)
+        val currentValue = marginalValue(held, loadedCount(held.name) - 1)
         return best.takeIf { marginalValue(it, spareCount(it.name)) > currentValue * MIN_LOAD_GAIN }
     }
 
@@ -46,6 +50,7 @@
     ) {
         if (before != null) spares.computeIfPresent(before) { _, spareCount -> spareCount - 1 }
         spares.merge(after, 1, Int::plus)
+        loadingCounts.merge(after, 1, Int::plus)
     }
 
     /**
@@ -66,7 +71,9 @@
 
     /** Whether spares of [model] are the remaining members of a lost group that wait for the missing ones. */
     private fun isAwaitingMembers(model: ModelDefinition): Boolean =
-        hasNoGroup(model) && spareCount(model.name) <= model.size
+        hasNoGroup(model) && loadedCount(model.name) <= model.size
+
+    private fun loadedCount(model: String): Int = spareCount(model) - (loadingCounts[model] ?: 0)
 
     private fun spareCount(model: String): Int = spares[model] ?: 0
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
@@ -139,6 +139,44 @@
         assertTrue(fleet.serving().map { it.key }.containsAll(before))
     }
 
+    // Survivors of the large group were loaded with the small model while other hosts still loaded the large one.
+    @Test
+    fun `a large group is formed again where members are lost one after the other (verhuisplan-nl-grown)`() {
+        val seconds = (0 until LOSS_SEEDS).flatMap(::servedSecondsUnderLoss).groupingBy { it }.eachCount()
+        val expected = LOSS_SEEDS * LOSS_SECONDS
+        assertTrue(seconds.getValue("large") > expected * 2 / 3, "$seconds of $expected")
+        assertTrue(seconds.getValue("small") > expected * 2 * 4 / 5, "$seconds of twice $expected")
+    }
+
+    /** A model for each second that one of its groups serves while a host is lost and replaced every 6 s. */
+    private fun servedSecondsUnderLoss(seed: Int): List<String> {
+        val random = Random(seed)
+        val fleet = fleetOf(8, 4, mapOf("d0" to 19))
+        fleet.failureDomainCount = 3
+        fleet.settle()
+        fleet.demand = mapOf("large" to 9.0, "small" to 18.0)
+        fleet.run(20_000)
+        return (0 until LOSS_SECONDS).flatMap { second ->
+            if (second % 6 == 0) {
+                fleet.loseAndReplace(random, isSilent = seed % 2 == 0, "new-$second")
+            }
+            fleet.run(1_000)
+            fleet.serving().map { it.model }
+        }
+    }
+
+    private fun FakeFleet.loseAndReplace(
+        random: Random,
+        isSilent: Boolean,
+        replacement: String,
+    ) {
+        val victim = runners.values.filterNot { it.isDead }.random(random)
+        val group = serving().firstOrNull { victim.id in it.members }
+        if (isSilent) stopResponding(victim.id) else crash(victim.id)
+        if (group != null) at(now + 300) { process(GroupEvent.GroupSuspected(group.key, view())) }
+        at(now + 1_000 + random.nextLong(2_000)) { add(replacement, victim.fabricDomain) }
+    }
+
     private fun fleetOf(
         large: Int,
         small: Int,
@@ -164,6 +202,8 @@
 
     private companion object {
         const val SEEDS = 5
+        const val LOSS_SEEDS = 8
+        const val LOSS_SECONDS = 60
         const val PAGE = 9
         const val PAGE_MILLISECONDS = 200L
 
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/SpareModelSelectorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/SpareModelSelectorTest.kt
@@ -47,6 +47,14 @@
         assertNull(testSubject.nextModel("large"))
     }
 
+    @Test
+    fun `remaining members keep their model though others load it`() {
+        val staged = List(6) { "large" }
+        val testSubject =
+            SpareModelSelector(listOf(large, small), staged, emptyMap(), twoGroupsEach, loading = staged.take(2))
+        assertNull(testSubject.nextModel("large"))
+    }
+
     @Test
     fun `a replacement counts for the next selection`() {
         val testSubject = selector(listOf("small", "small"))
