--- a/serving/src/main/kotlin/org/vanillalink/serving/control/ActiveGroups.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/ActiveGroups.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.serving.control
 
+import org.vanillalink.serving.catalog.ModelDefinition
 import org.vanillalink.serving.targets.GroupKey
 import org.vanillalink.serving.targets.MemberState
 
@@ -36,6 +37,19 @@
         model: String,
     ): Int = groups.count { it.fabricDomain == domain && it.model == model }
 
+    /**
+     * Whether [domain] has no group of [model] and keeps targets for one: as long as the failure domain has few groups
+     * of the model, or if one takes only a small part of the fabric domain.
+     */
+    fun needsFirst(
+        domain: String?,
+        model: ModelDefinition,
+    ): Boolean {
+        if (count(domain, model.name) > 0) return false
+        val targets = view.entries.values.count { it.fabricDomain == domain }
+        return count(model.name) < cycle.settings.reservedGroups || model.size * SMALL_PARTS <= targets
+    }
+
     fun countByModel(domain: String?): Map<String, Int> =
         groups.filter { it.fabricDomain == domain }.groupingBy { it.model }.eachCount()
 
@@ -52,6 +66,10 @@
         val size = view.engine.groupSize(head.model) ?: 0
         ActiveGroup(key, head.fabricDomain, head.model.orEmpty(), size, isEstablished = true)
     }
+
+    private companion object {
+        const val SMALL_PARTS = 4
+    }
 }
 
 internal fun GroupControlCycle.isDissolved(key: GroupKey) = key in state.dissolutions || key in state.dissolvedAt
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -19,17 +19,20 @@
     private val groups = ActiveGroups(cycle, view)
     private val shares = DemandShares(view.engine, view.demand)
     private val staging = HostStaging(cycle, view)
+    private val donors = GroupDonors(cycle, view, groups, shares, staging)
     private val freeByDomain: Map<String?, List<TargetEntry>> = freeTargets().groupBy { it.fabricDomain }
 
     fun apply() {
         staging.refillPermits()
         UnservedModels(cycle, view, groups).update()
-        GroupReassignment(cycle, view, groups, shares, staging, ::availableTargets).apply()
+        GroupReassignment(cycle, view, groups, shares, staging, donors, ::availableTargets).apply()
         // All groups come before any spare, as both need permits to load.
         freeByDomain
             .toSortedMap(compareBy { it.orEmpty() })
             .map { (domain, targets) -> domain to formGroups(domain, targets) }
             .forEach { (domain, free) -> keepSpares(domain, free) }
+        // Repairs and their spares come first, as they need the permits more.
+        DemandReassignment(cycle, view, groups, shares, staging, donors, ::availableTargets).apply()
     }
 
     private fun keepSpares(
@@ -89,7 +92,7 @@
     ): List<ModelDefinition> {
         val missing =
             view.engine.models
-                .filter { groups.count(domain, it.name) == 0 && groups.count(it.name) < cycle.settings.reservedGroups }
+                .filter { groups.needsFirst(domain, it) && !isGivenUp(domain, it) }
                 .sortedWith(compareBy({ groups.count(it.name) > 0 }, { -memberShortfall(it) }))
         val reservations = ModelReservations(missing, free + survivors(domain).size)
         val awaited = reservations.largestUnattainable?.takeIf { isBeingListed(domain) }
@@ -98,7 +101,7 @@
                 .filter { it !in reservations.reserved }
                 .sortedByDescending(::memberShortfall)
         return (reservations.reserved + others).filter { model ->
-            val needsReserve = groups.count(domain, model.name) > 0 && !isUnderCapacity(model)
+            val needsReserve = !isFirst(domain, model) && !isUnderCapacity(model)
             val needed = if (needsReserve) model.size + cycle.settings.reservePerFabricDomain else model.size
             val available = minOf(free, reservations.availableFor(model) { yields(domain, it, model) })
             available >= needed && (awaited == null || model.size > awaited.size)
@@ -119,6 +122,17 @@
         return isUnderCapacity(model) || (view.hasTraffic && loaded * 2 < reserved.size)
     }
 
+    /** Whether a group of [model] would be the first one in [domain], and the model has not left it. */
+    private fun isFirst(
+        domain: String?,
+        model: ModelDefinition,
+    ): Boolean = groups.count(domain, model.name) == 0 && !isGivenUp(domain, model)
+
+    private fun isGivenUp(
+        domain: String?,
+        model: ModelDefinition,
+    ): Boolean = GivenUpModel(domain, model.name) in cycle.state.demandReassignment.givenUp
+
     private fun isBeingListed(domain: String?): Boolean {
         if (view.hasTraffic || cycle.now - cycle.state.newTargetAt >= cycle.settings.settlingMilliseconds) return false
         val firstListedAt = cycle.state.firstListedAt[domain] ?: return false
@@ -217,7 +231,7 @@
         val targets = view.entries.values.count { it.fabricDomain == domain && !it.isLeaving }
         val models =
             view.engine.models
-                .filter { groups.count(domain, it.name) > 0 || it.size <= targets }
+                .filter { groups.count(domain, it.name) > 0 || (it.size <= targets && !isGivenUp(domain, it)) }
                 .map { it.copy(share = shares.memberShare(it)) }
         val underCapacity = models.filter(::isUnderCapacity).map { it.name }.toSet()
         val spares =
@@ -227,6 +241,7 @@
                 groups.countByModel(domain),
                 groups.countByModel(),
                 underCapacity,
+                loading = free.mapNotNull { cycle.state.staging[it.id]?.model },
             )
         free.filter { it.id !in cycle.state.staging }.forEach { target ->
             val current = staging.stagedModel(target)
