Mend what the review of even load and of the limit by goals found

Cause (review, by reading): a call at the limit of its goal stopped calls with more time behind it; the limit by goals took the place of the one for urgent requests; few known requests of a small limit counted as full; requests without a duration made estimates NaN; calls that were late already took room of others.

Change: WaitingCalls looks for a call with more time; the limit by goals, with the time that is left, applies to the usual limit only; half of the slots are certain room.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallAttempts.kt
@@ -41,8 +41,10 @@
     /** The next target that would take the request now, or null. */
     fun chooseTarget(needsFreeSlot: Boolean = false): ChosenTarget? {
         val limitPerSlot = context.waitingCalls.limitPerSlot(request)
-        // Only requests that can wait here are kept from groups that would serve them late.
-        val goal = request.route.latencyGoalMilliseconds.takeIf { request.work.priority != null && it > 0 }
+        // Only requests that can wait here are kept from groups that would serve them late; those that have waited for
+        // too long leave room to others that are still in time.
+        val hasGoal = request.work.priority != null && request.route.latencyGoalMilliseconds > 0
+        val goal = if (hasGoal) maxOf(0, request.work.goalAt - now) else null
         val preferences = TargetPreferences(count == 0 && canHedge(), needsFreeSlot, limitPerSlot, goal)
         return context.state.chooseTarget(request.service, request.metadata.model, triedTargets, now, preferences)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficState.kt
@@ -102,7 +102,9 @@
         val firstLimitPerSlot = preferences.limitPerSlot ?: WaitingRequests.USUAL_PER_SLOT
         val limitPerSlot = if (needsSlot) firstLimitPerSlot else RETRY_LIMIT_PER_SLOT
         val engine = service.engine ?: return null
-        val goal = preferences.goalMilliseconds?.takeIf { excludedTargets.isEmpty() }
+        // A request that may queue at the target, ahead of less urgent ones, has a limit of its own.
+        val isUsualLimit = firstLimitPerSlot <= WaitingRequests.USUAL_PER_SLOT
+        val goal = preferences.goalMilliseconds?.takeIf { excludedTargets.isEmpty() && isUsualLimit }
         val limitByGoal = goal?.let { groupProgress.maxRequests(engine, model, it) } ?: Int.MAX_VALUE
         val limit = minOf((engine.slots * limitPerSlot).toInt(), limitByGoal)
         val groups = currentView.groups(service.name, model).associateBy { it.head.id }
@@ -287,6 +289,7 @@
             isWithinRateLimits = isWithinRateLimits,
             expectedInFlight = expectedInFlight,
             distance = distance,
+            certainRoom = target.slots / 2,
         )
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
@@ -138,21 +138,30 @@
     }
 
     private fun dispatch(queue: WaitingRequests<ProxiedCall>) {
+        // Groups that are too full for a call to keep its goal may still have room for one with more time.
+        var blockedGoal = 0L
         while (true) {
-            val next = queue.next(now()) ?: return
-            val call = next.call
+            val next =
+                if (blockedGoal == 0L) queue.next(now()) else queue.nextOther { goalOf(it) > blockedGoal }
+            val call = next?.call ?: return
             val withdrawal = findWithdrawal(call)
             if (withdrawal != null) {
                 call.refuse(withdrawal.reason, withdrawal.detail)
                 continue
             }
-            val target = call.attempts.chooseTarget() ?: return
+            val target = call.attempts.chooseTarget()
+            if (target == null) {
+                blockedGoal = maxOf(1, goalOf(call), blockedGoal)
+                continue
+            }
             queue.removeToStart(next, now())
             endWait(call)
             call.startAttempt(null, target)
         }
     }
 
+    private fun goalOf(call: ProxiedCall): Long = call.request.route.latencyGoalMilliseconds
+
     private fun endWait(call: ProxiedCall) {
         call.waiting = null
         if (call.waitedMilliseconds != null) call.waitedMilliseconds = now() - call.request.arrivedAt
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/TrafficStateTest.kt
@@ -108,6 +108,26 @@
         assertNull(testSubject.chooseTarget(engineService, "m0", emptySet(), now = 2_000))
     }
 
+    // Guards against late first events of all requests in a burst, since each group takes as many as it has slots.
+    @Test
+    fun `a group that would miss the goal gets only requests with more time or a place in its queue`() {
+        val head = targetEntry("h-1")
+        testSubject.view = groupsOf(listOf(head))
+        repeat(SLOTS / 2 + 1) { testSubject.recordSent(head, now = 1_000) }
+
+        assertNull(chooseWithin(goal = 1))
+        assertEquals(head.id, chooseWithin(goal = 10_000))
+        assertEquals(head.id, chooseWithin(goal = 1, limitPerSlot = 1.25))
+    }
+
+    private fun chooseWithin(
+        goal: Long,
+        limitPerSlot: Double? = null,
+    ): HostId? {
+        val preferences = TargetPreferences(limitPerSlot = limitPerSlot, goalMilliseconds = goal)
+        return testSubject.chooseTarget(engineService, "m0", emptySet(), 1_000, preferences)?.entry?.id
+    }
+
     // Guards against streams that cross failure domains, and break with either of them, while groups nearby have room.
     @Test
     fun `requests go to groups of the own failure domain until these have much more load than others`() {
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/InFlightCounts.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/InFlightCounts.kt
@@ -78,7 +78,7 @@
         var unseen = 0.0
         peerCounts.values.forEach { peer ->
             if (now > peer.validUntil) return@forEach
-            val remaining = exp(-(now - peer.receivedAt) / requestMilliseconds)
+            val remaining = exp(-(now - peer.receivedAt) / maxOf(1.0, requestMilliseconds))
             var sum = 0
             peer.counts.forEach { (target, count) ->
                 if (target in targets) {
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/TargetSelector.kt
@@ -21,10 +21,12 @@
     val expectedInFlight: Double = inFlight.toDouble(),
     /** By how many requests the load counts as larger, since the target is in another failure domain. */
     val distance: Double = 0.0,
+    /** With fewer requests than this known there, the target takes one more whatever is expected. */
+    val certainRoom: Int = maxInFlight / 2,
 ) {
     /** Whether the target has room for one more request by what is known, and probably has it by now. */
     val hasRoom: Boolean
-        get() = inFlight < maxInFlight && (expectedInFlight < maxInFlight || inFlight * 2 < maxInFlight)
+        get() = inFlight < maxInFlight && (expectedInFlight < maxInFlight || inFlight < certainRoom)
 }
 
 /**
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/WaitingRequests.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/WaitingRequests.kt
@@ -53,6 +53,9 @@
         return queue.peekPreferred(underserved) { meetsGoal(it, 0.0, now) }
     }
 
+    /** Returns the first request whose call satisfies [isEligible], without removing it. */
+    fun nextOther(isEligible: (T) -> Boolean): WaitingRequest<T>? = queue.peek { isEligible(it.call) }
+
     /** Removes [request] because it is sent. */
     fun removeToStart(
         request: WaitingRequest<T>,
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/TargetSelectorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/TargetSelectorTest.kt
@@ -1,5 +1,6 @@
 package org.vanillalink.serving.balancing
 
+import org.vanillalink.model.DaemonId
 import org.vanillalink.model.HostId
 import kotlin.random.Random
 import kotlin.test.Test
@@ -71,6 +72,14 @@
         assertEquals(FIRST, testSubject.select(listOf(candidate), concurrentRequests = 12.0)?.target)
     }
 
+    @Test
+    fun `requests that take no time leave an estimate`() {
+        val counts = InFlightCounts()
+        counts.recordPeerCounts(DaemonId("peer"), mapOf(FIRST to 3), now = 0, validForMilliseconds = 1_000)
+
+        assertEquals(3.0, counts.estimate(setOf(FIRST), requestMilliseconds = 0.0, now = 0).at(FIRST))
+    }
+
     private fun selectOften(
         inFlight: Map<String, Int>,
         concurrentRequests: Double,
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/WaitingRequestsTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/WaitingRequestsTest.kt
@@ -33,6 +33,17 @@
         assertEquals(listOf("in time", "late"), startAll())
     }
 
+    // Guards against free slots beside requests with much time, behind one whose goal no group can keep.
+    @Test
+    fun `another request can be found behind the next one`() {
+        answerForAWhile()
+        add("urgent", priority = 0)
+        add("patient")
+
+        assertEquals("patient", waiting.nextOther { it != "urgent" }?.call)
+        assertEquals(null, waiting.nextOther { it == "neither" })
+    }
+
     @Test
     fun `only as many requests wait as can start in time`() {
         answerForAWhile()
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
@@ -33,6 +33,16 @@
         assertEquals(emptyList(), fleet.violations)
     }
 
+    @Test
+    fun `three fabric domains each get a group of each model, if as many are reserved, though one is listed last`() {
+        val controller = GroupController(GroupControlSettings(reservedGroups = 3))
+        val hosts = mapOf("d0" to 37, "d1" to 37, "d2" to 37)
+        val fleet = FakeFleet(hosts, controller, sizes = mapOf("large" to 16, "small" to 4))
+        fleet.listByPages(fleet.runners.keys.toList())
+        fleet.settle()
+        assertServesAll(fleet, setOf("d0", "d1", "d2"))
+    }
+
     // Too few remain for the large model by then, so groups of the small one are undone before the first request.
     @Test
     fun `a fabric domain whose targets are listed late gets a group of each model before traffic`() {
