--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/WaitingCalls.kt
@@ -141,25 +141,35 @@
         // Groups that are too full for a call to keep its goal may still have room for one with more time.
         var blockedGoal = 0L
         while (true) {
-            val next =
-                if (blockedGoal == 0L) queue.next(now()) else queue.nextOther { goalOf(it) > blockedGoal }
-            val call = next?.call ?: return
-            val withdrawal = findWithdrawal(call)
-            if (withdrawal != null) {
-                call.refuse(withdrawal.reason, withdrawal.detail)
-                continue
-            }
-            val target = call.attempts.chooseTarget()
-            if (target == null) {
-                blockedGoal = maxOf(1, goalOf(call), blockedGoal)
-                continue
-            }
-            queue.removeToStart(next, now())
-            endWait(call)
-            call.startAttempt(null, target)
+            val next = findNext(queue, blockedGoal) ?: return
+            if (!startOrRefuse(queue, next)) blockedGoal = maxOf(1, goalOf(next.call), blockedGoal)
         }
     }
 
+    private fun findNext(
+        queue: WaitingRequests<ProxiedCall>,
+        blockedGoal: Long,
+    ): WaitingRequest<ProxiedCall>? =
+        if (blockedGoal == 0L) queue.next(now()) else queue.nextOther { goalOf(it) > blockedGoal }
+
+    /** Sends [next], or refuses it if it may not run any more; returns false if no target has room for it. */
+    private fun startOrRefuse(
+        queue: WaitingRequests<ProxiedCall>,
+        next: WaitingRequest<ProxiedCall>,
+    ): Boolean {
+        val call = next.call
+        val withdrawal = findWithdrawal(call)
+        if (withdrawal != null) {
+            call.refuse(withdrawal.reason, withdrawal.detail)
+            return true
+        }
+        val target = call.attempts.chooseTarget() ?: return false
+        queue.removeToStart(next, now())
+        endWait(call)
+        call.startAttempt(null, target)
+        return true
+    }
+
     private fun goalOf(call: ProxiedCall): Long = call.request.route.latencyGoalMilliseconds
 
     private fun endWait(call: ProxiedCall) {
