Order a target that refuses to load again only after a while

Change: the target counts as staging for 5 s; the permit still comes back.

Result: serving/control passes, with a scenario of it.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupControlSettings.kt
@@ -92,6 +92,8 @@
     val lastingDemandMilliseconds: Long = 20_000,
     /** How long after a change demand isn't judged: until it shows what the change has brought. */
     val reassignmentPauseMilliseconds: Long = 10_000,
+    /** How long a target that refuses to stage a model isn't ordered to do so again; about as long as a warm load. */
+    val refusedStagingMilliseconds: Long = 5_000,
     /** Free targets that must remain in a fabric domain when it forms a second group of a model. */
     val reservePerFabricDomain: Int = 2,
 )
--- a/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/OrderAnswers.kt
@@ -156,15 +156,19 @@
         cycle.state = cycle.state.copy(staging = cycle.state.staging + (target to staging))
     }
 
-    /** No load has begun, so the permit is available to another target. */
+    /**
+     * No load has begun, so the permit is available to another target. This one isn't asked again for a while: it is
+     * busy, or refuses for a reason that lasts.
+     */
     private fun cancelStaging(
         target: HostId,
         staging: Staging,
     ) {
         val returnedTokens = if (staging.hasPermit) 1 else 0
+        val retryAt = cycle.now + cycle.settings.refusedStagingMilliseconds
         cycle.state =
             cycle.state.copy(
-                staging = cycle.state.staging - target,
+                staging = cycle.state.staging + (target to staging.copy(expiresAt = retryAt, hasPermit = false)),
                 loadTokens = cycle.state.loadTokens + returnedTokens,
             )
     }
--- a/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/control/ModelCoverageScenarios.kt
@@ -142,6 +142,22 @@
         assertEquals(before + 1, fleet.state.loadTokens)
     }
 
+    // Guards against orders in each tick to targets that refuse them: 15,170 on a day of tisserand-devis.
+    @Test
+    fun `a target that refuses to load isn't ordered again at once`() {
+        val fleet = fleetOf(16, 4, mapOf("d0" to 37))
+        fleet.hasTraffic = true
+        fleet.runUntil(5_000) { fleet.state.staging.isNotEmpty() }
+        val (target, staging) =
+            fleet.state.staging.entries
+                .first()
+        val orders = { fleet.notes.count { "model-staging" in it && "target=$target " in "$it " } }
+        val before = orders()
+        fleet.process(GroupEvent.OrderAnswered(target, GroupOrder.Stage(staging.model), OrderResult.REFUSED))
+        fleet.run(4_500)
+        assertEquals(before, orders())
+    }
+
     @Test
     fun `groups that the demand of their own callers needs are kept while another failure domain serves the model`() {
         val fleet = fleetOf(16, 4, mapOf("d0" to 15))
