--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/FirstEventPredictor.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/FirstEventPredictor.kt
@@ -35,7 +35,8 @@
 
     /**
      * How many requests a group of [model] with [slots] may have, so that the first event of each still comes within
-     * [milliseconds] in nine of ten cases. At least half of the slots are used, however late first events are.
+     * [milliseconds] in nine of ten cases. Most slots are used however late first events are: in a burst, they come
+     * later than the known requests explain.
      */
     fun maxRequests(
         model: String,
@@ -43,11 +44,12 @@
         slots: Int,
         milliseconds: Long,
     ): Int {
+        val fewest = (slots * LEAST_SLOT_SHARE).toInt()
         val requests =
-            (slots downTo slots / 2).firstOrNull {
+            (slots downTo fewest).firstOrNull {
                 predict(model, times, it, times.usualPromptTokens).usual * NINE_IN_TEN_FACTOR <= milliseconds
             }
-        return (requests ?: (slots / 2)) + 1
+        return (requests ?: fewest) + 1
     }
 
     /** Records that the first event that [prediction] was made for took [milliseconds]. */
@@ -74,6 +76,8 @@
         /** A single first event that is later than this says no more about the others. */
         const val MAX_DELAY_MILLISECONDS = 1_000L
 
+        const val LEAST_SLOT_SHARE = 0.75
+
         /** First events of equally loaded groups differ by where in a pass requests arrive. */
         const val NINE_IN_TEN_FACTOR = 1.2
     }
