Say in the planner which groups come first

Cause: its head still described one group of each model in each fabric domain.

Change: the comment.

--- a/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/control/GroupPlanner.kt
@@ -1,10 +1,10 @@
 /*
  * Selects which groups to form from free targets, and which models free hosts keep staged.
  *
- * Each fabric domain first gets one group of each model, starting with the largest; targets are kept for those that
- * can't be formed yet. Further groups are formed only if a reserve of free targets remains, or for a model whose groups
- * can't serve the demand. The reserve makes repairs fast: a spare that has the model staged replaces a lost member in a
- * fraction of the time of a load from the weight store.
+ * Each fabric domain first gets a group of each model that takes a small part of its targets, and of each other model
+ * until the failure domain has some; targets are kept for those that can't be formed yet. Further groups are formed
+ * only if a reserve of free targets remains, or for a model whose groups can't serve the demand. The reserve makes
+ * repairs fast: a spare that has the model staged replaces a lost member in a fraction of the time of a load.
  */
 package org.vanillalink.serving.control
 
