--- a/review/stand-ins-2/src/GreyRunner.java
+++ b/review/stand-ins-2/src/GreyRunner.java
@@ -3,14 +3,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** One of seven runners runs orders and ends a part of them with 503, without `Not-Executed`. */
+/** One of eight runners runs orders and ends a part of them with 503, without `Not-Executed`. */
 final class GreyRunner {
     public static void main(String[] args) throws Exception {
         boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
         Record.open(Path.of(args[0]));
         Map<String, String> runs = new ConcurrentHashMap<>();
         int result = 2;
-        try (Plain plain = new Plain(6, 7, (runner, request) -> runs.put(request.fields.get("request-id"), runner.id))) {
+        try (Plain plain = new Plain(6, 8, (runner, request) -> runs.put(request.fields.get("request-id"), runner.id))) {
             if (plain.start()) result = play(plain, hasTrouble, runs);
         }
         System.exit(result);
