--- a/review/stand-ins-2/src/Daemons.java
+++ b/review/stand-ins-2/src/Daemons.java
@@ -94,6 +94,14 @@
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
+    /** Stops the daemon with SIGTERM, kills it after [graceMilliseconds] if need be, and starts it again. */
+    void restart(Daemon daemon, long graceMilliseconds) throws Exception {
+        Record.line("stopping daemon=" + daemon.name);
+        signal(daemon.process, "TERM");
+        if (!daemon.process.waitFor(graceMilliseconds, TimeUnit.MILLISECONDS)) daemon.process.destroyForcibly().waitFor();
+        start(daemon);
+    }
+
     /** The status of the daemon's readiness, or 0 without an answer within a second. */
     static int readiness(Daemon daemon) {
         try {
