--- a/review/stand-ins-2/src/OddEntry.java
+++ b/review/stand-ins-2/src/OddEntry.java
@@ -6,8 +6,8 @@
     /** The pages' `configApplyMs`. */
     private static final long APPLY_MILLISECONDS = 2_000;
 
-    /** With the other fields just below the pages' `rowBytes` of 65,536. */
-    private static final int ADDRESS_LENGTH = 65_000;
+    /** The row is below the pages' `rowBytes` of 65,536, also as base64. */
+    private static final int ADDRESS_LENGTH = 48_000;
     private static final AtomicInteger BEFORE = new AtomicInteger();
     private static final AtomicInteger AFTER = new AtomicInteger();
     private static final AtomicInteger STALE = new AtomicInteger();
