Log a record of the registry that takes long to decode

One thread decodes all answers of the store. When it stands still, a daemon keeps an old configuration and its log shows nothing: a slow record, a store that doesn't answer and a late control thread look the same. DecodingProgress names the step under way; DecodingMonitor logs it once after 250 ms (`registry-decoding-slow`) and shows its age as a metric.

--- a/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
+++ b/daemon/src/main/kotlin/org/vanillalink/daemon/settings/EntryCommand.kt
@@ -6,6 +6,7 @@
 import org.vanillalink.daemon.logs.CountingAsyncAppender
 import org.vanillalink.gateway.GatewayDaemon
 import org.vanillalink.gateway.GatewayPorts
+import org.vanillalink.gateway.control.DecodingProgress
 import org.vanillalink.gateway.control.SystemClock
 import org.vanillalink.gateway.ports.GatewaySettings
 import org.vanillalink.platform.InvalidNodeFile
@@ -73,14 +74,15 @@
         val memory = MemoryBudget.ofHeap(maxHeapBytes)
         // Answers of targets must not cost those of the store, of which one may be larger than any of theirs.
         val http = NettyHttpClient(loops, CONNECT_TIMEOUT, connections, MemoryBudget.ofHeap(maxHeapBytes))
-        val decoding = decoding()
+        val progress = DecodingProgress()
+        val decoding = progress.track(decoding())
         val store = StoreClient(http, settings.storeEndpoint, decoding)
-        val relay = StoreRelay(http, decoding, SystemClock) { delay, action -> loops.schedule(delay, action) }
+        val relay = StoreRelay(http, decoding, SystemClock, progress) { delay, action -> loops.schedule(delay, action) }
         val dropped = CountingAsyncAppender::droppedLines
         val ports =
             GatewayPorts(
                 http,
-                StoredRegistry(store, relay),
+                StoredRegistry(store, relay, SystemClock, progress),
                 store,
                 RunnerControl(http),
                 PlatformCallProtocol(),
@@ -89,6 +91,7 @@
                 memory,
                 relay,
                 store::callCount,
+                progress,
             )
         return GatewayDaemon(settings, loops, ports)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/GatewayDaemon.kt
@@ -8,6 +8,8 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.vanillalink.gateway.control.ControlLoop
 import org.vanillalink.gateway.control.ControlThread
+import org.vanillalink.gateway.control.DecodingMonitor
+import org.vanillalink.gateway.control.DecodingProgress
 import org.vanillalink.gateway.control.SystemClock
 import org.vanillalink.gateway.logs.CallerConnectionLogger
 import org.vanillalink.gateway.logs.ConnectionMetrics
@@ -57,6 +59,8 @@
     val relay: RegistryRelay? = null,
     /** How many calls were sent to the store. */
     val storeCalls: () -> Long = { 0 },
+    /** What is being decoded of the registry. */
+    val decoding: DecodingProgress = DecodingProgress(),
 )
 
 /** Serves from construction until [stop] or [close]. */
@@ -185,6 +189,7 @@
         controlLoop.start()
         peerExchange.start()
         poisonBlockRecords.start()
+        DecodingMonitor(ports.decoding, eventLogger, meterRegistry).start(controlThread)
         eventLogger.record("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerEndpoint)
     }
 
