--- a/model/src/main/kotlin/org/vanillalink/model/Hosts.kt
+++ b/model/src/main/kotlin/org/vanillalink/model/Hosts.kt
@@ -14,15 +14,10 @@
     val address: String,
     val port: Int,
 ) {
-    /** Whether [address] is an IP address and not a name. A function, since a property would be written as JSON. */
-    fun hasLiteralAddress(): Boolean = IPV4_ADDRESS.matches(address) || IPV6_ADDRESS.matches(address)
-
     override fun toString(): String = "$address:$port"
 
     companion object {
         private val VALID_PORTS = 1..65_535
-        private val IPV4_ADDRESS = Regex("(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}")
-        private val IPV6_ADDRESS = Regex("\\[?[0-9a-fA-F:]*:[0-9a-fA-F:.]*]?")
 
         /** Parses `address:port`; null if [text] is malformed. */
         fun parse(text: String): Endpoint? {
