Don't pass on a status that says an order has not run after it has

Cause: a target's 503, 429 or 408 without Not-Executed says nothing about whether it ran the request, and ProxiedCall treats it so: mayHaveRun is set and nothing is repeated. To a caller the same status is the promise that the request has not run. BufferedCall passed it on unchanged.

The caller now gets 502 `outcome-unknown` without Retry-After and without the target's signature. Which statuses promise is the platform's (CallProtocol.promisesNotRun). The answers of repeatable requests stay as they were: they may run again. The trail shows `503-after-run`, and vanillalink.answers.false.promises counts them.

BufferedCallTest, "the status of a target that has run an order is not passed on where it promises the contrary", failed before ("the target answered 408 ==> expected: <502> but was: <408>").

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -108,6 +108,10 @@
         .counter("vanillalink.hedges", "reason", reason ?: "none", "needed", isNeeded.toString())
         .increment()
 
+    /** Counts an answer of a target with [status], which promises that the request has not run although it may have. */
+    fun countFalsePromise(status: Int) =
+        meterRegistry.counter("vanillalink.answers.false.promises", "status", status.toString()).increment()
+
     private fun formatParts(request: AdmittedRequest): String? = request.metadata.sharedPromptParts
         .take(MAX_LOGGED_PARTS)
         .joinToString(",")
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/ports/CallProtocol.kt
@@ -84,6 +84,9 @@
         headers: HeaderFields,
     ): ResponseMetadata
 
+    /** Whether a caller takes [status] for the promise that its request has not run and never will. */
+    fun promisesNotRun(status: Int): Boolean
+
     /** Returns the header fields of a target's response that are passed to the caller. */
     fun responseHeaders(headers: HeaderFields): HeaderFields
 }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/BufferedCall.kt
@@ -110,8 +110,9 @@
         headers: HeaderFields,
         body: HeldBody,
     ) {
-        val content = body.toByteArray()
         slowResponseTimer?.cancel()
+        if (refuseFalsePromise(status)) return
+        val content = body.toByteArray()
         finish("answered", status)
         response.respond(status, context.protocol.responseHeaders(headers), content)
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/ProxiedCall.kt
@@ -49,7 +49,7 @@
 
 /** Drives [request] to its final response. */
 internal abstract class ProxiedCall(
-    protected val context: CallContext,
+    val context: CallContext,
     val request: AdmittedRequest,
     protected val response: ResponseWriter,
 ) {
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/BufferedCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/BufferedCallTest.kt
@@ -19,6 +19,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Calls whose target is silent for longer than usual. */
 internal class BufferedCallTest {
@@ -93,6 +94,41 @@
         assertEquals(1, timers.size)
     }
 
+    // Guards against an order that runs twice, since its caller was told that it had not run (REFUSED, review/8).
+    @Test
+    fun `the status of a target that has run an order is not passed on where it promises the contrary`() {
+        listOf(408, 421, 429, 503).forEach { status ->
+            start(targets = 2, kind = CallKind.NON_IDEMPOTENT)
+            http.last.onHead(status, HeaderFields.of("retry-after" to "1"))
+            http.last.onBodyChunk("the target's text".toByteArray())
+            http.last.onComplete()
+
+            assertEquals(502, response.status, "the target answered $status")
+            assertEquals(null, response.headers["retry-after"])
+            assertTrue("unknown" in response.body, response.body)
+        }
+        assertEquals(4, http.listeners.size)
+    }
+
+    @Test
+    fun `an order that its target states not to have run is refused as not run`() {
+        start(targets = 1, kind = CallKind.NON_IDEMPOTENT)
+        http.last.onHead(503, HeaderFields.of("not-executed" to "1"))
+
+        assertEquals(503, response.status)
+    }
+
+    @Test
+    fun `other failures of a target that has run an order are passed on`() {
+        listOf(400, 404, 500, 504).forEach { status ->
+            start(targets = 1, kind = CallKind.NON_IDEMPOTENT)
+            http.last.onHead(status, HeaderFields())
+            http.last.onComplete()
+
+            assertEquals(status, response.status)
+        }
+    }
+
     @Test
     fun `an attempt with a malformed answer is told from one whose connection is lost`() {
         val trails =
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/CallFakes.kt
@@ -145,5 +145,7 @@
         null,
     )
 
+    override fun promisesNotRun(status: Int) = status in setOf(408, 421, 429, 503)
+
     override fun responseHeaders(headers: HeaderFields) = headers
 }
