Don't pass on such a status for a stream that may not be resumed, either

A stream on a route that isn't resumable may run once only, and its caller repeats it after a 503.

StreamCallTest, "a target's 503 after it began a stream that may not be resumed is not passed on", failed before ("expected: <502> but was: <503>"). Streams that may be resumed keep their target's answer.

Read besides, without a fault: refusals of calls that wait (they have had no attempt), the refusal after a rejection beside another attempt (502, since mayHaveRun is set), time-outs (504), and the own protocol, where a status promises nothing: its refusals have an outcome, which PlainCall drops from a target's answer.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/StreamCall.kt
@@ -129,6 +129,7 @@
         mayHaveRun = true
         when {
             !isEventStream -> {
+                if (refuseFalsePromise(status)) return
                 val content = failureBody.toByteArray()
                 finish("answered", status)
                 response.respond(status, context.protocol.responseHeaders(headers), content)
--- a/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
+++ b/gateway/src/test/kotlin/org/vanillalink/gateway/traffic/StreamCallTest.kt
@@ -88,6 +88,17 @@
         assertEquals(2, http.listeners.size)
     }
 
+    // Guards against a stream that runs twice, since its caller was told that it had not run (REFUSED).
+    @Test
+    fun `a target's 503 after it began a stream that may not be resumed is not passed on`() {
+        start(isResumable = false)
+        http.last.onHead(503, HeaderFields.of("content-type" to "text/plain"))
+        http.last.onComplete()
+
+        assertEquals(502, response.status)
+        assertTrue("unknown" in response.body, response.body)
+    }
+
     @Test
     fun `a resumed stream without further events is complete`() {
         start(lastEventId = 7)
@@ -439,11 +450,23 @@
         part: String = "p",
         lastEventId: Long? = null,
         response: ResponseWriter = this.response,
+        isResumable: Boolean = true,
     ): StreamCall {
         val metadata = RequestMetadata("id", "h", 8_000, null, null, lastEventId, 0, listOf(part))
         val message = HttpRequestMessage("POST", "/")
         val signature = signature(fingerprint, part)
-        val request = AdmittedRequest(message, metadata, route, service, null, 0, 8_000, 8_000, signature)
+        val request =
+            AdmittedRequest(
+                message,
+                metadata,
+                route.copy(isResumable = isResumable),
+                service,
+                null,
+                0,
+                8_000,
+                8_000,
+                signature,
+            )
         return StreamCall(context, request, response).apply { startFirstAttempt() }
     }
 
