Log how many targets a daemon knows to be lost with a request

A request that crashes targets and isn't refused: the log could not tell evidence that is forgotten from evidence that never arrives, is withdrawn, or stands under another digest. attempt-lost now has knownLosses.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/logs/RequestLogger.kt
@@ -80,12 +80,16 @@
         return arrayOf("digest" to request.signature.fingerprint.value, "parts" to formatParts(request))
     }
 
-    /** Logs and counts an attempt that ended with its connection, after [responseReads] reads of its response. */
+    /**
+     * Logs and counts an attempt that ended with its connection, after [responseReads] reads of its response. This
+     * daemon knows of [knownLosses] targets that were lost with this very request.
+     */
     fun logTargetLost(
         request: AdmittedRequest,
         target: TargetInstance,
         responseReads: Int,
         attemptMilliseconds: Long,
+        knownLosses: Int,
     ) {
         meterRegistry.counter("vanillalink.attempts.lost", "begun", (responseReads > 1).toString()).increment()
         write(
@@ -96,6 +100,7 @@
             "bornAt" to target.bornAt,
             "reads" to responseReads,
             "atTargetMs" to attemptMilliseconds,
+            "knownLosses" to knownLosses,
             *contentFields(request, isFailure = true),
         )
     }
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptEvidence.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/AttemptEvidence.kt
@@ -40,9 +40,9 @@
     /** Records that the response of [target] ended with its connection. */
     fun recordLoss(target: TargetInstance) {
         val now = context.now()
-        context.requestLogger.logTargetLost(request, target, reads, now - startedAt)
-        if (hasAnswered) return
-        detector.recordLoss(target, request.signature, now)
-        detector.update(now)
+        if (!hasAnswered) detector.recordLoss(target, request.signature, now)
+        val knownLosses = detector.countLosses(request.signature.fingerprint)
+        context.requestLogger.logTargetLost(request, target, reads, now - startedAt, knownLosses)
+        if (!hasAnswered) detector.update(now)
     }
 }
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
@@ -202,6 +202,9 @@
         now: Long,
     ): Long = maxOf(0, block.trialAt(daemons) - now)
 
+    /** How many targets are known to have been lost with the request [fingerprint]. */
+    fun countLosses(fingerprint: RequestFingerprint): Int = losses.values.count { fingerprint in it.suspects }
+
     /** The evidence to report to peers. Older losses are reported as the blocks that they led to. */
     fun buildReport(now: Long): PoisonReport {
         val recent = losses.values.filter { now - it.at < REPORTED_MILLISECONDS }.takeLast(MAX_REPORTED)
