Report losses that may lead to a block to peers that have just started

The path beside the table: a daemon that starts while the store doesn't answer, or before a controller has written a loss, knew nothing of losses older than ten seconds, though its peers did.

For ten seconds after a peer's process is first heard the losses that the table keeps are part of the report, six at most with four suspects each, as for recent ones. PoisonRequestDetectorTest, "a daemon that starts later learns of losses that have not led to a block from its peers", does not compile without recordPeerStart; without the older losses in the report its request isn't blocked.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/peers/PeerExchange.kt
@@ -169,6 +169,7 @@
             // It needs the state of the others before it decides which one should have control.
             sendStates.remove(message.daemon)
             startedPeers += message.daemon
+            traffic.onPeerStarted()
         }
     }
 
--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/TrafficMonitor.kt
@@ -121,6 +121,9 @@
 
     override fun adopt(report: PoisonReport) = eventLoops.execute { state.poisonDetector.recordReport(report, now()) }
 
+    /** A peer's process has started and doesn't know what was observed before. */
+    fun onPeerStarted() = eventLoops.execute { state.poisonDetector.recordPeerStart(now()) }
+
     /** Records that a request was received. */
     fun recordRequestArrival() {
         hasTraffic = true
--- a/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
+++ b/serving/src/main/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetector.kt
@@ -82,6 +82,7 @@
     private val attribution = LossAttribution(answers::latest)
     private var announcedBlocks: Map<RequestTrait, PoisonBlock> = emptyMap()
     private var isOutdated = false
+    private var peerStartedAt: Long? = null
 
     /** Incremented when there is something new to report to peers. */
     var version = 0L
@@ -205,14 +206,26 @@
     /** How many targets are known to have been lost with the request [fingerprint]. */
     fun countLosses(fingerprint: RequestFingerprint): Int = losses.values.count { fingerprint in it.suspects }
 
+    /** Records that a process of a peer has started: for a while it is told of older losses, which it can't know. */
+    fun recordPeerStart(now: Long) {
+        peerStartedAt = now
+        if (losses.isNotEmpty()) version += 1
+    }
+
     /** The evidence to report to peers. Older losses are reported as the blocks that they led to. */
     fun buildReport(now: Long): PoisonReport {
         val recent = losses.values.filter { now - it.at < REPORTED_MILLISECONDS }.takeLast(MAX_REPORTED)
         val ownAnswers = lossReports.reportAnswers(recent, reportedBlocks.keys, now)
+        val isPeerNew = peerStartedAt?.let { now - it < REPORTED_MILLISECONDS } ?: false
+        val older = if (isPeerNew) openLosses(now).filter { it.age >= REPORTED_MILLISECONDS } else emptyList()
         val survivals = ownSurvivals.since(now - REPORTED_MILLISECONDS).map { ReportedSurvival(it.key, now - it.value) }
         val latestBlocks = blocks.values.toList().takeLast(MAX_REPORTED)
         return PoisonReport(
-            lossReports.reportLosses(recent, now),
+            older
+                .takeLast(
+                    MAX_REPORTED - recent.size,
+                ).map { it.copy(suspects = it.suspects.take(MAX_OLDER_SUSPECTS)) } +
+                lossReports.reportLosses(recent, now),
             ownAnswers,
             survivals,
             latestBlocks.map { ReportedBlock(it.trait, now - it.lastLossAt, it.targets) },
@@ -348,5 +361,6 @@
 
         /** Limits the datagram size. */
         private const val MAX_REPORTED = 6
+        private const val MAX_OLDER_SUSPECTS = 4
     }
 }
--- a/serving/src/test/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetectorTest.kt
+++ b/serving/src/test/kotlin/org/vanillalink/serving/balancing/PoisonRequestDetectorTest.kt
@@ -239,6 +239,20 @@
         assertEquals(emptyList(), testSubject.openLosses(now = 6_000))
     }
 
+    // Guards against the same while the table can't be read: daemons are restarted in turn, seldom enough that nobody
+    // reports the losses any more (review/9).
+    @Test
+    fun `a daemon that starts later learns of losses that have not led to a block from its peers`() {
+        listOf("a", "b").forEach { testSubject.lose(it, REQUEST, now = 0) }
+        val later = PoisonRequestDetector(Random(2))
+        testSubject.recordPeerStart(now = 60_000)
+        later.receive(testSubject.buildReport(now = 60_100), now = 60_150)
+        later.lose("c", REQUEST, now = 70_000)
+
+        assertTrue(later.isBlocked(REQUEST, now = 70_000))
+        assertEquals(PoisonReport(), testSubject.buildReport(now = 70_000), "they are not reported for ever")
+    }
+
     @Test
     fun `what is kept of a loss is bounded, and requests that were lost most often come first`() {
         repeat(50) { testSubject.lose("a", request("once-$it"), now = 0) }
