Reject statuses above 599, which HTTP doesn't have

Tried here with real bytes through a whole daemon, on orders, repeatable requests and streams: 000, 00, 099, 1000, -01 and 2x0 were rejected before already (the transport takes three digits that don't begin with 0), 600 and 999 were passed on with the runner's signature.

ResponseChecks now takes 100 to 599, as RFC 9110 has it; others end the attempt as malformed-answer, and the caller gets 502.

--- a/transport/src/main/kotlin/org/vanillalink/transport/ResponseChecks.kt
+++ b/transport/src/main/kotlin/org/vanillalink/transport/ResponseChecks.kt
@@ -13,7 +13,9 @@
 
 /** `HTTP/d.d ddd`, where d is a digit. */
 private val STATUS_LINE = Regex("HTTP/\\d\\.\\d \\d{3}")
-private val STATUS = Regex("[1-9]\\d\\d")
+
+/** RFC 9110, section 15: others are invalid. */
+private val STATUS = Regex("[1-5]\\d\\d")
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0.text(), HttpVersion.HTTP_1_1.text())
 private const val CHUNKED = "chunked"
 private const val TRANSFER_ENCODING = "transfer-encoding"
--- a/transport/src/test/kotlin/org/vanillalink/transport/StrictResponseTest.kt
+++ b/transport/src/test/kotlin/org/vanillalink/transport/StrictResponseTest.kt
@@ -38,6 +38,8 @@
         assertMalformed("HTTP/1.2 200 OK$LENGTH", ResponseFault.VERSION)
         assertMalformed("ICY/1.1 200 OK$LENGTH", ResponseFault.VERSION)
         assertMalformed("HTTP/1.1 2000 OK$LENGTH", ResponseFault.STATUS)
+        assertMalformed("HTTP/1.1 000 OK$LENGTH", ResponseFault.STATUS)
+        assertMalformed("HTTP/1.1 600 OK$LENGTH", ResponseFault.STATUS)
         assertMalformed("HTTP/1.1 0200 OK$LENGTH", ResponseFault.STATUS)
         assertMalformed("HTTP/1.1 +20 OK$LENGTH", ResponseFault.STATUS)
         assertMalformed("HTTP/1.1 2HTTP/1.1 200 OK$LENGTH", ResponseFault.STATUS)
