Know a request that crashes targets by its caller's workspace

Cause: the digest by which requests are compared held the hash of the key. The caller is the workspace, which is what targets see of it, and its keys change. Evidence: the digest in attempt-lost begins with the key's hash (CallHandler.computeFingerprint).

The digest now holds the workspace's id, and the key only where there is no workspace. While daemons of both versions run, they count such a request apart.

--- a/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
+++ b/gateway/src/main/kotlin/org/vanillalink/gateway/traffic/CallHandler.kt
@@ -168,7 +168,7 @@
             arrivedAt = now,
             responseDeadline = now + timeout,
             callerDeadline = now + callerTimeout,
-            signature = RequestSignature(computeFingerprint(request, metadata), metadata.sharedPromptParts),
+            signature = RequestSignature(computeFingerprint(request, metadata, workspace), metadata.sharedPromptParts),
             work =
                 RequestWork(
                     promptTokens = metadata.promptTokens,
@@ -205,14 +205,17 @@
         return catalog.findService(chosenShare.service)
     }
 
+    /** The caller is the workspace, whose keys change; a caller without one is known by its key. */
     private fun computeFingerprint(
         request: HttpRequestMessage,
         metadata: RequestMetadata,
+        workspace: Workspace?,
     ): RequestFingerprint {
+        val caller = workspace?.id?.value ?: metadata.key
         val checksum = CRC32()
         checksum.update(request.body)
         return RequestFingerprint(
-            "${metadata.key.hashCode()}-${request.target.hashCode()}-${request.body.size}-${checksum.value}",
+            "${caller.hashCode()}-${request.target.hashCode()}-${request.body.size}-${checksum.value}",
         )
     }
 
