--- a/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/SoakRun.kt
@@ -3,6 +3,7 @@
  */
 package org.vanillalink.soak
 
+import org.vanillalink.soak.callers.CallMaker
 import org.vanillalink.soak.callers.Caller
 import org.vanillalink.soak.callers.CallerSettings
 import org.vanillalink.soak.callers.CallerStyle
@@ -11,6 +12,7 @@
 import org.vanillalink.soak.deployment.SoakDeployment
 import org.vanillalink.soak.faults.ConfigurationChanges
 import org.vanillalink.soak.faults.DaemonFaults
+import org.vanillalink.soak.faults.DeadlyRequests
 import org.vanillalink.soak.faults.TargetFaults
 import org.vanillalink.soak.record.Bounds
 import org.vanillalink.soak.record.FaultKind
@@ -61,16 +63,16 @@
             ) { areFaultsOn }
         val deployment = SoakDeployment(plan, recorder)
         Runtime.getRuntime().addShutdownHook(Thread(deployment::close))
-        val rotation = Rotation(deployment.daemons)
+        val rotation = Rotation(deployment.daemons, recorder)
         deployment.daemons.forEach {
             it.start()
             Thread.sleep(START_PAUSE_MS)
         }
         rotation.start()
         if (!awaitReady(rotation, deployment.daemons.size)) return null
-        val callers = startCallers(rotation)
+        val callers = startCallers(rotation, deployment)
         Thread.sleep(WARM_UP_MS)
-        play(deployment)
+        play(deployment, rotation)
         areFaultsOn = false
         Thread.sleep(bounds.graceMs)
         isOver = true
@@ -90,8 +92,13 @@
         return true
     }
 
-    private fun startCallers(rotation: Rotation): List<Thread> {
-        val shared = CallerSettings(settings.profile, rotation, recorder, SoakDeployment.DOMAINS) { isOver }
+    private fun startCallers(
+        rotation: Rotation,
+        deployment: SoakDeployment,
+    ): List<Thread> {
+        val addedRoutes = { deployment.routesAddedBefore(recorder.now() - bounds.configApplyMs) }
+        val shared =
+            CallerSettings(settings.profile, rotation, recorder, SoakDeployment.DOMAINS, addedRoutes) { isOver }
         return List(settings.profile.callers) { index ->
             val caller = Caller(index, styleOf(index), shared, Random(settings.seed * CALLER_STEP + index))
             thread(isDaemon = true, name = "caller-$index", block = caller::run)
@@ -118,20 +125,28 @@
             }?.first ?: CallerStyle.KEPT
     }
 
-    private fun play(deployment: SoakDeployment) {
+    private fun play(
+        deployment: SoakDeployment,
+        rotation: Rotation,
+    ) {
         areFaultsOn = true
-        val ofDaemons = settings.kinds.filter { !it.isOfTargets }
+        val ofDaemons = settings.kinds.filter { !it.isOfTargets && it != FaultKind.DEADLY_REQUEST }
         val ofTargets = settings.kinds.filter { it in WHOLE_TARGET }
         val endMs = recorder.now() + settings.seconds * MS_PER_SECOND
         val daemonFaults = DaemonFaults(deployment, recorder, ofDaemons, Random(random.nextInt()), executor)
         val targetFaults = TargetFaults(deployment, recorder, ofTargets, Random(random.nextInt()), executor)
         val changes = ConfigurationChanges(deployment, recorder, Random(random.nextInt()))
+        val maker = CallMaker("deadly", settings.profile, CallerStyle.NEW_CONNECTIONS, Random(random.nextInt()))
+        val deadly =
+            DeadlyRequests(deployment, rotation, recorder, maker, Random(random.nextInt()), executor)
         val ofConfigurations = settings.kinds.filter { it == FaultKind.CONFIGURATION }
+        val ofRequests = settings.kinds.filter { it == FaultKind.DEADLY_REQUEST }
         val players =
             listOf(
                 ofDaemons to daemonFaults::playNext,
                 ofTargets to targetFaults::playNext,
                 ofConfigurations to changes::playNext,
+                ofRequests to deadly::playNext,
             ).filter { (kinds, _) -> kinds.isNotEmpty() }
                 .map { (_, playNext) ->
                     thread(isDaemon = true) {
--- a/soak/src/main/kotlin/org/vanillalink/soak/callers/CallMaker.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/callers/CallMaker.kt
@@ -24,6 +24,7 @@
     private val profile: Profile,
     private val style: CallerStyle,
     private val random: Random,
+    private val addedRoutes: () -> List<SoakRoute> = { emptyList() },
 ) {
     private var count = 0
 
@@ -52,6 +53,14 @@
         }
     }
 
+    /** A request that crashes the targets that run it; each one has the same path, caller and body. */
+    fun deadly(): PreparedRequest {
+        val route = OperatorConfiguration.KEYED_ORDERS
+        val answer = RequestedAnswer(OK, SMALL_BODY, LONG_WORK_MS)
+        val body = RequestedAnswer.DEADLY_BODY.toByteArray()
+        return build(nextId(), CallKind.ORDER, "POST", route, answer, 0, emptyMap(), body, "${route.prefix}deadly")
+    }
+
     private fun stream(): PreparedRequest {
         val events = profile.events.random(random)
         val model = profile.models.random(random).name
@@ -80,15 +89,19 @@
         nextId(),
         CallKind.LOOKUP,
         "GET",
-        OperatorConfiguration.LOOKUPS,
+        lookupRoute(),
         plainAnswer(),
         0,
         emptyMap(),
         ByteArray(0),
     )
 
+    /** The newest route shows soonest whether a daemon has an older configuration. */
+    private fun lookupRoute(): SoakRoute =
+        addedRoutes().lastOrNull()?.takeIf { random.nextBoolean() } ?: OperatorConfiguration.LOOKUPS
+
     private fun plainAnswer() = RequestedAnswer(
-        if (random.nextDouble() < profile.calls.failures) FAILURE else OK,
+        if (random.nextDouble() < profile.calls.failures) FAILURES.random(random) else OK,
         if (random.nextInt(largeShare) ==
             0
         ) {
@@ -120,9 +133,9 @@
         events: Int,
         fields: Map<String, String>,
         body: ByteArray,
+        target: String = "${route.prefix}${id.length}?id=$id",
     ): PreparedRequest {
         val deadlineMs = if (kind == CallKind.STREAM) STREAM_DEADLINE_MS else PLAIN_DEADLINE_MS
-        val target = "${route.prefix}${id.length}?id=$id"
         val isChunked = body.isNotEmpty() && random.nextDouble() < profile.calls.chunkedBodies
         val framing =
             if (isChunked) {
@@ -174,6 +187,9 @@
     private companion object {
         const val OK = 200
         const val FAILURE = 500
+
+        /** Some of them say to callers that a request has not run, although its target has run it. */
+        val FAILURES = listOf(FAILURE, FAILURE, FAILURE, 408, 429, 503)
         const val STREAM_FAILURES = 0.03
         const val PROMPT_TOKENS = 700
         const val HEXADECIMAL = 16
--- a/soak/src/main/kotlin/org/vanillalink/soak/callers/Caller.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/callers/Caller.kt
@@ -5,6 +5,7 @@
 
 import org.vanillalink.soak.Profile
 import org.vanillalink.soak.deployment.Rotation
+import org.vanillalink.soak.deployment.SoakRoute
 import org.vanillalink.soak.record.CallEnd
 import org.vanillalink.soak.record.Recorder
 import java.io.IOException
@@ -21,6 +22,8 @@
     val rotation: Rotation,
     val recorder: Recorder,
     val failureDomains: List<String>,
+    /** Routes that were added long enough ago for all daemons to have them. */
+    val addedRoutes: () -> List<SoakRoute>,
     val isOver: () -> Boolean,
 ) {
     val connections = AtomicInteger()
@@ -33,7 +36,7 @@
     private val settings: CallerSettings,
     private val random: Random,
 ) {
-    private val maker = CallMaker("c$index", settings.profile, style, random)
+    private val maker = CallMaker("c$index", settings.profile, style, random, settings.addedRoutes)
     private val isHasty = random.nextInt(HASTY_SHARE) == 0
 
     fun run() {
--- a/soak/src/main/kotlin/org/vanillalink/soak/check/Checker.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/Checker.kt
@@ -12,7 +12,9 @@
     fun check(recording: Recording): List<Finding> {
         val index = RecordingIndex(recording)
         val ofCalls = LossRule(index).findings() + AnswerRules(index).findings()
-        val findings = ofCalls + RunRules(index).findings() + GroupRules(index).findings()
+        val findings =
+            ofCalls + RunRules(index).findings() + GroupRules(index).findings() +
+                KnowledgeRules(index).findings()
         return findings.sortedBy { it.atMs }
     }
 
--- a/soak/src/main/kotlin/org/vanillalink/soak/check/RecordingIndex.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/RecordingIndex.kt
@@ -9,6 +9,7 @@
 import org.vanillalink.soak.record.FaultKind
 import org.vanillalink.soak.record.InjectedFault
 import org.vanillalink.soak.record.Recording
+import org.vanillalink.soak.record.UnreadyAnswer
 
 /** Answers what the rules ask of [recording]. */
 internal class RecordingIndex(
@@ -67,21 +68,43 @@
     /** Whether the daemon of [call] was killed, started or paused from the stable window before it to its end. */
     fun isDisrupted(call: Call): Boolean {
         val span = call.startedMs - bounds.stableWindowMs..call.endedMs
-        return processOf(call).any { it.kind in UNPLANNED && it.atMs in span } || isPausedIn(call, span)
+        return processOf(call).any { it.kind in UNPLANNED && it.atMs in span } || isPausedIn(processOf(call), span)
+    }
+
+    /** Whether the daemon of [call] is in touch, as the users' pages have it, from the start of [call] to its end. */
+    fun isInTouch(call: Call): Boolean = isInTouch(processOf(call), call.startedMs, call.endedMs)
+
+    /** Whether the process that gave [answer] was in touch then. */
+    fun isInTouch(answer: UnreadyAnswer): Boolean =
+        isInTouch(events[answer.daemon].orEmpty().filter { it.start == answer.start }, answer.atMs, answer.atMs)
+
+    private fun isInTouch(
+        process: List<DaemonEvent>,
+        fromMs: Long,
+        toMs: Long,
+    ): Boolean {
+        val span = fromMs - bounds.stableWindowMs..toMs
+        val isDisturbed = process.any { it.kind in DISTURBING && it.atMs in span } || isPausedIn(process, span)
+        return !isDisturbed && !isStoreDisrupted(fromMs, toMs)
     }
 
     private fun isPausedIn(
-        call: Call,
+        process: List<DaemonEvent>,
         span: LongRange,
     ): Boolean {
-        val before = processOf(call).filter { it.kind in PAUSES && it.atMs <= span.first }.maxByOrNull { it.atMs }
+        val before = process.filter { it.kind in PAUSES && it.atMs <= span.first }.maxByOrNull { it.atMs }
         return before?.kind == DaemonEventKind.PAUSE
     }
 
     /** Whether the store was disrupted from the stable window before [call] to its end. */
-    fun isStoreDisrupted(call: Call): Boolean = recording.storeEvents
+    fun isStoreDisrupted(call: Call): Boolean = isStoreDisrupted(call.startedMs, call.endedMs)
+
+    private fun isStoreDisrupted(
+        fromMs: Long,
+        toMs: Long,
+    ): Boolean = recording.storeEvents
         .filter { it.kind != FaultKind.CONFIGURATION }
-        .any { it.fromMs <= call.endedMs && it.toMs >= call.startedMs - bounds.stableWindowMs }
+        .any { it.fromMs <= toMs && it.toMs >= fromMs - bounds.stableWindowMs }
 
     /** What is worth knowing of [call] in a finding. */
     fun historyOf(call: Call): String {
@@ -129,6 +152,8 @@
     private companion object {
         const val SHOWN = 4
         val UNPLANNED = setOf(DaemonEventKind.KILL, DaemonEventKind.PAUSE, DaemonEventKind.CONTINUE)
+        val DISTURBING =
+            UNPLANNED + setOf(DaemonEventKind.STARTED, DaemonEventKind.TERM, DaemonEventKind.KILL_AFTER_GRACE)
         val PAUSES = setOf(DaemonEventKind.PAUSE, DaemonEventKind.CONTINUE)
     }
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/OperatorConfiguration.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/OperatorConfiguration.kt
@@ -26,7 +26,10 @@
     private val timeouts = ROUTES.associate { it.name to it.timeoutMs }.toMutableMap()
     private val shares = profile.models.associate { it.name to 1.0 / profile.models.size }.toMutableMap()
     private var idleTimeoutMs = IDLE_TIMEOUTS.first()
-    private var addedRoutes = 0
+    private val added = ArrayList<SoakRoute>()
+
+    /** Routes that changes have added, in their order. */
+    val addedRoutes: List<SoakRoute> get() = added
     private var addedWorkspaces = 0
 
     /** Changes one thing and returns what. */
@@ -53,8 +56,12 @@
         return "timeout of ${route.name} ${timeouts[route.name]}"
     }
 
+    private fun addRoute(): String {
+        added += SoakRoute("added-${added.size}", "idempotent", DESK, LOOKUPS.timeoutMs, false)
+        return "route ${added.size} added"
+    }
+
     fun json(): ByteArray {
-        val added = List(addedRoutes) { SoakRoute("added-$it", "idempotent", DESK, LOOKUPS.timeoutMs, false) }
         val workspaces =
             listOf(workspace("gritworks", KEY)) + List(addedWorkspaces) { workspace("added-$it", "added-key-$it") }
         val plain = """{"name":"$DESK","healthPath":"/health","maxConns":$MOST_CONNECTIONS}"""
@@ -102,7 +109,7 @@
                 OperatorConfiguration::changeShares,
                 OperatorConfiguration::changeTimeout,
                 OperatorConfiguration::changeIdleTimeout,
-                { "route ${++addedRoutes} added" },
+                OperatorConfiguration::addRoute,
                 { "workspace ${++addedWorkspaces} added" },
             )
         private const val MOST_STEPS = 3
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/Rotation.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/Rotation.kt
@@ -4,6 +4,8 @@
 package org.vanillalink.soak.deployment
 
 import org.vanillalink.model.Endpoint
+import org.vanillalink.soak.record.Recorder
+import org.vanillalink.soak.record.UnreadyAnswer
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.Socket
@@ -13,6 +15,7 @@
 /** Asks each of [daemons] once a second; two misses take one out until it answers with 200 again. */
 internal class Rotation(
     private val daemons: List<DaemonProcess>,
+    private val recorder: Recorder,
 ) {
     private class Standing {
         @Volatile
@@ -26,7 +29,11 @@
             thread(isDaemon = true, name = "readiness-${daemon.name}") {
                 val standing = standings.getValue(daemon)
                 while (true) {
-                    standing.misses = if (isReady(daemon.place.readiness)) 0 else standing.misses + 1
+                    val status = readiness(daemon.place.readiness)
+                    standing.misses = if (status == READY) 0 else standing.misses + 1
+                    if (status != READY && status != null) {
+                        recorder.add(UnreadyAnswer(daemon.name, daemon.start, recorder.now()))
+                    }
                     Thread.sleep(PERIOD_MS)
                 }
             }
@@ -52,20 +59,21 @@
         }
     }
 
-    private fun isReady(endpoint: Endpoint): Boolean = try {
+    /** Returns the status of the answer, or null without one. */
+    private fun readiness(endpoint: Endpoint): String? = try {
         Socket().use { socket ->
             socket.soTimeout = TIMEOUT_MS
             socket.connect(InetSocketAddress(endpoint.address, endpoint.port), TIMEOUT_MS)
             socket.getOutputStream().write(REQUEST)
-            val answer = String(socket.getInputStream().readNBytes(STATUS_LENGTH))
-            answer.endsWith(" 200")
+            String(socket.getInputStream().readNBytes(STATUS_LENGTH)).substringAfter(' ', "").ifEmpty { null }
         }
     } catch (_: IOException) {
-        false
+        null
     }
 
     private companion object {
         const val MISSES = 2
+        const val READY = "200"
         const val PERIOD_MS = 1_000L
         const val TIMEOUT_MS = 500
         const val STATUS_LENGTH = 12
--- a/soak/src/main/kotlin/org/vanillalink/soak/deployment/SoakDeployment.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/deployment/SoakDeployment.kt
@@ -55,6 +55,10 @@
         )
     private val storeEndpoint = ports.next()
 
+    /** The added routes, with the times at which the store had them. */
+    @Volatile
+    private var routesWrittenMs: List<Pair<SoakRoute, Long>> = emptyList()
+
     val store: RowStore get() = host.store
     val targets: List<SoakTarget> = DOMAINS.flatMap(::targetsOf)
     val daemons: List<DaemonProcess>
@@ -119,7 +123,23 @@
         val fromMs = recorder.now()
         val change = configuration.change()
         writeConfiguration()
-        recorder.add(StoreEvent(FaultKind.CONFIGURATION, fromMs, recorder.now(), change))
+        val writtenMs = recorder.now()
+        routesWrittenMs = routesWrittenMs + configuration.addedRoutes.drop(routesWrittenMs.size).map { it to writtenMs }
+        recorder.add(StoreEvent(FaultKind.CONFIGURATION, fromMs, writtenMs, change))
+    }
+
+    /** The routes that the operator added before [atMs], in their order. */
+    fun routesAddedBefore(atMs: Long): List<SoakRoute> = routesWrittenMs.takeWhile { it.second < atMs }.map { it.first }
+
+    /** Puts [content] among the targets' entries for [milliseconds], as another writer may. */
+    fun addOddEntry(
+        key: String,
+        content: String,
+        milliseconds: Long,
+    ) {
+        store.put("servers", key, Base64.getEncoder().encodeToString(content.toByteArray()))
+        Thread.sleep(milliseconds)
+        store.remove("servers", key)
     }
 
     private fun writeConfiguration() =
--- a/soak/src/main/kotlin/org/vanillalink/soak/faults/DaemonFaults.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/faults/DaemonFaults.kt
@@ -39,6 +39,10 @@
                 executor.execute { disturbStore(kind, seed) }
             }
 
+            FaultKind.ODD_ENTRY -> {
+                executor.execute { addOddEntry(seed) }
+            }
+
             FaultKind.TERM_SEVERAL -> {
                 val domain = SoakDeployment.DOMAINS.random(seed)
                 val all = deployment.daemons.filter { it.place.failureDomain == domain && !it.isInUse }
@@ -148,6 +152,15 @@
         }
     }
 
+    private fun addOddEntry(seed: Random) {
+        recorder.add(InjectedFault(FaultKind.ODD_ENTRY, recorder.now(), "store", null))
+        deployment.addOddEntry(
+            "odd-${seed.nextInt(MOST_ODD_ENTRIES)}",
+            OddEntry.build(seed),
+            seed.nextLong(LONGEST_ODD_MS),
+        )
+    }
+
     private fun disturbStore(
         kind: FaultKind,
         seed: Random,
@@ -178,5 +191,7 @@
         const val SHORTEST_FREEZE_MS = 300L
         const val LONGEST_FREEZE_MS = 4_000L
         const val SETTLE_MS = 4_000L
+        const val MOST_ODD_ENTRIES = 3
+        const val LONGEST_ODD_MS = 10_000L
     }
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
@@ -36,6 +36,8 @@
     STORE_UNAVAILABLE,
     STORE_ANSWERS_LOST,
     STORE_HISTORY_LOST,
+    ODD_ENTRY,
+    DEADLY_REQUEST,
     ;
 
     /** Whether it is a fault of connections to targets. */
@@ -100,6 +102,13 @@
     val exitCode: Int? = null,
 )
 
+/** [daemon] answered the platform's question whether it is ready with another status than 200. */
+data class UnreadyAnswer(
+    val daemon: String,
+    val start: Int,
+    val atMs: Long,
+)
+
 /** A change of the configuration, or a disruption of the store. */
 data class StoreEvent(
     val kind: FaultKind,
@@ -129,4 +138,5 @@
     val storeEvents: List<StoreEvent> = emptyList(),
     val groupEvents: List<GroupEvent> = emptyList(),
     val modelSizes: Map<String, Int> = emptyMap(),
+    val unreadyAnswers: List<UnreadyAnswer> = emptyList(),
 )
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Recorder.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Recorder.kt
@@ -20,6 +20,7 @@
     private val daemonEvents = ConcurrentLinkedQueue<DaemonEvent>()
     private val storeEvents = ConcurrentLinkedQueue<StoreEvent>()
     private val groupEvents = ConcurrentLinkedQueue<GroupEvent>()
+    private val unreadyAnswers = ConcurrentLinkedQueue<UnreadyAnswer>()
 
     /** Milliseconds since the start of the run. */
     fun now(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
@@ -40,6 +41,8 @@
 
     fun add(event: GroupEvent) = groupEvents.add(event)
 
+    fun add(answer: UnreadyAnswer) = unreadyAnswers.add(answer)
+
     /** Returns what has been recorded so far. */
     fun recording() = Recording(
         bounds,
@@ -52,5 +55,6 @@
         storeEvents.toList(),
         groupEvents.toList(),
         modelSizes,
+        unreadyAnswers.toList(),
     )
 }
--- a/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/targets/SoakTarget.kt
@@ -14,6 +14,7 @@
 import org.vanillalink.standins.runner.FakeRunner
 import org.vanillalink.standins.runner.GroupIdentity
 import org.vanillalink.standins.runner.GroupMemberships
+import org.vanillalink.standins.runner.RequestedAnswer
 import org.vanillalink.standins.runner.RunnerSettings
 import org.vanillalink.transport.HttpRequestMessage
 import org.vanillalink.transport.NettyEventLoops
@@ -41,12 +42,20 @@
 ) {
     private val proxy = FaultProxy(host.proxyLoops, listen, behind, name, chooser, host.recorder)
     private var runner: FakeRunner? = null
+    private var isUp = false
+
+    /** Called on a thread of the target when a request has crashed it. */
+    @Volatile
+    var onCrashedByRequest: () -> Unit = {}
 
     /** Whether the target takes part in groups. */
     val isOfModel: Boolean get() = fabricDomain != null
 
+    /** Starts it unless it runs. */
     @Synchronized
     fun start() {
+        if (isUp) return
+        isUp = true
         proxy.start()
         val settings = RunnerSettings(name, service, failureDomain, fabricDomain, "$listen", slots = host.slots)
         runner =
@@ -74,6 +83,7 @@
                 group,
             ),
         )
+        if (request.body.decodeToString() == RequestedAnswer.DEADLY_BODY) onCrashedByRequest()
     }
 
     private fun recordBreak(requestId: String) {
@@ -91,6 +101,8 @@
     /** Ends without a word; the entry goes when the store has missed its heartbeats. */
     @Synchronized
     fun crash() {
+        if (!isUp) return
+        isUp = false
         host.recorder.add(InjectedFault(FaultKind.TARGET_CRASH, host.recorder.now(), name, null))
         proxy.reset()
         runner?.kill()
@@ -104,6 +116,8 @@
     /** Ends after it has drained. */
     @Synchronized
     fun leave() {
+        if (!isUp) return
+        isUp = false
         expire()
         proxy.stopListening()
         runner?.kill()
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
@@ -26,6 +26,51 @@
     fun `a request cut after SIGTERM is lost`() =
         breaks("LOST", cutAfterTerm(sentMs = start + 500, endedMs = start + 2_000).run("a"))
 
+    // Guards against a request that crashes targets without end and isn't counted, and against counting those that are
+    // allowed.
+    @Test
+    fun `a request that ran in four retries after three crashes and the stable window breaks the budget`() {
+        breaks("BUDGET", deadly(retries = 4))
+        holds(deadly(retries = 3))
+        holds(deadly(retries = 4, firstRetryMs = 2_000))
+        holds(deadly(retries = 4).event(DaemonEventKind.STARTED, start + 6_500))
+    }
+
+    /** Three crashes within a second, then [retries] from [firstRetryMs] after the third one on, one each second. */
+    private fun deadly(
+        retries: Int,
+        firstRetryMs: Long = 4_000,
+    ): RecordedRun {
+        val times = listOf(0L, 500, 1_000) + (0 until retries).map { 1_000 + firstRetryMs + it * 1_000L }
+        return times.foldIndexed(RecordedRun()) { index, run, time ->
+            val answer = RequestedAnswer(502, 0, 0)
+            val head = AnswerHead(502, "d$index", null, false)
+            run
+                .call("d$index", sentMs = start + time, answer = answer, head = head, target = "/deadly")
+                .run("d$index", atMs = start + time, path = "/deadly")
+        }
+    }
+
+    // Guards against daemons that keep an older configuration and aren't found.
+    @Test
+    fun `a refusal that no configuration in force allows is found, at daemons in touch`() {
+        val refused = { RecordedRun().call("a", head = AnswerHead(404, "a", null, false)) }
+        breaks("CONFIG", refused())
+        holds(refused().event(DaemonEventKind.STARTED, start - 2_000))
+        holds(RecordedRun().call("a", head = AnswerHead(503, "a", null, false)))
+    }
+
+    // Guards against daemons that refuse everything while nothing is disturbed, which breaks no rule on requests.
+    @Test
+    fun `a daemon that isn't ready three times in a row though in touch is found`() {
+        val unready = { count: Int ->
+            (0 until count).fold(RecordedRun().call("a").run("a")) { run, index -> run.unready(start + index * 1_000L) }
+        }
+        breaks("UNREADY", unready(3))
+        holds(unready(2))
+        holds(unready(3).event(DaemonEventKind.TERM, start + 1_500))
+    }
+
     // Guards against losses of requests that no target got.
     @Test
     fun `a request that waited longer than the slack without being passed on is lost`() =
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/RecordedRun.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/RecordedRun.kt
@@ -20,6 +20,7 @@
 import org.vanillalink.soak.record.Recording
 import org.vanillalink.soak.record.Run
 import org.vanillalink.soak.record.SentRequest
+import org.vanillalink.soak.record.UnreadyAnswer
 import org.vanillalink.standins.runner.GroupChange
 import org.vanillalink.standins.runner.GroupChangeKind
 import org.vanillalink.standins.runner.GroupIdentity
@@ -38,6 +39,7 @@
     private val faults = mutableListOf<InjectedFault>()
     private val events = mutableListOf<DaemonEvent>()
     private val groupEvents = mutableListOf<GroupEvent>()
+    private val unreadyAnswers = mutableListOf<UnreadyAnswer>()
 
     fun call(
         id: String,
@@ -54,9 +56,10 @@
         hasKey: Boolean = false,
         deadlineMs: Long = 60_000,
         routeTimeoutMs: Long = 60_000,
+        target: String = "/$id",
     ) = apply {
         val request =
-            SentRequest(id, kind, "POST", "/$id", BODY_HASH, answer, events, deadlineMs, routeTimeoutMs, hasKey)
+            SentRequest(id, kind, "POST", target, BODY_HASH, answer, events, deadlineMs, routeTimeoutMs, hasKey)
         val path = CallPath(DAEMON, 1, connection, position)
         calls += Call(request, path, sentMs, sentMs, endedMs.takeIf { head != null }, endedMs, end, head, content)
     }
@@ -68,7 +71,8 @@
         bodyHash: Int = BODY_HASH,
         lastEventId: Int? = null,
         group: GroupIdentity? = null,
-    ) = apply { runs += Run(id, target, atMs, "POST", "/$id", bodyHash, lastEventId, group) }
+        path: String = "/$id",
+    ) = apply { runs += Run(id, target, atMs, "POST", path, bodyHash, lastEventId, group) }
 
     fun passage(
         id: String,
@@ -100,6 +104,8 @@
         groupEvents += GroupEvent(target, atMs, GroupChange(kind, group, if (takesTime) DELAY else 0))
     }
 
+    fun unready(atMs: Long) = apply { unreadyAnswers += UnreadyAnswer(DAEMON, 1, atMs) }
+
     fun rules(): List<String> = Checker
         .check(
             Recording(
@@ -112,6 +118,7 @@
                 events,
                 groupEvents = groupEvents,
                 modelSizes = mapOf(MODEL to 2),
+                unreadyAnswers = unreadyAnswers,
             ),
         ).map { it.rule }
 
--- a/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RequestedAnswer.kt
+++ b/stand-ins/src/main/kotlin/org/vanillalink/standins/runner/RequestedAnswer.kt
@@ -17,6 +17,9 @@
         mapOf(STATUS to "$status", BODY_BYTES to "$bodyBytes", MILLISECONDS to "$milliseconds")
 
     companion object {
+        /** The body of a request that crashes the target that runs it, where the test has targets do so. */
+        const val DEADLY_BODY = "deadly"
+
         private const val STATUS = "answer-status"
         private const val BODY_BYTES = "answer-body-bytes"
         private const val MILLISECONDS = "answer-milliseconds"
