Don't count a daemon that was asked to end as unready

The rule excused the stable window after the signal only. It now takes any process that was asked to end as stopping; CheckerTest has the case.

--- a/soak/src/main/kotlin/org/vanillalink/soak/check/KnowledgeRules.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/KnowledgeRules.kt
@@ -18,7 +18,7 @@
         .groupBy { it.daemon to it.start }
         .values
         .mapNotNull { answers ->
-            val inTouch = answers.sortedBy { it.atMs }.filter(index::isInTouch)
+            val inTouch = answers.sortedBy { it.atMs }.filter(index::shouldBeReady)
             val series = inTouch.windowed(UNREADY_ANSWERS).firstOrNull { it.last().atMs - it.first().atMs < UNREADY_MS }
             series?.last()?.let { Finding("UNREADY", it.atMs, it.daemon, null, null, "not ready though in touch") }
         }
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
@@ -69,6 +69,7 @@
         breaks("UNREADY", unready(3))
         holds(unready(2))
         holds(unready(3).event(DaemonEventKind.TERM, start + 1_500))
+        holds(unready(3).event(DaemonEventKind.TERM, start - 5_000))
     }
 
     // Guards against losses of requests that no target got.
