Give a daemon the time to start before it counts as unready

The rule now leaves out the pages' recoveryS of 12 s after a start; CheckerTest has both sides of the bound.

--- a/soak/src/main/kotlin/org/vanillalink/soak/check/RecordingIndex.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/check/RecordingIndex.kt
@@ -74,11 +74,15 @@
     /** Whether the daemon of [call] is in touch, as the users' pages have it, from the start of [call] to its end. */
     fun isInTouch(call: Call): Boolean = isInTouch(processOf(call), call.startedMs, call.endedMs)
 
-    /** Whether the process that gave [answer] was in touch then, and not asked to end: it is to say so from then on. */
+    /**
+     * Whether the process that gave [answer] was in touch then, has had the time to start, and was not asked to end:
+     * from then on it isn't to be ready.
+     */
     fun shouldBeReady(answer: UnreadyAnswer): Boolean {
         val process = events[answer.daemon].orEmpty().filter { it.start == answer.start }
         val isStopping = process.any { it.kind == DaemonEventKind.TERM && it.atMs <= answer.atMs }
-        return !isStopping && isInTouch(process, answer.atMs, answer.atMs)
+        val isStarting = process.any { it.kind == DaemonEventKind.STARTED && it.atMs + bounds.recoveryMs > answer.atMs }
+        return !isStopping && !isStarting && isInTouch(process, answer.atMs, answer.atMs)
     }
 
     private fun isInTouch(
--- a/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
+++ b/soak/src/main/kotlin/org/vanillalink/soak/record/Events.kt
@@ -124,6 +124,7 @@
     val lossSlackMs: Long = 200,
     val configApplyMs: Long = 2_000,
     val stallMs: Long = 5_000,
+    val recoveryMs: Long = 12_000,
 )
 
 /** All that was recorded in a run; [groupEvents] in their order, [modelSizes] are the members of a group by model. */
--- a/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
+++ b/soak/src/test/kotlin/org/vanillalink/soak/check/CheckerTest.kt
@@ -70,6 +70,8 @@
         holds(unready(2))
         holds(unready(3).event(DaemonEventKind.TERM, start + 1_500))
         holds(unready(3).event(DaemonEventKind.TERM, start - 5_000))
+        holds(unready(3).event(DaemonEventKind.STARTED, start - 5_000))
+        breaks("UNREADY", unready(3).event(DaemonEventKind.STARTED, start - 12_000))
     }
 
     // Guards against losses of requests that no target got.
